Add core and policy libraries: configuration, patches, fleet record, planner, routing, admission, claims, placement

Cause: the whole path needs its decisions before its sockets. All decisions are pure: state, event and clock in, actions out.

--- /dev/null
+++ b/core/bounded_archive.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/leaf.hpp>
+#include <cereal/cereal.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace siskinpaddle {
+
+/// Why binary input was refused; travels with a LEAF error.
+struct decode_error {
+    std::string message;
+};
+
+/// Largest binary input that is decoded at all.
+inline constexpr std::size_t max_archive_bytes = 4U << 20U;
+
+/// Cereal archive whose container sizes are checked against the bytes that are left. Cereal takes sizes from
+/// the input: without the check eight hostile bytes make a vector resize itself to exabytes.
+class bounded_input_archive : public cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision> {
+  public:
+    explicit bounded_input_archive(std::string_view bytes)
+        : cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>(this), m_bytes(bytes) {}
+
+    /// Copies `size` bytes out. Throws cereal::Exception at the end of the input.
+    void take(void* out, std::size_t size) {
+        if (size > m_bytes.size()) {
+            throw cereal::Exception("input ends early");
+        }
+        std::copy_n(m_bytes.data(), size, static_cast<char*>(out));
+        m_bytes.remove_prefix(size);
+    }
+
+    [[nodiscard]] std::size_t left() const noexcept { return m_bytes.size(); }
+
+  private:
+    std::string_view m_bytes;
+};
+
+/// Writes what `bounded_input_archive` reads. All our processes run on machines of one byte order.
+class bounded_output_archive
+    : public cereal::OutputArchive<bounded_output_archive, cereal::AllowEmptyClassElision> {
+  public:
+    explicit bounded_output_archive(std::string& out)
+        : cereal::OutputArchive<bounded_output_archive, cereal::AllowEmptyClassElision>(this), m_out(out) {}
+
+    void put(const void* data, std::size_t size) { m_out.append(static_cast<const char*>(data), size); }
+
+  private:
+    std::string& m_out;
+};
+
+template <typename T>
+    requires std::is_arithmetic_v<T>
+void CEREAL_SAVE_FUNCTION_NAME(bounded_output_archive& archive, const T& value) {
+    archive.put(&value, sizeof(value));
+}
+
+template <typename T>
+    requires std::is_arithmetic_v<T>
+void CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive& archive, T& value) {
+    if constexpr (std::is_same_v<T, bool>) {
+        std::uint8_t byte = 0;
+        archive.take(&byte, 1);
+        value = byte != 0;
+    } else {
+        archive.take(&value, sizeof(value));
+    }
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_input_archive& archive, cereal::NameValuePair<T>& pair) {
+    archive(pair.value);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_output_archive& archive, cereal::NameValuePair<T>& pair) {
+    archive(pair.value);
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_output_archive& archive, cereal::SizeTag<T>& tag) {
+    archive(static_cast<std::uint64_t>(tag.size));
+}
+
+template <typename T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_input_archive& archive, cereal::SizeTag<T>& tag) {
+    std::uint64_t size = 0;
+    archive(size);
+    if (size > archive.left()) {
+        throw cereal::Exception("a size exceeds the input");
+    }
+    tag.size = static_cast<cereal::size_type>(size);
+}
+
+template <typename T>
+void CEREAL_SAVE_FUNCTION_NAME(bounded_output_archive& archive, const cereal::BinaryData<T>& data) {
+    archive.put(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <typename T>
+void CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive& archive, cereal::BinaryData<T>& data) {
+    archive.take(const_cast<void*>(static_cast<const void*>(data.data)), static_cast<std::size_t>(data.size));
+}
+
+/// Binary form of `value`.
+template <typename T>
+[[nodiscard]] std::string encode_archive(const T& value) {
+    std::string bytes;
+    bounded_output_archive archive(bytes);
+    archive(value);
+    return bytes;
+}
+
+/// Reads what `encode_archive` wrote. Fails with `decode_error` on damaged, oversized or trailing input. Never
+/// throws; allocates at most one element for each byte of the input.
+template <typename T>
+[[nodiscard]] boost::leaf::result<T> decode_archive(std::string_view bytes) {
+    if (bytes.size() > max_archive_bytes) {
+        return boost::leaf::new_error(decode_error{"input is too large"});
+    }
+    try {
+        T value;
+        bounded_input_archive archive(bytes);
+        archive(value);
+        if (archive.left() != 0) {
+            return boost::leaf::new_error(decode_error{"input has trailing bytes"});
+        }
+        return value;
+    } catch (const std::exception& error) {
+        return boost::leaf::new_error(decode_error{error.what()});
+    }
+}
+
+} // namespace siskinpaddle
+
+CEREAL_REGISTER_ARCHIVE(siskinpaddle::bounded_input_archive)
+CEREAL_REGISTER_ARCHIVE(siskinpaddle::bounded_output_archive)
+CEREAL_SETUP_ARCHIVE_TRAITS(siskinpaddle::bounded_input_archive, siskinpaddle::bounded_output_archive)
--- /dev/null
+++ b/core/hash.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace siskinpaddle {
+
+/// 64-bit xxHash of `data`; stable between builds and machines. Not for secrets.
+[[nodiscard]] std::uint64_t hash64(std::string_view data, std::uint64_t seed = 0) noexcept;
+
+/// `value` as 16 lower-case hexadecimal digits.
+[[nodiscard]] std::string to_hex(std::uint64_t value);
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/core/json_object.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/findings.hpp"
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace siskinpaddle {
+
+/// Inclusive bounds of a number in a JSON document.
+struct number_bounds {
+    std::int64_t low;
+    std::int64_t high;
+};
+
+/// Reads one JSON object field by field and reports every finding with its JSON pointer: wrong types, numbers
+/// out of bounds, missing and unknown keys. Reading goes on after a finding, with the field's default, so that
+/// one pass finds everything. Not thread-safe; keeps references to `value` and `out`.
+class json_object {
+  public:
+    /// `path` is the JSON pointer of `value`. A `value` that is no object is a finding.
+    json_object(const boost::json::value& value, std::string path, findings& out);
+
+    [[nodiscard]] std::string text(std::string_view key);
+    [[nodiscard]] std::string text_or(std::string_view key, std::string fallback);
+    [[nodiscard]] std::int64_t number(std::string_view key, number_bounds bounds);
+    [[nodiscard]] std::int64_t number_or(std::string_view key, std::int64_t fallback, number_bounds bounds);
+    [[nodiscard]] bool flag_or(std::string_view key, bool fallback);
+
+    /// Calls `visit(name, value, path)` for each member of the object at `key`. A missing key visits nothing.
+    void each(std::string_view key,
+              const std::function<void(const std::string&, const boost::json::value&, const std::string&)>& visit);
+
+    /// The value at `key`, or null when the key is missing; the caller checks it.
+    [[nodiscard]] const boost::json::value* child(std::string_view key);
+
+    /// JSON pointer of the field `key`.
+    [[nodiscard]] std::string path_of(std::string_view key) const;
+
+    /// Reports each key that nothing has asked for. Call once, last.
+    void reject_unknown();
+
+  private:
+    const boost::json::value* find(std::string_view key);
+
+    const boost::json::object* m_object = nullptr;
+    std::string m_path;
+    findings& m_out;
+    std::set<std::string, std::less<>> m_known;
+};
+
+/// Escapes `key` as one reference token of a JSON pointer (RFC 6901).
+[[nodiscard]] std::string escape_pointer(std::string_view key);
+
+/// Parses `text`, adding a finding with line and column on a syntax error. Nesting is bounded, so hostile
+/// input can't exhaust the stack.
+[[nodiscard]] boost::json::value parse_json(std::string_view text, const std::string& place, findings& out);
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/budget.cpp
@@ -0,0 +1,60 @@
+#include "policy/budget.hpp"
+
+namespace siskinpaddle {
+
+std::set<std::string> silent_zones(const fleet_record& fleet, const observations& seen, timestamp now) {
+    std::set<std::string> silent;
+    std::set<std::string> heard;
+    for (const entry_record& entry : fleet.entries) {
+        silent.insert(entry.availability_zone);
+        const auto report = seen.entries.find(entry.id);
+        if (report != seen.entries.end() && now - report->second.heard <= zone_silence_bound) {
+            heard.insert(entry.availability_zone);
+        }
+    }
+    for (const std::string& zone : heard) {
+        silent.erase(zone);
+    }
+    return silent;
+}
+
+availability_map measure_availability(const configuration& config, const fleet_record& fleet,
+                                      const observations& seen, timestamp now) {
+    availability_map pools;
+    for (const auto& [name, settings] : config.pools) {
+        pools[name].promised = settings.promised;
+        pools[name].size = settings.size;
+    }
+    std::set<std::string> suspected;
+    for (const auto& [id, report] : seen.entries) {
+        suspected.insert(report.suspect_vms.begin(), report.suspect_vms.end());
+    }
+    const std::set<std::string> silent = silent_zones(fleet, seen, now);
+    for (const vm_record& vm : fleet.vms) {
+        const auto pool = pools.find(vm.pool);
+        if (pool == pools.end()) {
+            continue;
+        }
+        if (vm.state == vm_state::lost) {
+            ++pool->second.lost;
+            continue;
+        }
+        ++pool->second.held;
+        if (vm.state != vm_state::serving) {
+            ++pool->second.planned_out;
+            continue;
+        }
+        const auto listed = seen.listed.find(vm.id);
+        const bool live = listed != seen.listed.end() && listed->second.state == listing::live;
+        if (live && !suspected.contains(vm.id) && !silent.contains(vm.availability_zone)) {
+            ++pool->second.available;
+        }
+    }
+    return pools;
+}
+
+bool may_take_out(const pool_availability& pool, std::int64_t count, std::int64_t reserve) {
+    return pool.available - count >= pool.promised + reserve;
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/fleet.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <boost/leaf.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace siskinpaddle {
+
+/// Where a VM stands between pools and maintenance. Only `serving` VMs get new work.
+enum class vm_state : std::uint8_t {
+    free,           ///< In no pool.
+    serving,        ///< Takes requests and jobs of its pool.
+    cordoned,       ///< Leaving: entries are being told to send nothing new.
+    draining,       ///< Every entry has stopped sending; work in progress ends.
+    drained,        ///< Nothing of its pool is in progress.
+    in_maintenance, ///< Handed to the platform for its reboot.
+    returning,      ///< Up again; waits for its health check.
+    lost            ///< Failed, or no longer listed by the platform.
+};
+
+template <>
+inline constexpr std::array enum_names<vm_state>{
+    std::pair{vm_state::free, std::string_view("free")},
+    std::pair{vm_state::serving, std::string_view("serving")},
+    std::pair{vm_state::cordoned, std::string_view("cordoned")},
+    std::pair{vm_state::draining, std::string_view("draining")},
+    std::pair{vm_state::drained, std::string_view("drained")},
+    std::pair{vm_state::in_maintenance, std::string_view("in-maintenance")},
+    std::pair{vm_state::returning, std::string_view("returning")},
+    std::pair{vm_state::lost, std::string_view("lost")}};
+
+/// Why a VM was taken out of service.
+enum class stop_reason : std::uint8_t { none, wave, move, retire, failure };
+
+template <>
+inline constexpr std::array enum_names<stop_reason>{
+    std::pair{stop_reason::none, std::string_view("none")}, std::pair{stop_reason::wave, std::string_view("wave")},
+    std::pair{stop_reason::move, std::string_view("move")},
+    std::pair{stop_reason::retire, std::string_view("retire")},
+    std::pair{stop_reason::failure, std::string_view("failure")}};
+
+/// One VM. Its single `pool` field is the truth on who owns it, so no VM can be in two pools.
+struct vm_record {
+    std::string id;
+    std::string availability_zone;
+    std::string rack;
+    std::string address;
+    std::uint16_t port = 0;       ///< Where its target takes requests.
+    std::uint16_t agent_port = 0; ///< Where its worker takes task calls.
+    std::uint32_t cores = 0;
+    std::uint32_t memory_mb = 0;
+    std::uint32_t accelerators = 0;
+    std::string pool;      ///< Empty when free.
+    std::string next_pool; ///< Where it goes once drained, with `stop_reason::move`.
+    vm_state state = vm_state::free;
+    stop_reason reason = stop_reason::none;
+    std::uint32_t epoch = 0;     ///< Rises whenever the VM changes pool or is lost.
+    std::uint64_t wave = 0;      ///< Order of the last wave that it has finished.
+    std::uint64_t goal_wave = 0; ///< Order of the wave that it is being maintained for.
+    std::uint64_t boot = 0;      ///< Boot count when its last reboot was ordered.
+    std::uint64_t since = 0;     ///< Fleet revision at which it entered `state`.
+
+    bool operator==(const vm_record&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(id, availability_zone, rack, address, port, agent_port, cores, memory_mb, accelerators, pool,
+                next_pool, state, reason, epoch, wave, goal_wave, boot, since);
+    }
+};
+
+/// One registered entry. While it stands here it may be routing, so planned steps wait for it.
+struct entry_record {
+    std::string id;
+    std::string availability_zone;
+    std::string address;
+    std::uint16_t peer_port = 0;
+    std::uint64_t incarnation = 0; ///< Distinguishes restarts of the process with this id.
+
+    bool operator==(const entry_record&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(id, availability_zone, address, peer_port, incarnation);
+    }
+};
+
+/// The fleet's one record. Entries and VMs share a revision on purpose: a compare-and-swap that finishes a
+/// planned step fails when an entry has registered since the step was judged.
+struct fleet_record {
+    std::uint64_t revision = 0;
+    std::string write_id; ///< Of the write that made this revision; settles a lost answer.
+    std::string planner;  ///< Entry that holds the control lease, as far as recorded.
+    std::vector<entry_record> entries; ///< Sorted by id.
+    std::vector<vm_record> vms;        ///< Sorted by id.
+
+    bool operator==(const fleet_record&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(revision, write_id, planner, entries, vms);
+    }
+
+    [[nodiscard]] const vm_record* find_vm(std::string_view id) const;
+    [[nodiscard]] vm_record* find_vm(std::string_view id);
+    [[nodiscard]] const entry_record* find_entry(std::string_view id) const;
+
+    /// Inserts or replaces, keeping the order.
+    void put_vm(vm_record vm);
+    void put_entry(entry_record entry);
+    void remove_entry(std::string_view id);
+};
+
+/// What changed between two revisions; the usual transfer between peers.
+struct fleet_delta {
+    std::uint64_t base = 0;
+    std::uint64_t revision = 0;
+    std::string write_id;
+    std::string planner;
+    std::vector<entry_record> entries; ///< All of them; there are few.
+    std::vector<vm_record> changed;
+    std::vector<std::string> removed;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(base, revision, write_id, planner, entries, changed, removed);
+    }
+};
+
+[[nodiscard]] fleet_delta make_delta(const fleet_record& base, const fleet_record& next);
+
+/// Applies `delta`. Returns false, leaving `fleet` as it was, unless `fleet` has exactly the delta's base.
+[[nodiscard]] bool apply_delta(fleet_record& fleet, const fleet_delta& delta);
+
+/// Binary form of the record (cereal, portable).
+[[nodiscard]] std::string encode_fleet(const fleet_record& fleet);
+
+/// Reads what `encode_fleet` wrote. Fails with a text error for damaged input.
+[[nodiscard]] boost::leaf::result<fleet_record> decode_fleet(std::string_view bytes);
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/placement.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "policy/configuration.hpp"
+#include "policy/fleet.hpp"
+#include "policy/jobs.hpp"
+#include "policy/observations.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle {
+
+/// Learns what jobs of a kind really use, from the workers' lagging reports: declared sizes are often far from
+/// the truth. Pure; not thread-safe.
+class usage_estimates {
+  public:
+    /// Takes in one report of a running or ended task.
+    void learn(const std::string& kind, const job_size& used);
+
+    /// Size to plan with: what the kind was seen to use, a margin added, or the declared size while unknown.
+    [[nodiscard]] job_size planned_size(const job_record& job) const;
+
+  private:
+    struct estimate {
+        double cpu_millicores = 0;
+        double memory_mb = 0;
+        int reports = 0;
+    };
+    std::map<std::string, estimate> m_kinds;
+};
+
+/// What the workers have shown about a VM, beyond the fleet record.
+struct worker_health {
+    int failures_in_row = 0; ///< Tasks of different jobs that failed there one after another.
+    timestamp aside_until{0};
+};
+
+/// One placement decision.
+struct placement_decision {
+    std::string job;
+    std::string vm; ///< Empty when none was found.
+    std::string text;
+
+    bool operator==(const placement_decision&) const = default;
+};
+
+/// Outcome of one placement step over one pool.
+struct placement_plan {
+    bool changed = false;
+    job_table next;
+    std::vector<placement_decision> decisions;
+};
+
+/// Everything a placement step looks at.
+struct placement_input {
+    const configuration& config;
+    const fleet_record& fleet;
+    std::string pool;
+    const job_table& jobs;
+    const usage_estimates& usage;
+    const std::map<std::string, worker_health>& workers;
+    /// Processor time and accelerators that each team's running jobs in other pools use.
+    std::map<std::string, job_size> used_by_teams;
+    /// VMs whose tasks have certainly ended, with the VM epoch for which that is known.
+    std::map<std::string, std::uint32_t> ended_tasks;
+    timestamp now{0};
+};
+
+/// Whether the VM could ever hold the size when empty.
+[[nodiscard]] bool fits(const vm_record& vm, const job_size& size);
+
+/// Places queued jobs on the pool's own serving VMs, and takes jobs off VMs that are leaving. Pure.
+///
+/// Urgent jobs come first, then daily, then patient ones; a patient job makes way for an urgent one that fits
+/// nowhere else. A job that no VM of the pool could ever hold is parked with the reason and looked at again only
+/// when the pool's VMs change. Jobs on a leaving VM: a patient one is stopped at a checkpoint and queued again, the
+/// others finish there.
+[[nodiscard]] placement_plan place_jobs(const placement_input& input);
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/planner_pass.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "policy/grace.hpp"
+#include "policy/planner.hpp"
+
+#include <optional>
+#include <set>
+
+namespace siskinpaddle {
+
+/// One pass of the planner over a copy of the fleet record. The order of its parts matters: what is known to be
+/// lost is settled before anything planned is begun.
+class planner::pass {
+  public:
+    pass(planner& owner, const configuration& config, const fleet_record& fleet, const observations& seen,
+         timestamp now);
+
+    fleet_plan run();
+
+  private:
+    // Facts: what has happened to entries and VMs without our doing.
+    void drop_gone_entries();
+    void read_list();
+    void note_missing(vm_record& vm);
+    void note_listed(vm_record& vm, const listed_vm& listed);
+    void note_suspicions();
+
+    // Progress of steps begun earlier.
+    void advance(vm_record& vm);
+    void advance_cordoned(vm_record& vm);
+    void advance_draining(vm_record& vm);
+    void advance_drained(vm_record& vm);
+    void advance_in_maintenance(vm_record& vm);
+    void advance_returning(vm_record& vm);
+    void advance_lost(vm_record& vm);
+
+    // New planned steps.
+    void fill_pools();
+    void shed_surplus();
+    void run_waves();
+    void run_wave(const std::string& name, const wave_settings& wave);
+    void take_for_wave(vm_record& vm, const wave_settings& wave);
+    void wait_for_budget(const std::string& wave, const vm_record& vm);
+
+    [[nodiscard]] bool planned_steps_allowed();
+    [[nodiscard]] std::int64_t held_for(const std::string& pool) const;
+    [[nodiscard]] std::int64_t target_size(const std::string& pool) const;
+    [[nodiscard]] std::int64_t wave_remaining(const std::string& pool) const;
+    [[nodiscard]] std::uint64_t newest_wave(const std::string& pool) const;
+    [[nodiscard]] const listed_vm* listed(const vm_record& vm) const;
+    [[nodiscard]] bool in_state_for(const vm_record& vm, milliseconds bound) const;
+    [[nodiscard]] bool suspected_by_own_zone(const vm_record& vm) const;
+    [[nodiscard]] vm_record* best_free_vm(const std::string& pool);
+    [[nodiscard]] vm_record* least_loaded_vm(const std::string& pool);
+    [[nodiscard]] bool wave_runs_in(const std::string& pool) const;
+    [[nodiscard]] std::string pool_in_need() const;
+    [[nodiscard]] int tasks_on(const vm_record& vm) const;
+
+    void enter(vm_record& vm, vm_state state, const std::string& why);
+    void lose(vm_record& vm, const std::string& why);
+    void begin_maintenance(vm_record& vm, const std::string& pool, const std::string& why);
+    void remember_states();
+    void wait(std::string subject, std::string reason);
+
+    planner& m_owner;
+    const configuration& m_config;
+    const fleet_record& m_fleet;
+    const observations& m_seen;
+    timestamp m_now;
+    fleet_plan m_plan;
+    std::uint64_t m_next_revision;
+    bool m_list_is_fresh = false;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/planner_steps.cpp
@@ -0,0 +1,239 @@
+#include "policy/planner_pass.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace siskinpaddle {
+
+namespace {
+
+bool leaves_pool(const vm_record& vm) {
+    const bool leaving = vm.state == vm_state::cordoned || vm.state == vm_state::draining ||
+                         vm.state == vm_state::drained;
+    return leaving && (vm.reason == stop_reason::move || vm.reason == stop_reason::retire);
+}
+
+bool out_for_wave(const vm_record& vm, std::uint64_t order) {
+    return vm.goal_wave == order && vm.state != vm_state::serving && vm.state != vm_state::free &&
+           vm.state != vm_state::lost;
+}
+
+} // namespace
+
+bool planner::pass::planned_steps_allowed() {
+    if (!m_seen.list_known) {
+        wait("fleet", "the VM list is not known yet");
+        return false;
+    }
+    if (!m_list_is_fresh) {
+        wait("fleet", "the VM list is older than " + std::to_string(list_age_bound.count()) + " ms");
+        return false;
+    }
+    return true;
+}
+
+std::int64_t planner::pass::held_for(const std::string& pool) const {
+    return std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&pool](const vm_record& vm) {
+        return vm.pool == pool && vm.state != vm_state::lost && !leaves_pool(vm);
+    }) + std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&pool](const vm_record& vm) {
+        return vm.next_pool == pool && leaves_pool(vm);
+    });
+}
+
+std::int64_t planner::pass::wave_remaining(const std::string& pool) const {
+    std::int64_t most = 0;
+    for (const auto& [name, wave] : m_config.waves) {
+        if (wave.paused || (wave.pool != pool && wave.pool != "*")) {
+            continue;
+        }
+        const auto order = static_cast<std::uint64_t>(wave.order);
+        const auto remaining =
+            std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&](const vm_record& vm) {
+                return vm.pool == pool && vm.wave < order && vm.goal_wave != order && vm.state != vm_state::lost;
+            });
+        most = std::max(most, std::min<std::int64_t>(wave.width, remaining));
+    }
+    return most;
+}
+
+std::int64_t planner::pass::target_size(const std::string& pool) const {
+    const auto settings = m_config.pools.find(pool);
+    if (settings == m_config.pools.end()) {
+        return 0;
+    }
+    if (!m_owner.m_options.share_free_vms) {
+        return settings->second.size;
+    }
+    const std::int64_t spare = settings->second.size - settings->second.promised - m_owner.m_options.reserve;
+    const std::int64_t wanted = wave_remaining(pool) > 0 ? 1 : 0;
+    return settings->second.size + std::max<std::int64_t>(0, wanted - std::max<std::int64_t>(0, spare));
+}
+
+vm_record* planner::pass::best_free_vm(const std::string& pool) {
+    std::map<std::string, int> per_zone;
+    std::map<std::string, int> per_rack;
+    for (const vm_record& vm : m_plan.next.vms) {
+        if (vm.pool == pool) {
+            ++per_zone[vm.availability_zone];
+            ++per_rack[vm.rack];
+        }
+    }
+    vm_record* best = nullptr;
+    const auto crowding = [&](const vm_record& vm) {
+        return std::tuple(per_zone[vm.availability_zone], per_rack[vm.rack]);
+    };
+    for (vm_record& vm : m_plan.next.vms) {
+        const listed_vm* item = listed(vm);
+        const bool usable = vm.state == vm_state::free && vm.since != m_next_revision && item != nullptr &&
+                            item->state == listing::live;
+        if (usable && (best == nullptr || crowding(vm) < crowding(*best))) {
+            best = &vm;
+        }
+    }
+    return best;
+}
+
+void planner::pass::fill_pools() {
+    for (const auto& [name, settings] : m_config.pools) {
+        const pool_availability& pool = m_plan.pools[name];
+        std::int64_t held = held_for(name);
+        // A lost VM that may soon be back keeps its place while the promise holds without it.
+        const std::int64_t expected_back = pool.breached() ? 0 : pool.lost;
+        const std::int64_t target = target_size(name);
+        for (; held + expected_back < target; ++held) {
+            vm_record* vm = best_free_vm(name);
+            if (vm == nullptr) {
+                wait("pool " + name, "needs a VM and none is free");
+                break;
+            }
+            vm->reason = stop_reason::move;
+            begin_maintenance(*vm, name, "given to " + name);
+        }
+    }
+}
+
+void planner::pass::shed_surplus() {
+    for (vm_record& vm : m_plan.next.vms) {
+        if (vm.state == vm_state::serving && !m_config.pools.contains(vm.pool)) {
+            vm.reason = stop_reason::move;
+            vm.next_pool.clear();
+            enter(vm, vm_state::cordoned, "its pool is no longer configured");
+        }
+    }
+    for (const auto& [name, settings] : m_config.pools) {
+        if (held_for(name) <= std::max(target_size(name), settings.size) || wave_runs_in(name)) {
+            continue;
+        }
+        if (!may_take_out(m_plan.pools[name], 1, 0)) {
+            wait("pool " + name, "holds a VM too many but its budget leaves none to take");
+            continue;
+        }
+        if (vm_record* vm = least_loaded_vm(name)) {
+            const std::string receiver = pool_in_need();
+            vm->reason = stop_reason::move;
+            vm->next_pool = receiver;
+            --m_plan.pools[name].available;
+            enter(*vm, vm_state::cordoned, "surplus; goes to " + (receiver.empty() ? "free" : receiver));
+        }
+    }
+}
+
+bool planner::pass::wave_runs_in(const std::string& pool) const {
+    return wave_remaining(pool) > 0 ||
+           std::any_of(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&pool](const vm_record& vm) {
+               return vm.pool == pool && vm.goal_wave != 0 && vm.state != vm_state::serving;
+           });
+}
+
+std::string planner::pass::pool_in_need() const {
+    for (const auto& [name, settings] : m_config.pools) {
+        if (held_for(name) < target_size(name)) {
+            return name;
+        }
+    }
+    return {};
+}
+
+vm_record* planner::pass::least_loaded_vm(const std::string& pool) {
+    vm_record* chosen = nullptr;
+    for (vm_record& vm : m_plan.next.vms) {
+        const bool candidate = vm.pool == pool && vm.state == vm_state::serving;
+        if (candidate && (chosen == nullptr || tasks_on(vm) < tasks_on(*chosen))) {
+            chosen = &vm;
+        }
+    }
+    return chosen;
+}
+
+void planner::pass::run_waves() {
+    std::vector<std::pair<std::string, const wave_settings*>> ordered;
+    for (const auto& [name, wave] : m_config.waves) {
+        ordered.emplace_back(name, &wave);
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto& a, const auto& b) { return a.second->order < b.second->order; });
+    for (const auto& [name, wave] : ordered) {
+        run_wave(name, *wave);
+    }
+}
+
+void planner::pass::run_wave(const std::string& name, const wave_settings& wave) {
+    const auto order = static_cast<std::uint64_t>(wave.order);
+    std::vector<vm_record*> candidates;
+    std::int64_t out = 0;
+    for (vm_record& vm : m_plan.next.vms) {
+        if (wave.pool != "*" && vm.pool != wave.pool) {
+            continue;
+        }
+        out += out_for_wave(vm, order) ? 1 : 0;
+        const bool idle = vm.state == vm_state::free && vm.since != m_next_revision;
+        if (vm.wave < order && (vm.state == vm_state::serving || idle)) {
+            candidates.push_back(&vm);
+        }
+    }
+    if (wave.paused) {
+        if (!candidates.empty()) {
+            wait("wave " + name, "paused by its operator");
+        }
+        return;
+    }
+    // Empty VMs first: their turn costs no move. Then rack by rack, so that few racks are touched at once.
+    std::stable_sort(candidates.begin(), candidates.end(), [this](const vm_record* a, const vm_record* b) {
+        return std::tuple(tasks_on(*a), a->rack) < std::tuple(tasks_on(*b), b->rack);
+    });
+    for (vm_record* vm : candidates) {
+        if (out >= wave.width) {
+            return;
+        }
+        if (vm->state == vm_state::serving &&
+            !may_take_out(m_plan.pools[vm->pool], 1, m_owner.m_options.reserve)) {
+            wait_for_budget(name, *vm);
+            continue;
+        }
+        take_for_wave(*vm, wave);
+        ++out;
+    }
+}
+
+void planner::pass::wait_for_budget(const std::string& wave, const vm_record& vm) {
+    const pool_availability& pool = m_plan.pools[vm.pool];
+    const std::string reason = "budget of pool " + vm.pool + ": " + std::to_string(pool.available) +
+                               " available, " + std::to_string(pool.promised) + " promised";
+    const plan_wait item{"wave " + wave, reason};
+    if (std::find(m_plan.waits.begin(), m_plan.waits.end(), item) == m_plan.waits.end()) {
+        m_plan.waits.push_back(item);
+    }
+}
+
+void planner::pass::take_for_wave(vm_record& vm, const wave_settings& wave) {
+    vm.goal_wave = static_cast<std::uint64_t>(wave.order);
+    vm.reason = stop_reason::wave;
+    if (vm.state == vm_state::free) {
+        begin_maintenance(vm, "", "wave " + std::to_string(wave.order));
+        return;
+    }
+    --m_plan.pools[vm.pool].available;
+    enter(vm, vm_state::cordoned, "wave " + std::to_string(wave.order));
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/policy/policy.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+/// Public header of the policy library: every decision of siskinpaddle, as pure functions and small state machines.
+/// Time and randomness come in as arguments and nothing here does I/O, so sessions replay to the byte. No type is
+/// thread-safe; each belongs to one task.
+
+#include "policy/admission.hpp"
+#include "policy/answers.hpp"
+#include "policy/budget.hpp"
+#include "policy/claims.hpp"
+#include "policy/configuration.hpp"
+#include "policy/fleet.hpp"
+#include "policy/grace.hpp"
+#include "policy/jobs.hpp"
+#include "policy/observations.hpp"
+#include "policy/patch.hpp"
+#include "policy/placement.hpp"
+#include "policy/planner.hpp"
+#include "policy/retry_budget.hpp"
+#include "policy/target_table.hpp"
--- /dev/null
+++ b/policy/target_table.cpp
@@ -0,0 +1,237 @@
+#include "policy/target_table.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr int failures_to_set_aside = 3;
+constexpr milliseconds first_set_aside = 1s;
+constexpr milliseconds longest_set_aside = 30s;
+constexpr milliseconds ramp_time = 5s;
+/// Successes at the limit after which this entry allows itself one request more.
+constexpr int successes_to_grow = 4;
+
+} // namespace
+
+void target_table::apply(const configuration& config, const fleet_record& fleet, timestamp now) {
+    m_by_pool.clear();
+    std::set<std::string> known;
+    const int entries_here = std::max<int>(
+        1, static_cast<int>(std::count_if(fleet.entries.begin(), fleet.entries.end(),
+                                          [this](const auto& e) { return e.availability_zone == m_zone; })));
+    for (const vm_record& vm : fleet.vms) {
+        known.insert(vm.id);
+        target& item = m_targets[vm.id];
+        const bool serves = vm.state == vm_state::serving;
+        if (item.vm.empty() || item.epoch != vm.epoch || (serves && !item.serving)) {
+            // A VM that returns starts with a clean record, and slowly: its caches are cold.
+            item.failures = 0;
+            item.set_asides = 0;
+            item.aside_until = timestamp{0};
+            item.ramp_from = item.vm.empty() ? now - ramp_time : now;
+            item.limit = 0;
+        }
+        item.vm = vm.id;
+        item.epoch = vm.epoch;
+        item.pool = vm.pool;
+        item.availability_zone = vm.availability_zone;
+        item.address = vm.address;
+        item.port = vm.port;
+        item.serving = serves;
+        const auto pool = config.pools.find(vm.pool);
+        if (pool == config.pools.end()) {
+            item.serving = false;
+            continue;
+        }
+        item.slots = static_cast<int>(std::min(pool->second.slots, pool->second.connections));
+        if (item.limit == 0) {
+            item.limit = std::max(1, item.slots / entries_here);
+        }
+        if (item.serving) {
+            m_by_pool[vm.pool].push_back(vm.id);
+        }
+    }
+    std::erase_if(m_targets, [&known](const auto& pair) {
+        return !known.contains(pair.first) && pair.second.in_flight == 0;
+    });
+    for (auto& [id, item] : m_targets) {
+        item.serving = item.serving && known.contains(id);
+    }
+}
+
+int target_table::allowed_now(const target& item, timestamp now) const {
+    if (m_policy == routing_policy::round_robin) {
+        return item.slots;
+    }
+    if (item.set_asides > 0 && item.failures > 0) {
+        return 1; // A target on trial gets one request at a time until one succeeds.
+    }
+    const milliseconds age = now - item.ramp_from;
+    if (age >= ramp_time) {
+        return item.limit;
+    }
+    return std::max<int>(1, static_cast<int>(item.limit * age.count() / ramp_time.count()));
+}
+
+bool target_table::usable(const target& item, timestamp now, bool ignore_aside) const {
+    return item.serving && item.in_flight < allowed_now(item, now) && (ignore_aside || item.aside_until <= now);
+}
+
+std::vector<const target_table::target*> target_table::candidates(const std::string& pool,
+                                                                  const std::set<std::string>& tried,
+                                                                  timestamp now) const {
+    std::vector<const target*> good;
+    const auto ids = m_by_pool.find(pool);
+    if (ids == m_by_pool.end()) {
+        return good;
+    }
+    const auto aside = std::count_if(ids->second.begin(), ids->second.end(), [&](const std::string& id) {
+        return m_targets.at(id).aside_until > now;
+    });
+    // With more than half set aside the evidence speaks against the network, not against each target, and the
+    // few that are left would drown.
+    const bool ignore_aside = 2 * aside > static_cast<std::int64_t>(ids->second.size());
+    for (const std::string& id : ids->second) {
+        const target& item = m_targets.at(id);
+        if (usable(item, now, ignore_aside) && !tried.contains(id)) {
+            good.push_back(&item);
+        }
+    }
+    const auto local = std::stable_partition(good.begin(), good.end(), [this](const target* item) {
+        return item->availability_zone == m_zone;
+    });
+    if (local != good.begin()) {
+        good.erase(local, good.end());
+    }
+    return good;
+}
+
+std::optional<target_choice> target_table::choose(const std::string& pool, const std::set<std::string>& tried,
+                                                  timestamp now, random_source& random) {
+    const target* chosen = nullptr;
+    if (m_policy == routing_policy::round_robin) {
+        const auto ids = m_by_pool.find(pool);
+        if (ids == m_by_pool.end()) {
+            return std::nullopt;
+        }
+        chosen = &m_targets.at(ids->second[m_turn[pool]++ % ids->second.size()]);
+    } else {
+        const std::vector<const target*> good = candidates(pool, tried, now);
+        if (good.empty()) {
+            return std::nullopt;
+        }
+        const target* first = good[random.below(good.size())];
+        const target* second = good[random.below(good.size())];
+        chosen = first->in_flight <= second->in_flight ? first : second;
+    }
+    return target_choice{chosen->vm, chosen->epoch, chosen->address, chosen->port};
+}
+
+bool target_table::still_valid(const target_choice& choice, const std::string& pool) const {
+    const auto found = m_targets.find(choice.vm);
+    return found != m_targets.end() && found->second.serving && found->second.epoch == choice.epoch &&
+           found->second.pool == pool;
+}
+
+void target_table::on_sent(const std::string& vm) { ++m_targets[vm].in_flight; }
+
+void target_table::on_finished(const std::string& vm, attempt_result result, timestamp now) {
+    const auto found = m_targets.find(vm);
+    if (found == m_targets.end()) {
+        return;
+    }
+    target& item = found->second;
+    const bool was_at_limit = item.in_flight >= item.limit;
+    --item.in_flight;
+    switch (result) {
+    case attempt_result::answered:
+    case attempt_result::answer_too_large:
+        item.failures = 0;
+        item.set_asides = 0;
+        item.successes_at_limit += was_at_limit ? 1 : 0;
+        if (item.successes_at_limit >= successes_to_grow && item.limit < item.slots) {
+            ++item.limit;
+            item.successes_at_limit = 0;
+        }
+        return;
+    case attempt_result::refused_by_target:
+        // Its slots are shared with other entries, which this entry doesn't see: it takes the refusal as the
+        // sign to use fewer.
+        item.limit = std::max(1, std::min(item.limit - 1, item.in_flight));
+        item.successes_at_limit = 0;
+        return;
+    case attempt_result::timed_out:
+        // A slow request is weaker evidence than a broken connection, yet a stuck target shows only so.
+    case attempt_result::connect_failed:
+    case attempt_result::reset_after_send:
+    case attempt_result::incomplete_answer:
+        set_aside(item, now);
+        return;
+    }
+}
+
+void target_table::set_aside(target& item, timestamp now) {
+    if (++item.failures < failures_to_set_aside) {
+        return;
+    }
+    const int doublings = std::min(item.set_asides, 5);
+    item.aside_until = now + std::min(longest_set_aside, first_set_aside * (1 << doublings));
+    ++item.set_asides;
+}
+
+void target_table::on_health(const std::string& vm, bool good, timestamp now) {
+    const auto found = m_targets.find(vm);
+    if (found == m_targets.end()) {
+        return;
+    }
+    if (!good) {
+        set_aside(found->second, now);
+        return;
+    }
+    found->second.failures = 0;
+    found->second.aside_until = timestamp{0};
+}
+
+std::set<std::string> target_table::busy_vms() const {
+    std::set<std::string> busy;
+    for (const auto& [id, item] : m_targets) {
+        if (!item.serving && item.in_flight > 0) {
+            busy.insert(id);
+        }
+    }
+    return busy;
+}
+
+std::set<std::string> target_table::suspect_vms() const {
+    std::set<std::string> suspects;
+    for (const auto& [id, item] : m_targets) {
+        if (item.serving && item.failures >= failures_to_set_aside) {
+            suspects.insert(id);
+        }
+    }
+    return suspects;
+}
+
+bool target_table::has_target(const std::string& pool) const { return m_by_pool.contains(pool); }
+
+std::int64_t target_table::capacity(const std::string& pool, timestamp now) const {
+    std::int64_t total = 0;
+    if (const auto ids = m_by_pool.find(pool); ids != m_by_pool.end()) {
+        for (const std::string& id : ids->second) {
+            total += allowed_now(m_targets.at(id), now);
+        }
+    }
+    return total;
+}
+
+std::int64_t target_table::in_flight(const std::string& pool) const {
+    std::int64_t total = 0;
+    for (const auto& [id, item] : m_targets) {
+        total += item.pool == pool ? item.in_flight : 0;
+    }
+    return total;
+}
+
+} // namespace siskinpaddle
