--- /dev/null
+++ b/control/health_task.cpp
@@ -0,0 +1,85 @@
+#include "control/health_task.hpp"
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr milliseconds tick_interval = 500ms;
+constexpr milliseconds check_timeout = 800ms;
+constexpr milliseconds routine_interval = 5s;
+
+} // namespace
+
+health_task::health_task(event_loop& loop, const entry_settings& settings, state_task& state,
+                         std::function<void(const std::string&, bool)> on_result)
+    : m_loop(loop), m_settings(settings), m_state(state), m_on_result(std::move(on_result)), m_client(loop),
+      m_timer(loop.make_timer([this] { tick(); })) {}
+
+void health_task::start() { m_timer->start(tick_interval); }
+
+std::set<std::string> health_task::healthy() const {
+    std::set<std::string> vms;
+    for (const auto& [id, since] : m_passed) {
+        const vm_record* vm = m_state.fleet().find_vm(id);
+        if (vm != nullptr && vm->state == vm_state::returning && vm->since == since) {
+            vms.insert(id);
+        }
+    }
+    return vms;
+}
+
+void health_task::tick() {
+    const timestamp now = event_loop::now();
+    const std::set<std::string> silent = m_state.silent();
+    std::set<std::string> suspects = m_own_suspects;
+    for (const auto& [id, report] : m_state.reports()) {
+        if (!silent.contains(id)) {
+            suspects.insert(report.suspect_vms.begin(), report.suspect_vms.end());
+        }
+    }
+    for (const vm_record& vm : m_state.fleet().vms) {
+        const bool ours = entry_in_charge(m_state.fleet(), vm, silent) == m_settings.id;
+        const bool returning = vm.state == vm_state::returning && ours;
+        const bool doubted = vm.state == vm_state::serving && suspects.contains(vm.id) &&
+                             vm.availability_zone == m_settings.availability_zone;
+        const bool routine = vm.state == vm_state::serving && ours && now - m_checked[vm.id] >= routine_interval;
+        if (returning || doubted || routine) {
+            check(vm);
+        }
+    }
+    std::erase_if(m_passed, [this](const auto& item) {
+        const vm_record* vm = m_state.fleet().find_vm(item.first);
+        return vm == nullptr || vm->since != item.second;
+    });
+    m_timer->start(tick_interval);
+}
+
+void health_task::check(const vm_record& vm) {
+    if (!m_checking.insert(vm.id).second) {
+        return;
+    }
+    m_checked[vm.id] = event_loop::now();
+    http_call call;
+    call.to = {vm.address, vm.port};
+    call.target = "/health";
+    call.timeout = check_timeout;
+    call.fresh_connection = true;
+    m_client.send(std::move(call), [this, id = vm.id, since = vm.since](const http_answer& answer) {
+        m_checking.erase(id);
+        const vm_record* current = m_state.fleet().find_vm(id);
+        if (current == nullptr || current->since != since) {
+            return;
+        }
+        // A target that still runs another pool's services is not healthy for this one.
+        const std::string_view pool = answer.headers.get("Target-Pool");
+        const bool good = answer.status == exchange_status::answered && answer.code == 200 &&
+                          (pool.empty() || pool == current->pool);
+        if (current->state == vm_state::returning && good) {
+            m_passed[id] = since;
+        } else if (current->state == vm_state::serving) {
+            m_on_result(id, good);
+        }
+    });
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/control/planner_task.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "control/state_task.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace siskinpaddle {
+
+/// What the planner last decided, for operators.
+struct planner_summary {
+    bool in_control = false;
+    std::vector<plan_wait> waits;
+    availability_map pools;
+};
+
+/// Plans while this entry holds the control lease. Every write is a compare-and-swap on the fleet revision that the
+/// plan was made from, so a planner that was paused past its lease writes nothing: whoever planned meanwhile has moved
+/// the revision.
+class planner_task {
+  public:
+    planner_task(event_loop& loop, const entry_settings& settings, platform_client& platform, state_task& state,
+                 metrics& counters);
+
+    void start();
+
+    /// Gives the lease back; plans no more.
+    void stop();
+
+    [[nodiscard]] const planner_summary& summary() const noexcept { return m_summary; }
+
+  private:
+    void tick();
+    void renew_lease();
+    void read_list();
+    void plan();
+    void write(const fleet_plan& plan);
+    void log_plan(const fleet_plan& plan);
+    void ask_reboots(const std::vector<reboot_action>& reboots);
+    void count_tasks();
+    void note_ended_tasks(timestamp now);
+    void place();
+    void place_pool(const std::string& pool);
+    [[nodiscard]] std::map<std::string, job_size> team_use(const std::string& except_pool) const;
+
+    event_loop& m_loop;
+    const entry_settings& m_settings;
+    platform_client& m_platform;
+    state_task& m_state;
+    metrics& m_metrics;
+    planner m_planner;
+    planner_summary m_summary;
+    observations m_seen;
+    worker_watch m_workers;
+    usage_estimates m_usage;
+    std::map<std::string, std::uint32_t> m_ended_tasks;
+    std::map<std::string, std::pair<std::uint32_t, timestamp>> m_grace_since;
+    std::map<std::string, std::uint64_t> m_placed;
+    std::set<std::string> m_placing;
+    std::map<std::string, timestamp> m_reboots_asked;
+    timestamp m_lease_until{0};
+    timestamp m_next_renewal{0};
+    timestamp m_next_list{0};
+    bool m_renewing = false;
+    bool m_listing = false;
+    bool m_writing = false;
+    bool m_stopped = false;
+    std::unique_ptr<timer> m_timer;
+};
+
+/// How long a worker's lease on a task lasts after each call.
+inline constexpr milliseconds task_lease = 10s;
+/// Added to a task lease before it has certainly run out: clocks that run apart, and a call that arrives late.
+inline constexpr milliseconds task_lease_margin = 5s;
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/control/state_task.cpp
@@ -0,0 +1,278 @@
+#include "control/state_task.hpp"
+
+#include <chrono>
+#include <random>
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr milliseconds watch_time = 30s;
+constexpr milliseconds first_backoff = 200ms;
+constexpr milliseconds longest_backoff = 5s;
+
+std::uint64_t wall_clock_ms() {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
+entry_report to_report(const heartbeat& message, timestamp now) {
+    entry_report report;
+    report.incarnation = message.incarnation;
+    const auto revision = [&message](std::string_view name) {
+        const auto found = message.revisions.find(std::string(name));
+        return found == message.revisions.end() ? 0 : found->second;
+    };
+    report.applied_config = revision(config_value);
+    report.applied_fleet = revision(fleet_value);
+    report.heard = now;
+    report.busy_vms = message.busy_vms;
+    report.suspect_vms = message.suspect_vms;
+    report.healthy_vms = message.healthy_vms;
+    return report;
+}
+
+} // namespace
+
+state_task::state_task(event_loop& loop, const entry_settings& settings, platform_client& platform)
+    : m_loop(loop), m_settings(settings), m_platform(platform),
+      m_peers(loop, settings.peer_key,
+              {[this](const heartbeat& message) { hear(message); },
+               [this](const value_request& request) { return m_replica.answer(request); }}),
+      m_random(hash64(settings.id) ^ std::random_device()()), m_incarnation(wall_clock_ms()),
+      m_ticker(loop.make_timer([this] { tick(); })) {}
+
+bool state_task::listen() { return m_peers.listen(m_settings.peers); }
+
+void state_task::start() {
+    refresh([](bool) {});
+    tick();
+}
+
+void state_task::raise_incarnation(std::uint64_t above) { m_incarnation = std::max(m_incarnation, above + 1); }
+
+bool state_task::registered() const {
+    const entry_record* own = fleet().find_entry(m_settings.id);
+    return own != nullptr && own->incarnation == m_incarnation;
+}
+
+void state_task::tick() {
+    ++m_tick;
+    beat(false);
+    keep_watches();
+    // Jitter keeps the entries' beats from falling into step.
+    const auto interval = static_cast<std::uint64_t>(m_settings.heartbeat_interval.count());
+    m_ticker->start(milliseconds(interval * 9 / 10 + m_random.below(interval / 5 + 1)));
+}
+
+heartbeat state_task::own_heartbeat() {
+    heartbeat message;
+    message.id = m_settings.id;
+    message.availability_zone = m_settings.availability_zone;
+    message.address = m_settings.peers.address;
+    message.peer_port = m_settings.peers.port;
+    message.incarnation = m_incarnation;
+    message.sequence = ++m_sequence;
+    message.ready = m_ready;
+    message.revisions = m_replica.revisions();
+    for (const auto& fill : m_fill) {
+        fill(message);
+    }
+    return message;
+}
+
+void state_task::beat(bool news) {
+    if (!registered()) {
+        return;
+    }
+    const heartbeat message = own_heartbeat();
+    std::vector<entry_record> peers = heartbeat_peers(fleet(), m_settings.id, m_tick);
+    if (news) {
+        for (const entry_record& peer : news_peers(fleet(), m_settings.id)) {
+            peers.push_back(peer);
+        }
+    }
+    std::set<std::string> told;
+    for (const entry_record& peer : peers) {
+        if (told.insert(peer.id).second) {
+            m_peers.send(message, {peer.address, peer.peer_port});
+        }
+    }
+}
+
+void state_task::hear(const heartbeat& message) {
+    const timestamp now = event_loop::now();
+    m_heard[message.id] = now;
+    m_reports[message.id] = to_report(message, now);
+    if (m_replica.lacks(message.revisions)) {
+        pull_from({message.address, message.peer_port});
+    }
+}
+
+void state_task::pull_from(const endpoint& peer, std::function<void(bool)> done) {
+    if (m_pulling && !done) {
+        return;
+    }
+    m_pulling = true;
+    m_peers.pull({m_settings.id, m_replica.revisions()}, peer,
+                 [this, done = std::move(done)](const std::optional<value_reply>& reply) {
+                     m_pulling = false;
+                     if (reply) {
+                         take(*reply);
+                     }
+                     if (done) {
+                         done(reply.has_value());
+                     }
+                 });
+}
+
+void state_task::take(const value_reply& reply) {
+    for (const value_transfer& transfer : reply.values) {
+        const offer_result result = m_replica.offer_transfer(transfer);
+        report_offer(transfer.name, result, transfer.revision);
+    }
+}
+
+void state_task::adopt(const std::string& name, const stored_value& value) {
+    const offer_result result = m_replica.offer_stored(name, value.bytes, value.version);
+    report_offer(name, result, value.version);
+}
+
+void state_task::report_offer(const std::string& name, offer_result result, std::uint64_t revision) {
+    const bool is_config = name == config_value;
+    switch (result) {
+    case offer_result::taken:
+        changed(name);
+        return;
+    case offer_result::older:
+        log_event(is_config ? event_id::config_older_refused : event_id::fleet_older_refused,
+                  {{"value", name}, {"offered", revision}, {"in_force", m_replica.revision(name)}});
+        return;
+    case offer_result::damaged:
+        log_event(is_config ? event_id::config_damaged : event_id::fleet_damaged, {{"value", name}});
+        return;
+    case offer_result::same:
+    case offer_result::wrong_base:
+        return;
+    }
+}
+
+void state_task::changed(const std::string& name) {
+    log_event(name == config_value ? event_id::config_in_force : event_id::fleet_in_force,
+              {{"value", name}, {"revision", m_replica.revision(name)}});
+    for (const auto& handler : m_handlers) {
+        handler(name);
+    }
+    beat(true);
+}
+
+std::vector<std::string> state_task::value_names() const {
+    std::vector<std::string> names{std::string(config_value), std::string(fleet_value)};
+    for (const auto& [pool, settings] : config().pools) {
+        names.push_back(std::string(jobs_prefix) + pool);
+    }
+    return names;
+}
+
+void state_task::keep_watches() {
+    if (!watches_store(fleet(), m_settings.id, silent())) {
+        return;
+    }
+    for (const std::string& name : value_names()) {
+        watch_state& state = m_watches[name];
+        if (!state.waiting) {
+            state.waiting = true;
+            watch(name);
+        }
+    }
+}
+
+void state_task::watch(const std::string& name) {
+    m_platform.watch(name, m_replica.store_version(name), watch_time,
+                     [this, name](const store_answer& answer) { watch_ended(name, answer); });
+}
+
+void state_task::watch_ended(const std::string& name, const store_answer& answer) {
+    watch_state& state = m_watches[name];
+    const bool answered = answer.status == store_status::ok || answer.status == store_status::unchanged ||
+                          answer.status == store_status::absent;
+    if (answer.status == store_status::ok) {
+        adopt(name, answer.value);
+    }
+    if (answered && state.failures > 0) {
+        log_event(event_id::platform_back, {{"value", name}});
+    } else if (!answered && state.failures == 0) {
+        log_event(event_id::platform_unreachable,
+                  {{"value", name}, {"status", name_of(answer.status)}});
+    }
+    state.failures = answered ? 0 : state.failures + 1;
+    // A full jitter spreads the watchers of all zones over the time in which a slow platform comes back.
+    const milliseconds bound = std::min(longest_backoff, first_backoff * (1 << std::min(state.failures, 5)));
+    const bool quick = answer.status == store_status::ok || answer.status == store_status::unchanged;
+    const milliseconds delay = quick ? 1ms : milliseconds(1 + m_random.below(static_cast<std::uint64_t>(bound.count())));
+    state.again = m_loop.make_timer([this, name] {
+        // Another entry of the zone may have taken over the watch meanwhile.
+        if (watches_store(fleet(), m_settings.id, silent())) {
+            watch(name);
+        } else {
+            m_watches[name].waiting = false;
+        }
+    });
+    state.again->start(delay);
+}
+
+void state_task::refresh(std::function<void(bool)> done) {
+    m_platform.get(std::string(config_value), [this, done](const store_answer& config) {
+        if (config.status == store_status::ok) {
+            adopt(std::string(config_value), config.value);
+        }
+        m_platform.get(std::string(fleet_value), [this, done](const store_answer& answer) {
+            if (answer.status == store_status::ok) {
+                adopt(std::string(fleet_value), answer.value);
+            }
+            if (answer.status == store_status::ok || answer.status == store_status::absent) {
+                done(true);
+                return;
+            }
+            std::vector<endpoint> peers = m_settings.seed_peers;
+            for (const entry_record& entry : fleet().entries) {
+                if (entry.id != m_settings.id) {
+                    peers.push_back({entry.address, entry.peer_port});
+                }
+            }
+            if (peers.empty()) {
+                done(false);
+                return;
+            }
+            pull_from(peers[m_random.below(peers.size())], done);
+        });
+    });
+}
+
+const std::map<std::string, entry_report>& state_task::reports() {
+    m_reports[m_settings.id] = to_report(own_heartbeat(), event_loop::now());
+    return m_reports;
+}
+
+std::set<std::string> state_task::silent() const {
+    return silent_peers(fleet(), m_heard, m_settings.id, event_loop::now());
+}
+
+void state_task::probe_silent() {
+    for (const std::string& id : silent()) {
+        const entry_record* entry = fleet().find_entry(id);
+        m_peers.probe({entry->address, entry->peer_port}, [this, record = *entry](bool refused) {
+            entry_report& report = m_reports[record.id];
+            if (report.incarnation < record.incarnation) {
+                // Registered, but never heard: the proof is about the registered incarnation.
+                report = {};
+                report.incarnation = record.incarnation;
+                report.heard = event_loop::now();
+            }
+            report.process_gone = refused && report.incarnation == record.incarnation;
+        });
+    }
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/gateway/caller_gateway.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "control/control.hpp"
+#include "gateway/caller_request.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle {
+
+/// Takes callers' requests and sees each to exactly one final answer: the target's whole answer or one of ours.
+class caller_gateway {
+  public:
+    caller_gateway(event_loop& loop, const entry_settings& settings, state_task& state, claim_task& claims,
+                   metrics& counters);
+
+    /// Returns false when the address can't be bound.
+    [[nodiscard]] bool listen();
+    void start();
+
+    /// Takes no new requests; those in progress go on.
+    void drain();
+    [[nodiscard]] bool idle() const { return m_requests.empty() && m_server.in_progress() == 0; }
+    [[nodiscard]] bool ready() const;
+
+    void on_health(const std::string& vm, bool good);
+    [[nodiscard]] const target_table& targets() const noexcept { return m_targets; }
+
+  private:
+    void apply_values();
+    void receive(std::shared_ptr<server_request> from);
+    void answer_health(server_request& from) const;
+    [[nodiscard]] bool answer_unready(server_request& from);
+    void admit(caller_request request);
+    void pump(const std::string& pool);
+    void tick();
+
+    void dispatch(std::uint64_t id);
+    void claim_then_send(caller_request& request);
+    void send(caller_request& request);
+    void on_answer(std::uint64_t id, const http_answer& answer);
+    void retry(caller_request& request, attempt_result result);
+
+    void deliver(caller_request& request, const http_answer& answer);
+    void give_up(std::uint64_t id, answer_code code, int retry_after_s = 0);
+    void finish(std::uint64_t id, milliseconds service_time);
+    void reply_own(server_request& from, answer_code code, int retry_after_s, std::uint64_t id);
+    [[nodiscard]] pool_load load_of(const std::string& pool) const;
+    [[nodiscard]] bool paused();
+
+    event_loop& m_loop;
+    const entry_settings& m_settings;
+    state_task& m_state;
+    claim_task& m_claims;
+    metrics& m_metrics;
+    http_server m_server;
+    http_client m_client;
+    target_table m_targets;
+    admission m_admission;
+    pause_detector m_pauses;
+    random_source m_random;
+    std::map<std::string, retry_budget> m_budgets;
+    std::map<std::uint64_t, caller_request> m_requests;
+    std::uint64_t m_next_id;
+    bool m_draining = false;
+    bool m_refreshing = false;
+    std::unique_ptr<timer> m_timer;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/main/entry.cpp
@@ -0,0 +1,104 @@
+#include "main/entry.hpp"
+
+#include <random>
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr milliseconds tick_interval = 100ms;
+/// How long the entry must have been idle before it leaves: a caller may be sending on a kept connection just now.
+constexpr milliseconds quiet_time = 300ms;
+/// Bound on leaving the fleet record; without the platform the refused port proves the end instead.
+constexpr milliseconds deregister_bound = 5s;
+
+} // namespace
+
+entry::entry(event_loop& loop, const entry_settings& settings)
+    : m_loop(loop), m_settings(settings), m_platform(loop, settings.platform, settings.id),
+      m_workers(loop, settings.id), m_state(loop, settings, m_platform),
+      m_claims(loop, m_platform, m_metrics, std::random_device()() ^ hash64(settings.id)),
+      m_registration(loop, settings, m_platform, m_state),
+      m_planner(loop, settings, m_platform, m_state, m_metrics),
+      m_runner(loop, settings, m_platform, m_state, m_workers, m_metrics),
+      m_callers(loop, settings, m_state, m_claims, m_metrics),
+      m_operators(loop, settings, m_platform, m_state, m_planner, m_metrics),
+      m_health(loop, settings, m_state,
+               [this](const std::string& vm, bool good) { m_callers.on_health(vm, good); }),
+      m_timer(loop.make_timer([this] { tick(); })) {
+    m_state.on_report([this](heartbeat& message) { message.healthy_vms = m_health.healthy(); });
+}
+
+findings entry::listen() {
+    findings problems;
+    if (!m_state.listen()) {
+        problems.add("/peers", "can't bind " + m_settings.peers.to_string());
+    }
+    if (!m_callers.listen()) {
+        problems.add("/callers", "can't bind " + m_settings.callers.to_string());
+    }
+    if (!m_operators.listen()) {
+        problems.add("/operators", "can't bind " + m_settings.operators.to_string());
+    }
+    return problems;
+}
+
+void entry::start() {
+    log_event(event_id::entry_started, {{"zone", m_settings.availability_zone},
+                                        {"callers", m_settings.callers.to_string()},
+                                        {"operators", m_settings.operators.to_string()}});
+    m_state.start();
+    m_registration.start();
+    m_planner.start();
+    m_runner.start();
+    m_callers.start();
+    m_health.start();
+    tick();
+}
+
+void entry::tick() {
+    m_health.suspect(m_callers.targets().suspect_vms());
+    const bool ready = m_callers.ready();
+    m_state.set_ready(ready);
+    if (ready != m_was_ready && !m_draining) {
+        log_event(ready ? event_id::entry_ready : event_id::entry_not_ready,
+                  {{"config", m_state.config().number}, {"fleet", m_state.fleet().revision}});
+        m_was_ready = ready;
+    }
+    if (m_draining) {
+        finish_drain();
+    }
+    m_timer->start(tick_interval);
+}
+
+void entry::drain() {
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    m_drain_since = event_loop::now();
+    log_event(event_id::entry_draining);
+    m_callers.drain();
+    m_planner.stop();
+}
+
+void entry::finish_drain() {
+    const timestamp now = event_loop::now();
+    if (!m_callers.idle()) {
+        m_idle_since = now;
+    }
+    const bool overdue = now - m_drain_since >= m_settings.drain_bound;
+    if (m_deregistering || (now - std::max(m_idle_since, m_drain_since) < quiet_time && !overdue)) {
+        return;
+    }
+    m_deregistering = true;
+    const auto stop = [this] {
+        log_event(event_id::entry_stopped);
+        m_loop.stop();
+    };
+    m_registration.deregister([stop](bool) { stop(); });
+    m_timer = m_loop.make_timer(stop);
+    m_timer->start(deregister_bound);
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/main/siskinpaddled.cpp
@@ -0,0 +1,77 @@
+#include "main/entry.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <tclap/CmdLine.h>
+
+using namespace siskinpaddle;
+
+namespace {
+
+enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
+
+std::string read_file(const std::string& path, findings& out) {
+    const std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        out.add("", "can't be read");
+        return {};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+entry_settings read_settings(const std::string& path, findings& out) {
+    const std::string text = read_file(path, out);
+    if (!out.empty()) {
+        return {};
+    }
+    const boost::json::value document = parse_json(text, "", out);
+    return out.empty() ? parse_entry_settings(document, out) : entry_settings{};
+}
+
+int run(const entry_settings& settings) {
+    start_event_log(settings.id, settings.log_level);
+    event_loop loop;
+    entry process(loop, settings);
+    if (const findings problems = process.listen(); !problems.empty()) {
+        std::cerr << problems.to_string();
+        return exit_failed;
+    }
+    loop.on_signal(SIGTERM, [&process] { process.drain(); });
+    loop.on_signal(SIGINT, [&process] { process.drain(); });
+    process.start();
+    loop.run();
+    return exit_good;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine line("Entry process of siskinpaddle: serves callers and operators, and plans when it holds the "
+                            "control lease. Exit codes: 0 good, 1 failed, 2 bad settings.",
+                            ' ', SISKINPADDLE_VERSION);
+        TCLAP::ValueArg<std::string> config("c", "config", "Settings file (JSON).", true, "", "FILE", line);
+        TCLAP::SwitchArg check("", "check", "Only check the settings and print every finding.", line);
+        line.parse(argc, argv);
+        findings problems;
+        const entry_settings settings = read_settings(config.getValue(), problems);
+        if (!problems.empty()) {
+            findings placed;
+            placed.append(problems, config.getValue() + ":");
+            std::cerr << placed.to_string();
+            return exit_bad_settings;
+        }
+        if (check.getValue()) {
+            std::cout << config.getValue() << ": good\n";
+            return exit_good;
+        }
+        return run(settings);
+    } catch (const std::exception& error) {
+        std::cerr << "siskinpaddled: " << error.what() << "\n";
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/net/event_loop.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+struct event_base;
+struct event;
+
+namespace siskinpaddle {
+
+/// A repeating or single timer on an event loop; destroying it cancels it.
+class timer {
+  public:
+    timer(event_base* base, std::function<void()> action);
+    ~timer();
+    timer(const timer&) = delete;
+    timer& operator=(const timer&) = delete;
+
+    /// Fires once after `delay`; an earlier setting is replaced.
+    void start(milliseconds delay);
+    void cancel();
+
+  private:
+    std::function<void()> m_action;
+    event* m_event;
+};
+
+/// One libevent loop: time, timers, posted calls and signals.
+class event_loop {
+  public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Runs until stop(). Not re-entrant.
+    void run();
+    void stop();
+
+    /// Calls `action` from the loop, after the present callback has returned.
+    void post(std::function<void()> action);
+
+    [[nodiscard]] std::unique_ptr<timer> make_timer(std::function<void()> action);
+
+    /// Calls `action` for each arrival of the signal.
+    void on_signal(int number, std::function<void()> action);
+
+    /// Monotonic time that also advances while the machine or this process is suspended.
+    [[nodiscard]] static timestamp now();
+
+    [[nodiscard]] event_base* base() const noexcept { return m_base; }
+
+  private:
+    struct signal_handler;
+
+    void run_posted();
+
+    event_base* m_base;
+    event* m_posted_event;
+    std::deque<std::function<void()>> m_posted;
+    std::vector<std::unique_ptr<signal_handler>> m_signals;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,263 @@
+#include "net/http_client.hpp"
+
+#include <array>
+#include <cerrno>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr std::array<std::pair<std::string_view, evhttp_cmd_type>, 9> methods{{{"GET", EVHTTP_REQ_GET},
+                                                                               {"POST", EVHTTP_REQ_POST},
+                                                                               {"HEAD", EVHTTP_REQ_HEAD},
+                                                                               {"PUT", EVHTTP_REQ_PUT},
+                                                                               {"DELETE", EVHTTP_REQ_DELETE},
+                                                                               {"OPTIONS", EVHTTP_REQ_OPTIONS},
+                                                                               {"TRACE", EVHTTP_REQ_TRACE},
+                                                                               {"CONNECT", EVHTTP_REQ_CONNECT},
+                                                                               {"PATCH", EVHTTP_REQ_PATCH}}};
+
+evhttp_cmd_type command_for(std::string_view method) {
+    for (const auto& [name, command] : methods) {
+        if (name == method) {
+            return command;
+        }
+    }
+    return EVHTTP_REQ_GET;
+}
+
+/// Whether the end of the answer is marked by the answer itself. One that ends by the connection's close looks the
+/// same whole or cut, and evhttp reports both as whole, so it can't be taken for whole.
+bool end_is_marked(const http_answer& answer, evhttp_cmd_type command) {
+    const bool has_no_body = command == EVHTTP_REQ_HEAD || answer.code == HTTP_NOCONTENT ||
+                             answer.code == HTTP_NOTMODIFIED;
+    return has_no_body || answer.headers.has("Content-Length") ||
+           equal_without_case(answer.headers.get("Transfer-Encoding"), "chunked");
+}
+
+} // namespace
+
+struct http_client::connection {
+    endpoint to;
+    evhttp_connection* handle = nullptr;
+    bool wrote = false;      ///< Bytes of the present request were handed to the socket.
+    int socket_error = 0;    ///< The error that ended the connecting, if any.
+    timestamp idle_since{0};
+    http_client* owner = nullptr;
+
+    connection() = default;
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    ~connection() {
+        if (handle != nullptr) {
+            evbuffer_remove_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(handle)), on_output, this);
+            evhttp_connection_free(handle);
+        }
+    }
+
+    /// evhttp puts a request into the output buffer only once the connection stands, so an untouched buffer proves
+    /// that no byte can have reached the other side.
+    static void on_output(evbuffer*, const evbuffer_cb_info* info, void* self) {
+        auto* item = static_cast<connection*>(self);
+        item->wrote = item->wrote || info->n_added > 0;
+        item->owner->m_bytes_sent += info->n_added;
+    }
+};
+
+class http_client::exchange {
+  public:
+    exchange(http_client& owner, std::uint64_t number, http_call call, callback done)
+        : m_owner(owner), m_number(number), m_call(std::move(call)), m_done(std::move(done)),
+          m_command(command_for(m_call.method)), m_deadline(owner.m_loop.base(), [this] { on_deadline(); }) {}
+
+    void start() {
+        m_connection = m_owner.take_connection(m_call.to, m_call.fresh_connection);
+        m_connection->wrote = false;
+        m_request = evhttp_request_new(on_complete, this);
+        evhttp_request_set_error_cb(m_request, on_error);
+        evkeyvalq* fields = evhttp_request_get_output_headers(m_request);
+        for (const auto& [name, value] : m_call.headers.fields()) {
+            evhttp_add_header(fields, name.c_str(), value.c_str());
+        }
+        if (!m_call.headers.has("Host")) {
+            evhttp_add_header(fields, "Host", m_call.to.to_string().c_str());
+        }
+        evbuffer_add(evhttp_request_get_output_buffer(m_request), m_call.body.data(), m_call.body.size());
+        m_deadline.start(m_call.timeout);
+        if (evhttp_make_request(m_connection->handle, m_request, m_command, m_call.target.c_str()) != 0) {
+            m_request = nullptr;
+            end({}, false);
+        }
+    }
+
+    callback take_callback() { return std::move(m_done); }
+    std::unique_ptr<connection> take_connection() { return std::move(m_connection); }
+
+  private:
+    static void on_error(evhttp_request_error error, void* self) {
+        auto* item = static_cast<exchange*>(self);
+        item->m_error = error;
+        item->m_failed = true;
+    }
+
+    static void on_complete(evhttp_request* request, void* self) {
+        auto* item = static_cast<exchange*>(self);
+        const int socket_error = EVUTIL_SOCKET_ERROR();
+        item->m_request = nullptr;
+        if (item->m_ended) {
+            return;
+        }
+        http_answer answer;
+        if (request == nullptr || evhttp_request_get_response_code(request) == 0 || item->m_failed) {
+            answer.status = item->failure();
+            answer.refused = answer.status == exchange_status::connect_failed && socket_error == ECONNREFUSED;
+            item->end(std::move(answer), false);
+            return;
+        }
+        item->read(request, answer);
+        answer.status = end_is_marked(answer, item->m_command) ? exchange_status::answered
+                                                               : exchange_status::incomplete;
+        const bool keep = answer.status == exchange_status::answered &&
+                          !equal_without_case(answer.headers.get("Connection"), "close");
+        item->end(std::move(answer), keep);
+    }
+
+    void read(evhttp_request* request, http_answer& answer) const {
+        answer.code = evhttp_request_get_response_code(request);
+        for (const evkeyval* field = evhttp_request_get_input_headers(request)->tqh_first; field != nullptr;
+             field = field->next.tqe_next) {
+            answer.headers.add(field->key, field->value);
+        }
+        evbuffer* body = evhttp_request_get_input_buffer(request);
+        answer.body.resize(evbuffer_get_length(body));
+        evbuffer_remove(body, answer.body.data(), answer.body.size());
+        m_owner.m_bytes_received += answer.body.size();
+    }
+
+    [[nodiscard]] exchange_status failure() const {
+        if (!m_connection->wrote) {
+            return exchange_status::connect_failed;
+        }
+        if (m_failed && m_error == EVREQ_HTTP_DATA_TOO_LONG) {
+            return exchange_status::too_large;
+        }
+        if (m_failed && m_error == EVREQ_HTTP_TIMEOUT) {
+            return exchange_status::timed_out;
+        }
+        return exchange_status::reset;
+    }
+
+    void on_deadline() {
+        http_answer answer;
+        answer.status = m_connection->wrote ? exchange_status::timed_out : exchange_status::connect_failed;
+        end(std::move(answer), false);
+    }
+
+    void end(http_answer answer, bool reusable) {
+        if (m_ended) {
+            return;
+        }
+        m_ended = true;
+        m_deadline.cancel();
+        m_owner.finish(m_number, std::move(answer), reusable);
+    }
+
+    http_client& m_owner;
+    std::uint64_t m_number;
+    http_call m_call;
+    callback m_done;
+    evhttp_cmd_type m_command;
+    timer m_deadline;
+    std::unique_ptr<connection> m_connection;
+    evhttp_request* m_request = nullptr;
+    evhttp_request_error m_error = EVREQ_HTTP_EOF;
+    bool m_failed = false;
+    bool m_ended = false;
+};
+
+http_client::http_client(event_loop& loop, http_client_limits limits) : m_loop(loop), m_limits(limits) {
+    m_idle_timer = loop.make_timer([this] { drop_idle(); });
+    m_idle_timer->start(m_limits.max_idle_time);
+}
+
+http_client::~http_client() = default;
+
+std::uint64_t http_client::send(http_call call, callback done) {
+    const std::uint64_t number = m_next_number++;
+    auto item = std::make_unique<exchange>(*this, number, std::move(call), std::move(done));
+    exchange* started = item.get();
+    m_exchanges.emplace(number, std::move(item));
+    started->start();
+    return number;
+}
+
+void http_client::cancel(std::uint64_t number) {
+    // Freeing the connection drops its request without a callback.
+    m_exchanges.erase(number);
+}
+
+std::unique_ptr<http_client::connection> http_client::take_connection(const endpoint& to, bool fresh) {
+    std::vector<std::unique_ptr<connection>>& idle = m_idle[to];
+    if (!fresh && !idle.empty()) {
+        auto item = std::move(idle.back());
+        idle.pop_back();
+        return item;
+    }
+    auto item = std::make_unique<connection>();
+    item->to = to;
+    item->owner = this;
+    item->handle = evhttp_connection_base_new(m_loop.base(), nullptr, to.address.c_str(), to.port);
+    evhttp_connection_set_max_body_size(item->handle, static_cast<ev_ssize_t>(m_limits.max_body));
+    evhttp_connection_set_max_headers_size(item->handle, static_cast<ev_ssize_t>(m_limits.max_headers));
+    evhttp_connection_set_retries(item->handle, 0);
+    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(item->handle)), connection::on_output,
+                    item.get());
+    return item;
+}
+
+void http_client::give_back(std::unique_ptr<connection> item) {
+    std::vector<std::unique_ptr<connection>>& idle = m_idle[item->to];
+    if (idle.size() < m_limits.max_idle_per_endpoint) {
+        item->idle_since = event_loop::now();
+        idle.push_back(std::move(item));
+    }
+}
+
+void http_client::finish(std::uint64_t number, http_answer answer, bool reusable) {
+    const auto found = m_exchanges.find(number);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    // evhttp is still inside the connection's callback here, so the connection may only be freed or reused later.
+    m_loop.post([this, number, reusable, answer = std::move(answer)]() mutable {
+        const auto item = m_exchanges.find(number);
+        if (item == m_exchanges.end()) {
+            return;
+        }
+        const auto ended = std::move(item->second);
+        m_exchanges.erase(item);
+        auto used = ended->take_connection();
+        if (reusable) {
+            give_back(std::move(used));
+        }
+        used.reset();
+        ended->take_callback()(std::move(answer));
+    });
+}
+
+void http_client::drop_idle() {
+    const timestamp now = event_loop::now();
+    for (auto& [to, idle] : m_idle) {
+        std::erase_if(idle, [&](const auto& item) { return now - item->idle_since >= m_limits.max_idle_time; });
+    }
+    std::erase_if(m_idle, [](const auto& pair) { return pair.second.empty(); });
+    m_idle_timer->start(m_limits.max_idle_time);
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/net/http_client.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_types.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle {
+
+/// How an HTTP exchange ended.
+enum class exchange_status : std::uint8_t {
+    answered,       ///< A whole answer is there.
+    connect_failed, ///< No byte of the request left this process.
+    reset,          ///< The connection ended after bytes may have been sent, before a whole answer.
+    timed_out,      ///< The time ran out after bytes may have been sent.
+    incomplete,     ///< An answer began, but its end can't be told from a broken connection.
+    too_large       ///< The answer exceeds the client's bound.
+};
+
+template <>
+inline constexpr std::array enum_names<exchange_status>{
+    std::pair{exchange_status::answered, std::string_view("answered")},
+    std::pair{exchange_status::connect_failed, std::string_view("connect-failed")},
+    std::pair{exchange_status::reset, std::string_view("reset")},
+    std::pair{exchange_status::timed_out, std::string_view("timed-out")},
+    std::pair{exchange_status::incomplete, std::string_view("incomplete")},
+    std::pair{exchange_status::too_large, std::string_view("too-large")}};
+
+struct http_call {
+    endpoint to;
+    std::string method = "GET";
+    std::string target = "/";
+    http_headers headers;
+    std::string body;
+    milliseconds timeout{1000};
+    /// Use a new connection. A kept one may be closed by the other side just as the request is sent, which leaves
+    /// open whether it ran; a request that must not run twice can't be sent again then.
+    bool fresh_connection = false;
+};
+
+struct http_answer {
+    exchange_status status = exchange_status::connect_failed;
+    bool refused = false; ///< With `connect_failed`: the port itself refused, nobody listens there.
+    int code = 0;
+    http_headers headers;
+    std::string body;
+};
+
+/// Limits of an HTTP client.
+struct http_client_limits {
+    std::size_t max_body = 1U << 20U;
+    std::size_t max_headers = 32U << 10U;
+    std::size_t max_idle_per_endpoint = 8;
+    milliseconds max_idle_time = 2s;
+};
+
+/// Sends HTTP requests, each on its own connection while it lasts, and keeps some connections for reuse. Never sends
+/// a request twice by itself.
+class http_client {
+  public:
+    http_client(event_loop& loop, http_client_limits limits = {});
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    using callback = std::function<void(http_answer)>;
+
+    /// Starts the exchange; `done` is called exactly once from the loop. Destroy the client only when the loop has stopped.
+    /// Returns a number for cancel().
+    std::uint64_t send(http_call call, callback done);
+
+    /// Ends an exchange without calling back. An ended or unknown number is ignored.
+    void cancel(std::uint64_t number);
+
+    [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
+    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
+
+  private:
+    class exchange;
+    struct connection;
+
+    std::unique_ptr<connection> take_connection(const endpoint& to, bool fresh);
+    void give_back(std::unique_ptr<connection> item);
+    void finish(std::uint64_t number, http_answer answer, bool reusable);
+    void drop_idle();
+
+    event_loop& m_loop;
+    http_client_limits m_limits;
+    std::uint64_t m_next_number = 1;
+    std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
+    std::map<endpoint, std::vector<std::unique_ptr<connection>>> m_idle;
+    std::vector<std::unique_ptr<exchange>> m_retired;
+    std::unique_ptr<timer> m_idle_timer;
+    std::uint64_t m_bytes_sent = 0;
+    std::uint64_t m_bytes_received = 0;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/net/http_server.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_types.hpp"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+struct evhttp;
+struct evhttp_request;
+struct evhttp_connection;
+struct evhttp_bound_socket;
+
+namespace siskinpaddle {
+
+/// One request that a server received. Answer it exactly once with reply(); dropping it unanswered replies 500.
+class server_request {
+  public:
+    server_request(class http_server& server, evhttp_request* handle);
+    ~server_request();
+    server_request(const server_request&) = delete;
+    server_request& operator=(const server_request&) = delete;
+
+    [[nodiscard]] const std::string& method() const noexcept { return m_method; }
+    /// Path and query as they came.
+    [[nodiscard]] const std::string& target() const noexcept { return m_target; }
+    [[nodiscard]] const http_headers& headers() const noexcept { return m_headers; }
+    [[nodiscard]] const std::string& body() const noexcept { return m_body; }
+    [[nodiscard]] const std::string& peer() const noexcept { return m_peer; }
+
+    /// Precondition: not replied before.
+    void reply(int code, const http_headers& headers, std::string_view body);
+
+  private:
+    http_server& m_server;
+    evhttp_request* m_handle;
+    std::string m_method;
+    std::string m_target;
+    std::string m_peer;
+    http_headers m_headers;
+    std::string m_body;
+};
+
+/// Limits of a listener; each guards against one kind of hostile or broken client.
+struct http_server_limits {
+    std::size_t max_body = 1U << 20U;
+    std::size_t max_headers = 32U << 10U;
+    std::size_t max_connections = 4096;
+    milliseconds idle_timeout = 60s;  ///< Closes half-open and silent connections.
+    milliseconds receive_timeout = 10s; ///< Closes a connection that takes longer to send one request.
+};
+
+/// Listens for HTTP requests.
+class http_server {
+  public:
+    using handler = std::function<void(std::shared_ptr<server_request>)>;
+
+    http_server(event_loop& loop, http_server_limits limits, handler on_request);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds and accepts. Returns false when the address can't be bound.
+    [[nodiscard]] bool listen(const endpoint& where);
+
+    /// Port that was bound, for a listener on port 0.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// Stops accepting and asks each client, with its next answer, to close its connection.
+    void drain();
+
+    [[nodiscard]] std::size_t in_progress() const noexcept { return m_in_progress; }
+    [[nodiscard]] std::size_t connections() const noexcept;
+
+  private:
+    friend class server_request;
+    class door;
+
+    event_loop& m_loop;
+    http_server_limits m_limits;
+    handler m_handler;
+    evhttp* m_http;
+    evhttp_bound_socket* m_socket = nullptr;
+    std::unique_ptr<door> m_door;
+    std::size_t m_in_progress = 0;
+    bool m_draining = false;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/net/udp_socket.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/http_types.hpp"
+
+#include <functional>
+#include <string_view>
+
+namespace siskinpaddle {
+
+/// A bound UDP socket.
+class udp_socket {
+  public:
+    using handler = std::function<void(std::string_view datagram, const endpoint& from)>;
+
+    udp_socket(event_loop& loop, handler on_datagram);
+    ~udp_socket();
+    udp_socket(const udp_socket&) = delete;
+    udp_socket& operator=(const udp_socket&) = delete;
+
+    /// Returns false when the address can't be bound.
+    [[nodiscard]] bool bind(const endpoint& where);
+
+    /// Sends or drops; UDP promises no more.
+    void send(std::string_view datagram, const endpoint& to);
+
+    [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
+
+    /// Largest datagram that is sent or received.
+    static constexpr std::size_t max_datagram = 60'000;
+
+  private:
+    void read();
+
+    event_loop& m_loop;
+    handler m_handler;
+    int m_socket = -1;
+    event* m_event = nullptr;
+    std::uint64_t m_bytes_sent = 0;
+};
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/peer/fanout.cpp
@@ -0,0 +1,103 @@
+#include "peer/fanout.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle {
+
+namespace {
+
+constexpr std::size_t zone_neighbours = 2;
+
+void add_once(std::vector<entry_record>& peers, const entry_record& entry, const std::string& self) {
+    const bool known = std::any_of(peers.begin(), peers.end(),
+                                   [&entry](const entry_record& peer) { return peer.id == entry.id; });
+    if (!known && entry.id != self) {
+        peers.push_back(entry);
+    }
+}
+
+} // namespace
+
+std::vector<entry_record> heartbeat_peers(const fleet_record& fleet, const std::string& self, std::uint64_t tick) {
+    std::vector<entry_record> peers;
+    if (const entry_record* planner = fleet.find_entry(fleet.planner)) {
+        add_once(peers, *planner, self);
+    }
+    const entry_record* own = fleet.find_entry(self);
+    std::vector<const entry_record*> zone;
+    for (const entry_record& entry : fleet.entries) {
+        if (own != nullptr && entry.availability_zone == own->availability_zone) {
+            zone.push_back(&entry);
+        }
+    }
+    const auto position = std::find(zone.begin(), zone.end(), own);
+    const auto offset = static_cast<std::size_t>(position - zone.begin());
+    for (std::size_t i = 1; i <= zone_neighbours && i < zone.size(); ++i) {
+        add_once(peers, *zone[(offset + i) % zone.size()], self);
+    }
+    if (!fleet.entries.empty()) {
+        // Each entry begins elsewhere, so that one tick's turns don't all meet at the same peer.
+        const std::uint64_t start = hash64(self);
+        add_once(peers, fleet.entries[(start + tick) % fleet.entries.size()], self);
+    }
+    return peers;
+}
+
+std::vector<entry_record> news_peers(const fleet_record& fleet, const std::string& self) {
+    std::vector<entry_record> peers;
+    const entry_record* own = fleet.find_entry(self);
+    std::set<std::string> zones;
+    for (const entry_record& entry : fleet.entries) {
+        const bool same_zone = own != nullptr && entry.availability_zone == own->availability_zone;
+        if (same_zone || zones.insert(entry.availability_zone).second) {
+            add_once(peers, entry, self);
+        }
+    }
+    return peers;
+}
+
+std::set<std::string> silent_peers(const fleet_record& fleet, const std::map<std::string, timestamp>& heard,
+                                   const std::string& self, timestamp now) {
+    std::set<std::string> silent;
+    for (const entry_record& entry : fleet.entries) {
+        const auto last = heard.find(entry.id);
+        if (entry.id != self && (last == heard.end() || now - last->second > peer_silence_bound)) {
+            silent.insert(entry.id);
+        }
+    }
+    return silent;
+}
+
+bool watches_store(const fleet_record& fleet, const std::string& self, const std::set<std::string>& silent) {
+    const entry_record* own = fleet.find_entry(self);
+    if (own == nullptr) {
+        return true;
+    }
+    for (const entry_record& entry : fleet.entries) {
+        if (entry.availability_zone == own->availability_zone && !silent.contains(entry.id)) {
+            return entry.id == self;
+        }
+    }
+    return true;
+}
+
+std::string entry_in_charge(const fleet_record& fleet, const vm_record& vm, const std::set<std::string>& silent) {
+    std::string chosen;
+    std::uint64_t best = 0;
+    bool chosen_is_local = false;
+    for (const entry_record& entry : fleet.entries) {
+        const bool local = entry.availability_zone == vm.availability_zone;
+        if (silent.contains(entry.id) || (chosen_is_local && !local)) {
+            continue;
+        }
+        const std::uint64_t weight = hash64(entry.id, hash64(vm.id));
+        if (chosen.empty() || (local && !chosen_is_local) || weight > best) {
+            chosen = entry.id;
+            best = weight;
+            chosen_is_local = local;
+        }
+    }
+    return chosen;
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/peer/replica.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "peer/messages.hpp"
+#include "policy/policy.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle {
+
+/// What became of a value that was offered to a replica.
+enum class offer_result : std::uint8_t {
+    taken,
+    same,
+    older,    ///< Refused: values never go back.
+    damaged,
+    wrong_base ///< A delta that doesn't fit; ask for the whole value.
+};
+
+template <>
+inline constexpr std::array enum_names<offer_result>{std::pair{offer_result::taken, std::string_view("taken")},
+                                                     std::pair{offer_result::same, std::string_view("same")},
+                                                     std::pair{offer_result::older, std::string_view("older")},
+                                                     std::pair{offer_result::damaged, std::string_view("damaged")},
+                                                     std::pair{offer_result::wrong_base, std::string_view("wrong-base")}};
+
+/// An entry's copy of the values that the platform holds: the configuration, the fleet record and the job tables. Each
+/// moves only to higher revisions, whoever brings it: the store, a peer, or a store that was restored from an old
+/// copy. Pure; not thread-safe.
+class replica {
+  public:
+    /// Takes the bytes as the store holds them.
+    [[nodiscard]] offer_result offer_stored(const std::string& name, const std::string& bytes,
+                                            std::uint64_t store_version);
+
+    /// Takes what a peer sent.
+    [[nodiscard]] offer_result offer_transfer(const value_transfer& transfer);
+
+    /// Newer values than the asker's: the fleet as a delta where the changes since its revision are still known.
+    [[nodiscard]] value_reply answer(const value_request& request) const;
+
+    /// Whether a peer with these revisions in force has something newer.
+    [[nodiscard]] bool lacks(const std::map<std::string, std::uint64_t>& revisions) const;
+
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& revisions() const noexcept { return m_revisions; }
+    [[nodiscard]] std::uint64_t revision(std::string_view name) const;
+
+    /// The value as last seen in the store, to build a compare-and-swap on.
+    [[nodiscard]] std::uint64_t store_version(std::string_view name) const;
+
+    [[nodiscard]] const configuration& config() const noexcept { return m_config; }
+    [[nodiscard]] const stored_configuration& stored_config() const noexcept { return m_stored_config; }
+    [[nodiscard]] const fleet_record& fleet() const noexcept { return m_fleet; }
+    /// The job table of a pool; empty when none is known.
+    [[nodiscard]] const job_table& jobs(const std::string& pool) const;
+    /// An earlier configuration document, as far as remembered.
+    [[nodiscard]] const boost::json::value* document(std::uint64_t number) const;
+
+  private:
+    [[nodiscard]] offer_result take_config(const std::string& bytes);
+    [[nodiscard]] offer_result take_fleet(fleet_record next);
+    [[nodiscard]] offer_result take_jobs(const std::string& name, const std::string& bytes);
+    [[nodiscard]] offer_result offer_bytes(const std::string& name, const std::string& bytes);
+    [[nodiscard]] value_transfer transfer_fleet(std::uint64_t have) const;
+    void note_version(const std::string& name, std::uint64_t store_version);
+
+    std::map<std::string, std::uint64_t> m_revisions;
+    std::map<std::string, std::uint64_t, std::less<>> m_store_versions;
+    configuration m_config;
+    stored_configuration m_stored_config;
+    fleet_record m_fleet;
+    std::map<std::string, job_table> m_jobs;
+    std::deque<fleet_delta> m_deltas;
+    std::map<std::uint64_t, boost::json::value> m_documents;
+};
+
+} // namespace siskinpaddle
--- a/policy/claims.cpp
+++ b/policy/claims.cpp
@@ -24,21 +24,18 @@
 void claim_shard::set_open(const claim_log& log, std::uint64_t version) {
     m_open = log;
     m_version = version;
-    const std::uint64_t window_generations = 4096;
-    if (m_closed.empty() && log.generation > window_generations) {
-        m_first_generation = std::max(m_first_generation, log.generation - window_generations);
-    }
 }
 
-void claim_shard::add_closed(const claim_log& log, timestamp now) {
-    m_closed[log.generation] = {log, now};
+void claim_shard::add_closed(std::uint64_t generation, std::vector<claim_entry> lines, timestamp now) {
+    m_closed[generation] = {std::move(lines), now};
 }
 
 bool claim_shard::missing_generation(std::uint64_t& generation) const {
-    // Newest first: once a generation has left the store, so have all before it.
-    for (std::uint64_t candidate = m_open.generation; candidate > m_first_generation; --candidate) {
-        if (!m_closed.contains(candidate - 1)) {
-            generation = candidate - 1;
+    // Newest first: once a generation has left the store, so have all before it. The generation just before the open
+    // one comes with it.
+    for (std::uint64_t next = m_open.generation; next > m_first_generation + 1; --next) {
+        if (!m_closed.contains(next - 2)) {
+            generation = next - 2;
             return true;
         }
     }
@@ -50,8 +47,8 @@
     forget(now);
 }
 
-void claim_shard::replay(const claim_log& log, const claim_key& key, const claim_entry*& last) {
-    for (const claim_entry& line : log.lines) {
+void claim_shard::replay(const std::vector<claim_entry>& lines, const claim_key& key, const claim_entry*& last) {
+    for (const claim_entry& line : lines) {
         if (line.key_high == key.first && line.key_low == key.second) {
             last = &line;
         }
@@ -61,9 +58,10 @@
 claim_shard::verdict claim_shard::look(const claim_key& key, std::uint64_t nonce) const {
     const claim_entry* last = nullptr;
     for (const auto& [generation, closed] : m_closed) {
-        replay(closed.log, key, last);
+        replay(closed.lines, key, last);
     }
-    replay(m_open, key, last);
+    replay(m_open.previous, key, last);
+    replay(m_open.lines, key, last);
     if (last == nullptr || last->released) {
         return verdict::free;
     }
@@ -76,6 +74,8 @@
     return next;
 }
 
+claim_log claim_shard::next_generation() const { return {m_open.generation + 1, {}, m_open.lines}; }
+
 void claim_shard::forget(timestamp now) {
     while (!m_closed.empty()) {
         const auto oldest = m_closed.begin();
@@ -88,9 +88,9 @@
 }
 
 std::size_t claim_shard::remembered() const noexcept {
-    std::size_t lines = m_open.lines.size();
+    std::size_t lines = m_open.lines.size() + m_open.previous.size();
     for (const auto& [generation, closed] : m_closed) {
-        lines += closed.log.lines.size();
+        lines += closed.lines.size();
     }
     return lines;
 }
--- a/policy/claims.hpp
+++ b/policy/claims.hpp
@@ -33,14 +33,17 @@
     }
 };
 
-/// The stored value of one claim shard, at a generation. Older generations are closed and never change.
+/// The stored value of one claim shard, at a generation. The generation before it rides along until the next one
+/// begins; by then it stands under a key of its own, where it never changes. So no line is ever only in a copy that
+/// a swap could miss.
 struct claim_log {
     std::uint64_t generation = 0;
     std::vector<claim_entry> lines;
+    std::vector<claim_entry> previous; ///< Lines of generation - 1.
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(generation, lines);
+        archive(generation, lines, previous);
     }
 };
 
@@ -64,8 +67,8 @@
     /// Takes over the open log as the store has it. `version` is the store's.
     void set_open(const claim_log& log, std::uint64_t version);
 
-    /// Takes over a closed generation.
-    void add_closed(const claim_log& log, timestamp now);
+    /// Takes over the lines of a closed generation.
+    void add_closed(std::uint64_t generation, std::vector<claim_entry> lines, timestamp now);
 
     /// The oldest generation that this copy lacks before it may decide, if any.
     [[nodiscard]] bool missing_generation(std::uint64_t& generation) const;
@@ -81,6 +84,9 @@
     /// The open log with `lines` appended.
     [[nodiscard]] claim_log with(const std::vector<claim_entry>& lines) const;
 
+    /// The log that begins the next generation. Precondition: the previous one stands under its own key.
+    [[nodiscard]] claim_log next_generation() const;
+
     [[nodiscard]] const claim_log& open() const noexcept { return m_open; }
     [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
     [[nodiscard]] bool must_close() const noexcept { return m_open.lines.size() >= claim_log_lines; }
@@ -92,11 +98,11 @@
 
   private:
     struct closed_log {
-        claim_log log;
+        std::vector<claim_entry> lines;
         timestamp seen;
     };
 
-    static void replay(const claim_log& log, const claim_key& key, const claim_entry*& last);
+    static void replay(const std::vector<claim_entry>& lines, const claim_key& key, const claim_entry*& last);
 
     claim_log m_open;
     std::uint64_t m_version = 0;
--- a/policy/fleet.hpp
+++ b/policy/fleet.hpp
@@ -80,13 +80,15 @@
     std::string availability_zone;
     std::string address;
     std::uint16_t peer_port = 0;
+    std::string operator_address; ///< Where it answers operators, so that others can pass questions on.
+    std::uint16_t operator_port = 0;
     std::uint64_t incarnation = 0; ///< Distinguishes restarts of the process with this id.
 
     bool operator==(const entry_record&) const = default;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(id, availability_zone, address, peer_port, incarnation);
+        archive(id, availability_zone, address, peer_port, operator_address, operator_port, incarnation);
     }
 };
 
--- /dev/null
+++ b/telemetry/metrics.cpp
@@ -0,0 +1,76 @@
+#include "telemetry/metrics.hpp"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace siskinpaddle {
+
+namespace {
+
+/// Logarithmic buckets from 0.1 ms to 100 s, ten to a decade.
+using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+auto make_buckets() { return boost::histogram::make_histogram(log_axis(60, 0.1, 1e5)); }
+
+} // namespace
+
+struct metrics::latency {
+    decltype(make_buckets()) buckets = make_buckets();
+    std::uint64_t count = 0;
+};
+
+metrics::metrics() = default;
+metrics::~metrics() = default;
+
+std::uint64_t metrics::counter(const std::string& name) const {
+    const auto found = m_counters.find(name);
+    return found == m_counters.end() ? 0 : found->second;
+}
+
+void metrics::observe(const std::string& name, double ms) {
+    std::unique_ptr<latency>& item = m_latencies[name];
+    if (item == nullptr) {
+        item = std::make_unique<latency>();
+    }
+    item->buckets(ms);
+    ++item->count;
+}
+
+double metrics::quantile(const std::string& name, double q) const {
+    const auto found = m_latencies.find(name);
+    if (found == m_latencies.end() || found->second->count == 0) {
+        return 0;
+    }
+    const double wanted = q * static_cast<double>(found->second->count);
+    double below = 0;
+    double edge = 0;
+    for (auto&& bucket : boost::histogram::indexed(found->second->buckets, boost::histogram::coverage::all)) {
+        below += *bucket;
+        edge = bucket.bin().upper();
+        if (below >= wanted) {
+            break;
+        }
+    }
+    return edge;
+}
+
+std::string metrics::to_text() const {
+    std::ostringstream text;
+    for (const auto& [name, value] : m_counters) {
+        text << "siskinpaddle_" << name << " " << value << "\n";
+    }
+    for (const auto& [name, item] : m_latencies) {
+        double below = 0;
+        for (auto&& bucket : boost::histogram::indexed(item->buckets, boost::histogram::coverage::all)) {
+            below += *bucket;
+            if (*bucket > 0) {
+                text << "siskinpaddle_" << name << "_ms_bucket{le=\"" << bucket.bin().upper() << "\"} " << below
+                     << "\n";
+            }
+        }
+        text << "siskinpaddle_" << name << "_ms_count " << item->count << "\n";
+    }
+    return text.str();
+}
+
+} // namespace siskinpaddle
--- /dev/null
+++ b/telemetry/metrics.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle {
+
+/// Counters and latency histograms of one process. Not thread-safe; owned by one task.
+class metrics {
+  public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void count(const std::string& name, std::uint64_t by = 1) { m_counters[name] += by; }
+    void set(const std::string& name, std::uint64_t value) { m_counters[name] = value; }
+    [[nodiscard]] std::uint64_t counter(const std::string& name) const;
+
+    /// Records a duration in milliseconds under `name`.
+    void observe(const std::string& name, double ms);
+
+    /// Upper edge in milliseconds of the bucket in which the quantile lies; 0 without observations.
+    [[nodiscard]] double quantile(const std::string& name, double q) const;
+
+    /// Text form: one `name value` line each, histograms as cumulative buckets.
+    [[nodiscard]] std::string to_text() const;
+
+  private:
+    struct latency;
+
+    std::map<std::string, std::uint64_t> m_counters;
+    std::map<std::string, std::unique_ptr<latency>> m_latencies;
+};
+
+} // namespace siskinpaddle
