--- /dev/null
+++ b/bench/fleet_model.cpp
@@ -0,0 +1,466 @@
+#include "bench/fleet_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+
+namespace siskinpaddle::bench {
+
+namespace {
+
+constexpr timestamp five_weeks = std::chrono::hours(24 * 35);
+constexpr milliseconds day = std::chrono::hours(24);
+constexpr milliseconds reboot_time = 5min;
+constexpr milliseconds restart_away = 4min;
+constexpr milliseconds failure_away = 4h;
+constexpr milliseconds rack_away = 2h;
+constexpr milliseconds zone_away = 1h;
+constexpr milliseconds checkpoint_time = 3s;
+constexpr milliseconds urgent_bound = 9'400ms;
+constexpr milliseconds round_time = 250ms; ///< Between two steps of the real planner.
+constexpr int most_rounds = 24;
+constexpr milliseconds look_again = 60s;
+
+struct job_mix {
+    job_urgency urgency;
+    double share;
+    milliseconds length;
+    bool checkpoints;
+};
+
+/// Digests and forecasts of about an hour, sweeps of many, and a few urgent jobs of minutes.
+const std::vector<job_mix> job_mixes{{job_urgency::urgent, 0.1, 5min, false},
+                                     {job_urgency::daily, 0.6, 40min, false},
+                                     {job_urgency::patient, 0.3, 8h, true}};
+constexpr std::uint32_t job_cpu = 12'000;
+constexpr double busy_share = 0.5;
+constexpr double jobs_per_vm = 2;
+
+double cpu_seconds() {
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+std::string numbered(const char* prefix, int number) {
+    std::string digits = std::to_string(10'000 + number);
+    return prefix + digits.substr(1);
+}
+
+} // namespace
+
+fleet_model::fleet_model(const fleet_shape& shape, const policy_choice& choice, std::uint64_t seed)
+    : m_shape(shape), m_choice(choice), m_random(seed), m_planner(choice.planning) {
+    build_fleet();
+    schedule(gap(m_shape.failures_per_day), event_kind::vm_fails);
+    schedule(gap(m_shape.restarts_per_day), event_kind::vm_restarts);
+    schedule(gap(m_shape.racks_per_month / 30), event_kind::rack_fails);
+    schedule(gap(m_shape.zones_per_month / 30), event_kind::zone_fails);
+    for (const auto& [pool, settings] : m_config.pools) {
+        schedule(1min, event_kind::job_arrives, pool);
+    }
+}
+
+milliseconds fleet_model::gap(double per_day) {
+    const double wait = -std::log(1 - m_random.unit()) / per_day * static_cast<double>(day.count());
+    return milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(wait)));
+}
+
+void fleet_model::schedule(milliseconds delay, event_kind kind, std::string subject, std::uint64_t number) {
+    m_events.push({m_now + delay, ++m_event_order, kind, std::move(subject), number});
+}
+
+void fleet_model::build_fleet() {
+    m_config.number = 1;
+    m_config.members["m"] = {std::string(64, '0'), true};
+    m_config.teams["t"] = {"m", 1'000'000'000, 0};
+    // Promises differ from pool to pool; what is left of the fleet after the baseline's spares is promised, so the
+    // baseline just fits, and every policy is asked for the same promises.
+    std::int64_t left = m_shape.vms;
+    std::vector<std::int64_t> promises;
+    for (int i = 0; i < m_shape.pools; ++i) {
+        const double weight = 0.5 + static_cast<double>(i) / m_shape.pools;
+        const auto share = static_cast<std::int64_t>(static_cast<double>(m_shape.vms) / m_shape.pools * weight);
+        const std::int64_t spare = std::max<std::int64_t>(2, (share + 10) / 11);
+        promises.push_back(share - spare);
+        left -= share;
+    }
+    promises.back() += left;
+    std::int64_t held = 0;
+    for (int i = 0; i < m_shape.pools; ++i) {
+        pool_settings pool;
+        pool.member = "m";
+        pool.promised = promises[static_cast<std::size_t>(i)];
+        pool.size = pool.promised + std::max(m_choice.own_spare_least,
+                                             (pool.promised * m_choice.own_spare_percent + 99) / 100);
+        const std::string name = numbered("p", i);
+        if (!m_choice.one_wave) {
+            m_config.waves["w-" + name] = {name, i + 1,
+                                           std::max<std::int64_t>(1, pool.size * m_choice.width_percent / 100), 12h,
+                                           false};
+        }
+        held += pool.size;
+        m_figures.promised += pool.promised;
+        m_config.pools[name] = pool;
+    }
+    if (m_choice.one_wave) {
+        m_config.waves["w"] = {"*", 1, std::max<std::int64_t>(1, held * m_choice.width_percent / 100), 12h, false};
+    }
+    m_figures.vms = held + m_choice.shared_free;
+    for (int i = 0; i < m_figures.vms; ++i) {
+        vm_record vm;
+        vm.id = numbered("w", i);
+        vm.rack = numbered("r", i / m_shape.vms_per_rack);
+        vm.availability_zone = std::string(1, static_cast<char>('a' + (i / m_shape.vms_per_rack) % m_shape.zones));
+        vm.cores = 32;
+        vm.memory_mb = 64'000;
+        vm.boot = 1;
+        m_fleet.vms.push_back(vm);
+        listed_vm item;
+        item.id = vm.id;
+        item.availability_zone = vm.availability_zone;
+        item.rack = vm.rack;
+        item.cores = vm.cores;
+        item.memory_mb = vm.memory_mb;
+        item.boot = 1;
+        m_seen.listed[vm.id] = item;
+        m_machines[vm.id] = item;
+    }
+    // Baseline: pools one after another in the order of VMs. Ours: dealt round, so that a rack holds few of each.
+    std::vector<std::string> order;
+    for (const auto& [name, pool] : m_config.pools) {
+        order.insert(order.end(), static_cast<std::size_t>(pool.size), name);
+    }
+    if (!m_choice.planning.first_fit) {
+        std::vector<std::string> dealt;
+        std::map<std::string, std::int64_t> given;
+        while (dealt.size() < order.size()) {
+            for (const auto& [name, pool] : m_config.pools) {
+                if (given[name] < pool.size) {
+                    ++given[name];
+                    dealt.push_back(name);
+                }
+            }
+        }
+        order = dealt;
+    }
+    assign_first(order);
+    for (int zone = 0; zone < m_shape.zones; ++zone) {
+        const std::string name(1, static_cast<char>('a' + zone));
+        m_fleet.put_entry({"e-" + name, name, "127.0.0.1", 1, "127.0.0.1", 2, 1});
+    }
+    m_fleet.revision = 1;
+    m_seen.list_known = true;
+}
+
+void fleet_model::assign_first(const std::vector<std::string>& order) {
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        m_fleet.vms[i].pool = order[i];
+        m_fleet.vms[i].state = vm_state::serving;
+    }
+}
+
+void fleet_model::fail(const std::string& vm, milliseconds away) {
+    if (!is_up(vm)) {
+        return;
+    }
+    m_away[vm] = m_now + away;
+    m_seen.listed.erase(vm);
+    schedule(away, event_kind::vm_back, vm);
+    for (auto& [pool, table] : m_jobs) {
+        for (job_record& job : table.jobs) {
+            if (job.vm == vm && may_run(job.state)) {
+                m_truth[pool][job.id].runs_since = timestamp{0}; // Work since the last checkpoint is lost.
+            }
+        }
+    }
+}
+
+void fleet_model::happen(const event& item) {
+    const auto any_vm = [this] { return m_fleet.vms[m_random.below(m_fleet.vms.size())]; };
+    const double scale = static_cast<double>(m_shape.vms) / 870;
+    switch (item.kind) {
+    case event_kind::vm_fails:
+        fail(any_vm().id, failure_away);
+        schedule(gap(m_shape.failures_per_day * scale), event_kind::vm_fails);
+        return;
+    case event_kind::vm_restarts:
+        fail(any_vm().id, restart_away);
+        schedule(gap(m_shape.restarts_per_day * scale), event_kind::vm_restarts);
+        return;
+    case event_kind::rack_fails: {
+        const std::string rack = any_vm().rack;
+        for (const vm_record& vm : m_fleet.vms) {
+            if (vm.rack == rack) {
+                fail(vm.id, rack_away);
+            }
+        }
+        schedule(gap(m_shape.racks_per_month / 30), event_kind::rack_fails);
+        return;
+    }
+    case event_kind::zone_fails: {
+        const std::string zone = any_vm().availability_zone;
+        for (const vm_record& vm : m_fleet.vms) {
+            if (vm.availability_zone == zone) {
+                fail(vm.id, zone_away);
+            }
+        }
+        schedule(gap(m_shape.zones_per_month / 30), event_kind::zone_fails);
+        return;
+    }
+    case event_kind::vm_back:
+    case event_kind::reboot_ends: {
+        m_away.erase(item.subject);
+        const vm_record* vm = m_fleet.find_vm(item.subject);
+        listed_vm& machine = m_machines[item.subject];
+        machine.boot = std::max(machine.boot, vm == nullptr ? 0 : vm->boot) + 1;
+        m_seen.listed[item.subject] = machine;
+        return;
+    }
+    case event_kind::job_arrives:
+        job_arrives(item.subject);
+        return;
+    case event_kind::job_ends:
+        job_ends(item.subject, item.number);
+        return;
+    case event_kind::job_stopped:
+        job_stopped(item.subject, item.number);
+        return;
+    }
+}
+
+void fleet_model::job_arrives(const std::string& pool) {
+    double mean_ms = 0;
+    for (const job_mix& mix : job_mixes) {
+        mean_ms += mix.share * static_cast<double>(mix.length.count());
+    }
+    const double running = static_cast<double>(m_config.pools[pool].promised) * jobs_per_vm * busy_share;
+    schedule(gap(running / mean_ms * static_cast<double>(day.count())), event_kind::job_arrives, pool);
+    double draw = m_random.unit();
+    for (const job_mix& mix : job_mixes) {
+        draw -= mix.share;
+        if (draw >= 0 && &mix != &job_mixes.back()) {
+            continue;
+        }
+        job_record job;
+        job.id = std::to_string(++m_next_job);
+        job.team = "t";
+        job.kind = std::string(name_of(mix.urgency));
+        job.urgency = mix.urgency;
+        job.size = {job_cpu, 1'000, 0};
+        // Run times are far from what was declared: between a half and one and a half of it.
+        const double factor = 0.5 + m_random.unit();
+        job_truth truth;
+        truth.left = milliseconds(static_cast<std::int64_t>(static_cast<double>(mix.length.count()) * factor));
+        truth.arrived = m_now;
+        truth.urgent = mix.urgency == job_urgency::urgent;
+        m_figures.jobs_urgent += truth.urgent ? 1 : 0;
+        job.expected_ms = static_cast<std::uint64_t>(mix.length.count());
+        m_truth[pool][job.id] = truth;
+        m_jobs[pool].jobs.push_back(job);
+        return;
+    }
+}
+
+void fleet_model::job_ends(const std::string& name, std::uint64_t epoch) {
+    const std::string pool = name.substr(0, name.find('/'));
+    const std::string id = name.substr(name.find('/') + 1);
+    job_record* job = m_jobs[pool].find(id);
+    if (job == nullptr || job->epoch != epoch || !may_run(job->state) || !is_up(job->vm) ||
+        m_truth[pool][id].runs_since == timestamp{0}) {
+        return;
+    }
+    ++m_figures.jobs_done;
+    m_figures.job_moves += job->moves;
+    m_truth[pool].erase(id);
+    std::erase_if(m_jobs[pool].jobs, [&id](const job_record& item) { return item.id == id; });
+}
+
+void fleet_model::job_stopped(const std::string& name, std::uint64_t epoch) {
+    const std::string pool = name.substr(0, name.find('/'));
+    const std::string id = name.substr(name.find('/') + 1);
+    job_record* job = m_jobs[pool].find(id);
+    if (job == nullptr || job->epoch != epoch || job->state != job_state::stopping) {
+        return;
+    }
+    job_truth& truth = m_truth[pool][id];
+    if (job->urgency == job_urgency::patient && truth.runs_since != timestamp{0}) {
+        truth.left = std::max<milliseconds>(1s, truth.left - (m_now - truth.runs_since));
+    }
+    truth.runs_since = timestamp{0};
+    (void)enter_task_news(m_jobs[pool], {{id, static_cast<std::uint32_t>(epoch), task_result::stopped, job->vm}});
+}
+
+void fleet_model::report() {
+    m_seen.list_read = m_now;
+    m_seen.tasks.clear();
+    for (const auto& [pool, table] : m_jobs) {
+        for (const job_record& job : table.jobs) {
+            if (may_run(job.state)) {
+                ++m_seen.tasks[job.vm];
+            }
+        }
+    }
+    std::set<std::string> healthy;
+    for (const vm_record& vm : m_fleet.vms) {
+        if (vm.state == vm_state::returning && is_up(vm.id)) {
+            healthy.insert(vm.id);
+        }
+    }
+    for (const entry_record& entry : m_fleet.entries) {
+        entry_report& item = m_seen.entries[entry.id];
+        item.incarnation = entry.incarnation;
+        item.applied_fleet = m_fleet.revision;
+        item.heard = m_now;
+        item.healthy_vms = healthy;
+    }
+}
+
+void fleet_model::note_planned_steps(const fleet_plan& plan) {
+    for (const vm_record& vm : plan.next.vms) {
+        const vm_record* before = m_fleet.find_vm(vm.id);
+        if (before == nullptr) {
+            continue;
+        }
+        m_figures.vm_moves += before->pool != vm.pool && !before->pool.empty() ? 1 : 0;
+        // Judged by the model's truth, not by the planner's count: a step that leaves fewer VMs up than promised.
+        const bool taken = before->state == vm_state::serving && vm.state == vm_state::cordoned;
+        if (!taken) {
+            continue;
+        }
+        ++m_figures.vms_maintained;
+        std::int64_t up = 0;
+        for (const vm_record& other : plan.next.vms) {
+            up += other.pool == vm.pool && other.state == vm_state::serving && is_up(other.id) ? 1 : 0;
+        }
+        m_figures.planned_breaches += up < m_config.pools[vm.pool].promised ? 1 : 0;
+    }
+}
+
+bool fleet_model::plan() {
+    report();
+    const double begun = cpu_seconds();
+    const fleet_plan plan = m_planner.step(m_config, m_fleet, m_seen, m_now);
+    m_decision_seconds += cpu_seconds() - begun;
+    ++m_decisions;
+    for (const reboot_action& action : plan.reboots) {
+        if (is_up(action.vm)) {
+            m_away[action.vm] = m_now + reboot_time;
+            m_seen.listed.erase(action.vm);
+            schedule(reboot_time, event_kind::reboot_ends, action.vm);
+        }
+    }
+    if (!plan.changed) {
+        return false;
+    }
+    note_planned_steps(plan);
+    m_fleet = plan.next;
+    return true;
+}
+
+bool fleet_model::place(const std::string& pool) {
+    std::map<std::string, std::uint32_t> ended;
+    for (const auto& [vm, count] : m_seen.tasks) {
+        const vm_record* record = m_fleet.find_vm(vm);
+        ended[vm] = record == nullptr ? UINT32_MAX : record->epoch;
+    }
+    const std::map<std::string, worker_health> workers;
+    const placement_input input{m_config, m_fleet, pool, m_jobs[pool], m_usage, workers, {}, ended, m_now,
+                                m_choice.placing};
+    const double begun = cpu_seconds();
+    placement_plan plan = place_jobs(input);
+    m_decision_seconds += cpu_seconds() - begun;
+    ++m_decisions;
+    if (!plan.changed) {
+        return false;
+    }
+    m_jobs[pool] = std::move(plan.next);
+    carry_out(pool);
+    return true;
+}
+
+void fleet_model::carry_out(const std::string& pool) {
+    for (job_record& job : m_jobs[pool].jobs) {
+        job_truth& truth = m_truth[pool][job.id];
+        if (job.state == job_state::assigned && is_up(job.vm)) {
+            job.state = job_state::running;
+            truth.runs_since = m_now;
+            if (truth.urgent && !truth.started && m_now - truth.arrived > urgent_bound) {
+                ++m_figures.late_urgent;
+            }
+            truth.started = true;
+            schedule(truth.left, event_kind::job_ends, pool + "/" + job.id, job.epoch);
+        } else if (job.state == job_state::stopping && job.reason != "stop ordered") {
+            job.reason = "stop ordered";
+            schedule(checkpoint_time, event_kind::job_stopped, pool + "/" + job.id, job.epoch);
+        }
+    }
+}
+
+void fleet_model::decide() {
+    for (int round = 0; round < most_rounds; ++round) {
+        bool changed = plan();
+        for (const auto& [pool, settings] : m_config.pools) {
+            changed = place(pool) || changed;
+        }
+        if (!changed) {
+            return;
+        }
+        m_now += round_time;
+        measure(round_time);
+    }
+}
+
+void fleet_model::measure(milliseconds passed) {
+    const auto ms = static_cast<double>(passed.count());
+    std::map<std::string, std::int64_t> up;
+    std::map<std::string, std::int64_t> out;
+    bool wave_left = false;
+    for (const vm_record& vm : m_fleet.vms) {
+        if (vm.state == vm_state::serving && is_up(vm.id)) {
+            ++up[vm.pool];
+        } else if (vm.state != vm_state::lost && is_up(vm.id)) {
+            ++out[vm.pool];
+        }
+        wave_left = wave_left || (vm.wave == 0 && vm.state != vm_state::lost);
+    }
+    if (wave_left) {
+        m_wave_over = m_now;
+    }
+    for (const auto& [pool, settings] : m_config.pools) {
+        const bool breached = up[pool] < settings.promised;
+        m_figures.failure_breaches += breached && !m_breached[pool] ? 1 : 0;
+        m_breached[pool] = breached;
+        m_breach_vm_ms += breached ? ms * static_cast<double>(settings.promised - up[pool]) : 0;
+    }
+    m_buffer_ms += ms * static_cast<double>(m_figures.vms - m_figures.promised);
+}
+
+policy_figures fleet_model::run() {
+    while (m_now < five_weeks) {
+        decide();
+        const timestamp next = std::min(m_events.top().at, m_now + look_again);
+        measure(std::max(milliseconds{0}, next - m_now));
+        m_now = std::max(m_now, next);
+        while (!m_events.empty() && m_events.top().at <= m_now) {
+            const event item = m_events.top();
+            m_events.pop();
+            happen(item);
+        }
+    }
+    m_figures.buffer_ratio = m_buffer_ms / (static_cast<double>(m_figures.promised) *
+                                            static_cast<double>(m_now.count()));
+    m_figures.wave_hours = static_cast<double>(m_wave_over.count()) / 3.6e6;
+    m_figures.failure_breach_vm_hours = m_breach_vm_ms / 3.6e6;
+    m_figures.cpu_us_per_decision = m_decision_seconds * 1e6 / static_cast<double>(m_decisions);
+    for (const auto& [pool, table] : m_jobs) {
+        m_figures.jobs_left += static_cast<std::int64_t>(table.jobs.size());
+        for (const job_record& job : table.jobs) {
+            m_figures.job_moves += job.moves;
+            m_figures.jobs_refused += job.state == job_state::parked || job.state == job_state::failed ? 1 : 0;
+        }
+    }
+    return m_figures;
+}
+
+} // namespace siskinpaddle::bench
--- /dev/null
+++ b/bench/fleet_model.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "policy/policy.hpp"
+
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::bench {
+
+/// A fleet to decide on, and how it fails.
+struct fleet_shape {
+    int vms = 50;
+    int pools = 5;
+    int zones = 4;
+    int vms_per_rack = 4;
+    double failures_per_day = 6;  ///< Machines that stay away for hours.
+    double restarts_per_day = 88; ///< Machines that are back after minutes.
+    double racks_per_month = 0.67;
+    double zones_per_month = 0.5;
+};
+
+/// The policy under measure: how pools are sized, waves cut and jobs placed.
+struct policy_choice {
+    std::string name;
+    planner_options planning;
+    placement_options placing;
+    std::int64_t own_spare_percent = 0; ///< Spare VMs of each pool, above its promise.
+    std::int64_t own_spare_least = 0;
+    std::int64_t shared_free = 0;    ///< VMs in no pool.
+    std::int64_t width_percent = 0;  ///< Of a pool, out at once; at least one VM.
+    bool one_wave = false;           ///< One wave over the fleet, rather than one for each pool.
+};
+
+/// What a run of five weeks showed.
+struct policy_figures {
+    double buffer_ratio = 0;
+    std::int64_t job_moves = 0;
+    std::int64_t vm_moves = 0;
+    double wave_hours = 0;
+    std::int64_t planned_breaches = 0;
+    std::int64_t failure_breaches = 0;
+    double failure_breach_vm_hours = 0;
+    std::int64_t late_urgent = 0;
+    double cpu_us_per_decision = 0;
+    // Beside them, so that none is bought with these.
+    std::int64_t vms = 0;
+    std::int64_t promised = 0;
+    std::int64_t vms_maintained = 0;
+    std::int64_t jobs_done = 0;
+    std::int64_t jobs_urgent = 0;
+    std::int64_t jobs_refused = 0;
+    std::int64_t jobs_left = 0;
+};
+
+/// Five weeks of one fleet under one policy: pure decisions over a counted clock, seeded failures and jobs. A model of
+/// the fleet's answers to the planner, not of machines or networks.
+class fleet_model {
+  public:
+    fleet_model(const fleet_shape& shape, const policy_choice& choice, std::uint64_t seed);
+
+    policy_figures run();
+
+  private:
+    enum class event_kind : std::uint8_t { vm_back, vm_fails, vm_restarts, rack_fails, zone_fails, job_arrives, job_ends, reboot_ends, job_stopped };
+
+    struct event {
+        timestamp at{0};
+        std::uint64_t order = 0;
+        event_kind kind = event_kind::job_arrives;
+        std::string subject;
+        std::uint64_t number = 0;
+
+        bool operator>(const event& other) const {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    struct job_truth {
+        milliseconds left{0};
+        timestamp runs_since{0};
+        timestamp arrived{0};
+        bool urgent = false;
+        bool started = false;
+    };
+
+    void build_fleet();
+    void assign_first(const std::vector<std::string>& order);
+    void schedule(milliseconds delay, event_kind kind, std::string subject = {}, std::uint64_t number = 0);
+    [[nodiscard]] milliseconds gap(double per_day);
+    void happen(const event& item);
+    void fail(const std::string& vm, milliseconds away);
+    void job_arrives(const std::string& pool);
+    void job_ends(const std::string& name, std::uint64_t epoch);
+    void job_stopped(const std::string& name, std::uint64_t epoch);
+
+    void decide();
+    bool plan();
+    bool place(const std::string& pool);
+    void carry_out(const std::string& pool);
+    void report();
+    void measure(milliseconds passed);
+    void note_planned_steps(const fleet_plan& plan);
+    [[nodiscard]] bool is_up(const std::string& vm) const { return !m_away.contains(vm); }
+
+    fleet_shape m_shape;
+    policy_choice m_choice;
+    random_source m_random;
+    configuration m_config;
+    fleet_record m_fleet;
+    observations m_seen;
+    planner m_planner;
+    usage_estimates m_usage;
+    std::map<std::string, job_table> m_jobs;
+    std::map<std::string, std::map<std::string, job_truth>> m_truth;
+    std::map<std::string, listed_vm> m_machines;
+    std::map<std::string, timestamp> m_away;
+    std::map<std::string, bool> m_breached;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::uint64_t m_event_order = 0;
+    std::uint64_t m_next_job = 0;
+    timestamp m_now{0};
+    policy_figures m_figures;
+    std::uint64_t m_decisions = 0;
+    double m_decision_seconds = 0;
+    timestamp m_wave_over{0};
+    double m_buffer_ms = 0;
+    double m_breach_vm_ms = 0;
+};
+
+} // namespace siskinpaddle::bench
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -83,7 +83,8 @@
         const bool leaving =
             vm != nullptr && (vm->state == vm_state::cordoned || vm->state == vm_state::draining);
         const bool running = job.state == job_state::running || job.state == job_state::assigned;
-        if (leaving && running && job.urgency == job_urgency::patient) {
+        const bool patient = job.urgency == job_urgency::patient || m_in.options.move_all;
+        if (leaving && running && patient) {
             job.state = job_state::stopping;
             job.reason = "its VM is leaving";
             decide(job, "checkpoint and stop: its VM is leaving");
@@ -201,16 +202,28 @@
         }
         room* best = nullptr;
         const auto rank = [&](const room& space) {
-            return std::tuple(space.vm->id == job.failed_on, same_kind[space.vm->rack], space.cpu);
+            return std::tuple(space.vm->id == job.failed_on, is_due(*space.vm), same_kind[space.vm->rack],
+                              space.cpu);
         };
         for (auto& [id, space] : m_rooms) {
-            if (holds(space, size) && (best == nullptr || rank(space) < rank(*best))) {
+            const bool better = best == nullptr || (!m_in.options.first_fit && rank(space) < rank(*best));
+            if (holds(space, size) && better) {
                 best = &space;
             }
         }
         return best;
     }
 
+    /// Whether the VM's turn in a running wave is still to come: what starts there now would soon have to move.
+    [[nodiscard]] bool is_due(const vm_record& vm) const {
+        return m_in.options.avoid_due &&
+               std::any_of(m_in.config.waves.begin(), m_in.config.waves.end(), [&vm](const auto& item) {
+                   const wave_settings& wave = item.second;
+                   return !wave.paused && (wave.pool == "*" || wave.pool == vm.pool) &&
+                          vm.wave < static_cast<std::uint64_t>(wave.order);
+               });
+    }
+
     void assign(job_record& job, room& space, const job_size& size) {
         job.state = job_state::assigned;
         job.vm = space.vm->id;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -52,6 +52,13 @@
     std::vector<placement_decision> decisions;
 };
 
+/// How jobs are placed; the first-fit baseline is kept for comparison.
+struct placement_options {
+    bool first_fit = false;   ///< Take the first VM with room, whatever follows from it.
+    bool move_all = false;    ///< Stop every job on a leaving VM, not only patient ones.
+    bool avoid_due = true;    ///< Start jobs on VMs whose turn in a wave is still to come only when no other has room.
+};
+
 /// Everything a placement step looks at.
 struct placement_input {
     const configuration& config;
@@ -65,6 +72,7 @@
     /// VMs whose tasks have certainly ended, with the VM epoch for which that is known.
     std::map<std::string, std::uint32_t> ended_tasks;
     timestamp now{0};
+    placement_options options = {};
 };
 
 /// Whether the VM could ever hold the size when empty.
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -4,10 +4,10 @@
 
 planner_options options_for(const weight_settings& weights) {
     planner_options options;
-    // A move is paid when a VM that would have come back by itself is replaced. The dearer moves are beside
-    // idle VMs, the longer a pool waits, as long as its promise holds without the VM.
-    const std::int64_t patience_minutes = weights.buffer == 0 ? 60 : 10 * weights.moves / weights.buffer;
-    options.restart_patience = std::chrono::minutes(std::min<std::int64_t>(patience_minutes, 60));
+    // A move is paid when a VM that would have come back by itself is replaced. Most restarts are over within minutes,
+    // so ten are always waited for while the promise holds; the dearer moves are beside idle VMs, the longer.
+    const std::int64_t ratio = weights.moves / std::max<std::int64_t>(1, weights.buffer);
+    options.restart_patience = std::clamp<milliseconds>(ratio * 10min, weights.moves == 0 ? 0min : 10min, 60min);
     return options;
 }
 
--- a/policy/planner_pass.hpp
+++ b/policy/planner_pass.hpp
@@ -37,6 +37,7 @@
     // New planned steps.
     void fill_pools();
     void shed_surplus();
+    void lend_spare(const std::string& receiver);
     void run_waves();
     void run_wave(const std::string& name, const wave_settings& wave);
     void take_for_wave(vm_record& vm, const wave_settings& wave);
--- a/policy/planner_steps.cpp
+++ b/policy/planner_steps.cpp
@@ -88,13 +88,36 @@
         const listed_vm* item = listed(vm);
         const bool usable = vm.state == vm_state::free && vm.since != m_next_revision && item != nullptr &&
                             item->state == listing::live;
-        if (usable && (best == nullptr || crowding(vm) < crowding(*best))) {
+        const bool better = best == nullptr || (!m_owner.m_options.first_fit && crowding(vm) < crowding(*best));
+        if (usable && better) {
             best = &vm;
         }
     }
     return best;
 }
 
+/// Takes a VM for `receiver` from the pool that has most above its promise. Members share the bill for idle VMs, so a
+/// spare that stands idle in one pool while another is below its promise would be paid for twice.
+void planner::pass::lend_spare(const std::string& receiver) {
+    std::string lender;
+    std::int64_t most = 0;
+    for (const auto& [name, pool] : m_plan.pools) {
+        const std::int64_t above = pool.available - pool.promised;
+        if (m_owner.m_options.lend_spares && name != receiver && above > most && pool.lost == 0) {
+            lender = name;
+            most = above;
+        }
+    }
+    vm_record* vm = most > 0 ? least_loaded_vm(lender) : nullptr;
+    if (vm == nullptr) {
+        return;
+    }
+    vm->reason = stop_reason::move;
+    vm->next_pool = receiver;
+    --m_plan.pools[lender].available;
+    enter(*vm, vm_state::cordoned, "spare of " + lender + "; lent to " + receiver + ", which is below its promise");
+}
+
 std::int64_t planner::pass::expected_back_in(const std::string& pool) const {
     return std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&](const vm_record& vm) {
         return vm.pool == pool && vm.state == vm_state::lost && !in_state_for(vm, m_owner.m_options.restart_patience);
@@ -117,6 +140,9 @@
             vm_record* vm = best_free_vm(name);
             if (vm == nullptr) {
                 wait("pool " + name, "needs a VM and none is free");
+                if (pool.breached()) {
+                    lend_spare(name);
+                }
                 break;
             }
             vm->reason = stop_reason::move;
@@ -211,9 +237,11 @@
         return;
     }
     // Empty VMs first: their turn costs no move. Then rack by rack, so that few racks are touched at once.
-    std::stable_sort(candidates.begin(), candidates.end(), [this](const vm_record* a, const vm_record* b) {
-        return std::tuple(tasks_on(*a), a->rack) < std::tuple(tasks_on(*b), b->rack);
-    });
+    if (!m_owner.m_options.first_fit) {
+        std::stable_sort(candidates.begin(), candidates.end(), [this](const vm_record* a, const vm_record* b) {
+            return std::tuple(tasks_on(*a), a->rack) < std::tuple(tasks_on(*b), b->rack);
+        });
+    }
     for (vm_record* vm : candidates) {
         if (out >= wave.width) {
             return;
