--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -164,6 +164,7 @@
     if (!is_up(vm)) {
         return;
     }
+    m_counts_stale = true;
     m_away[vm] = m_now + away;
     m_seen.listed.erase(vm);
     schedule(away, event_kind::vm_back, vm);
@@ -210,6 +211,7 @@
     }
     case event_kind::vm_back:
     case event_kind::reboot_ends: {
+        m_counts_stale = true;
         m_away.erase(item.subject);
         const vm_record* vm = m_fleet.find_vm(item.subject);
         listed_vm& machine = m_machines[item.subject];
@@ -219,12 +221,14 @@
     }
     case event_kind::job_arrives:
         job_arrives(item.subject);
+        (void)place(item.subject);
         return;
     case event_kind::job_ends:
         job_ends(item.subject, item.number);
         return;
     case event_kind::job_stopped:
         job_stopped(item.subject, item.number);
+        (void)place(item.subject.substr(0, item.subject.find('/')));
         return;
     }
 }
@@ -355,6 +359,7 @@
     }
     note_planned_steps(plan);
     m_fleet = plan.next;
+    m_counts_stale = true;
     return true;
 }
 
@@ -411,27 +416,29 @@
     }
 }
 
-void fleet_model::measure(milliseconds passed) {
-    const auto ms = static_cast<double>(passed.count());
-    std::map<std::string, std::int64_t> up;
-    std::map<std::string, std::int64_t> out;
-    bool wave_left = false;
+void fleet_model::count_up() {
+    m_up.clear();
+    m_wave_left = false;
     for (const vm_record& vm : m_fleet.vms) {
-        if (vm.state == vm_state::serving && is_up(vm.id)) {
-            ++up[vm.pool];
-        } else if (vm.state != vm_state::lost && is_up(vm.id)) {
-            ++out[vm.pool];
-        }
-        wave_left = wave_left || (vm.wave == 0 && vm.state != vm_state::lost);
+        m_up[vm.pool] += vm.state == vm_state::serving && is_up(vm.id) ? 1 : 0;
+        m_wave_left = m_wave_left || (vm.wave == 0 && vm.state != vm_state::lost);
+    }
+    m_counts_stale = false;
+}
+
+void fleet_model::measure(milliseconds passed) {
+    if (m_counts_stale) {
+        count_up();
     }
-    if (wave_left) {
+    if (m_wave_left) {
         m_wave_over = m_now;
     }
+    const auto ms = static_cast<double>(passed.count());
     for (const auto& [pool, settings] : m_config.pools) {
-        const bool breached = up[pool] < settings.promised;
+        const bool breached = m_up[pool] < settings.promised;
         m_figures.failure_breaches += breached && !m_breached[pool] ? 1 : 0;
         m_breached[pool] = breached;
-        m_breach_vm_ms += breached ? ms * static_cast<double>(settings.promised - up[pool]) : 0;
+        m_breach_vm_ms += breached ? ms * static_cast<double>(settings.promised - m_up[pool]) : 0;
     }
     m_buffer_ms += ms * static_cast<double>(m_figures.vms - m_figures.promised);
 }
@@ -439,14 +446,17 @@
 policy_figures fleet_model::run() {
     while (m_now < five_weeks) {
         decide();
-        const timestamp next = std::min(m_events.top().at, m_now + look_again);
-        measure(std::max(milliseconds{0}, next - m_now));
-        m_now = std::max(m_now, next);
-        while (!m_events.empty() && m_events.top().at <= m_now) {
+        const timestamp next = m_now + look_again;
+        while (!m_events.empty() && m_events.top().at <= next) {
             const event item = m_events.top();
             m_events.pop();
+            const timestamp at = std::max(m_now, item.at);
+            measure(at - m_now);
+            m_now = at;
             happen(item);
         }
+        measure(next - m_now);
+        m_now = next;
     }
     m_figures.buffer_ratio = m_buffer_ms / (static_cast<double>(m_figures.promised) *
                                             static_cast<double>(m_now.count()));
--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -100,6 +100,7 @@
     bool place(const std::string& pool);
     void carry_out(const std::string& pool);
     void report();
+    void count_up();
     void measure(milliseconds passed);
     void note_planned_steps(const fleet_plan& plan);
     [[nodiscard]] bool is_up(const std::string& vm) const { return !m_away.contains(vm); }
@@ -124,6 +125,9 @@
     policy_figures m_figures;
     std::uint64_t m_decisions = 0;
     double m_decision_seconds = 0;
+    std::map<std::string, std::int64_t> m_up; ///< VMs that are up and serving, per pool.
+    bool m_wave_left = true;
+    bool m_counts_stale = true;
     timestamp m_wave_over{0};
     double m_buffer_ms = 0;
     double m_breach_vm_ms = 0;
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -31,6 +31,7 @@
         read_list();
         note_suspicions();
     }
+    m_plan.pools = measure_availability(m_config, m_plan.next, m_seen, m_now);
     for (vm_record& vm : m_plan.next.vms) {
         advance(vm);
     }
--- a/policy/planner_pass.hpp
+++ b/policy/planner_pass.hpp
@@ -27,6 +27,7 @@
 
     // Progress of steps begun earlier.
     void advance(vm_record& vm);
+    [[nodiscard]] bool return_to_breached_pool(vm_record& vm);
     void advance_cordoned(vm_record& vm);
     void advance_draining(vm_record& vm);
     void advance_drained(vm_record& vm);
--- a/policy/planner_progress.cpp
+++ b/policy/planner_progress.cpp
@@ -22,6 +22,9 @@
     if (vm.since == m_next_revision) {
         return;
     }
+    if (return_to_breached_pool(vm)) {
+        return;
+    }
     using step = void (pass::*)(vm_record&);
     static constexpr std::array<std::pair<vm_state, step>, 6> steps{
         {{vm_state::cordoned, &pass::advance_cordoned},
@@ -38,6 +41,24 @@
     }
 }
 
+/// A VM on its way out goes back into service when failures have meanwhile brought its pool below the promise: going on
+/// would add a planned loss to theirs. It never left its pool, so nobody's right has to end first.
+bool planner::pass::return_to_breached_pool(vm_record& vm) {
+    const bool on_its_way_out = vm.state == vm_state::cordoned || vm.state == vm_state::draining ||
+                                vm.state == vm_state::drained;
+    const bool by_plan = vm.reason == stop_reason::wave || vm.reason == stop_reason::move;
+    const auto pool = m_plan.pools.find(vm.pool);
+    if (!on_its_way_out || !by_plan || pool == m_plan.pools.end() || !pool->second.breached()) {
+        return false;
+    }
+    vm.goal_wave = 0;
+    vm.next_pool.clear();
+    vm.reason = stop_reason::none;
+    ++pool->second.available;
+    enter(vm, vm_state::serving, "back in service: its pool is below its promise");
+    return true;
+}
+
 void planner::pass::advance_cordoned(vm_record& vm) {
     const waiting_list behind = entries_behind(m_fleet, m_seen, vm.since);
     if (!behind.empty()) {
--- a/tests/policy/planner_test.cpp
+++ b/tests/policy/planner_test.cpp
@@ -45,8 +45,8 @@
 }
 
 TEST_CASE("an entry that has not applied the cordon holds the drain up") {
-    // A wave takes w1 out. Entry e2 is frozen and still sends by its old record: a caller's request would be cut if
-    // the VM were rebooted now. The VM stays cordoned, and status names e2, until e2 reports.
+    // A wave takes w1 out. Entry e2 is slow: its heartbeats come, but it still sends by its old record, so a caller's
+    // request would be cut if the VM were rebooted now. The VM stays cordoned, and status names e2, until e2 reports.
     fleet_builder b = two_pools();
     b.wave("spring", "p", 1, 1);
     planner planning;
@@ -54,6 +54,7 @@
     REQUIRE(b.state("w1") == vm_state::cordoned);
     b.report("e1");
     for (int i = 0; i < 20; ++i) {
+        b.seen.entries["e2"].heard = b.now;
         const fleet_plan plan = b.step(planning);
         b.report("e1");
         REQUIRE(b.state("w1") == vm_state::cordoned);
@@ -193,30 +194,43 @@
 }
 
 TEST_CASE("a failure in the middle of a wave stops the next turn, and the wave resumes by itself") {
-    // w1 is out for the wave when w2's machine dies. Only w3 is left of a promise of two. Nothing planned may add to
-    // that; the breach is reported, and when w1 is back and w2 replaced the wave goes on.
+    // w1 is out for the wave when w2's machine dies, which would leave only w3 of a promise of two. w1 goes back into
+    // service at once, so the promise holds all the while; when w2 is replaced the wave goes on.
     fleet_builder b = two_pools();
     b.vm("w5", "", "a", "r5").wave("spring", "p", 1, 1);
     planner planning;
     b.settle(b.step(planning));
     REQUIRE(b.state("w1") == vm_state::cordoned);
     b.seen.listed.erase("w2");
-    bool breached = false;
     for (int i = 0; i < 900; ++i) { // Longer than the patience with a lost VM.
         const fleet_plan plan = b.step(planning);
-        breached = breached || plan.pools.at("p").breached();
+        REQUIRE_FALSE(plan.pools.at("p").breached());
         for (const vm_record& vm : b.fleet.vms) {
             const bool newly = vm.since == b.fleet.revision && vm.state == vm_state::cordoned;
             REQUIRE_FALSE((newly && plan.pools.at("p").available < 2));
         }
         b.settle(plan);
     }
-    CHECK(breached);
     CHECK(b.fleet.find_vm("w1")->wave == 1);
     CHECK(b.fleet.find_vm("w3")->wave == 1);
     CHECK(serving(b, "p") == 3);
 }
 
+TEST_CASE("a breach by failures alone is reported and no planned step adds to it") {
+    fleet_builder b = two_pools();
+    b.wave("spring", "*", 1, 3);
+    b.seen.entries["e1"].suspect_vms = {"w2", "w3"};
+    planner planning;
+    for (int i = 0; i < 30; ++i) {
+        const fleet_plan plan = b.step(planning);
+        b.report("e2");
+        b.seen.entries["e1"].heard = b.now;
+        REQUIRE(plan.pools.at("p").breached());
+        REQUIRE(b.state("w1") == vm_state::serving);
+        REQUIRE(b.state("w2") == vm_state::serving);
+    }
+}
+
 TEST_CASE("a VM that does not come back from its reboot is lost and replaced") {
     fleet_builder b = two_pools();
     b.vm("w5", "").wave("spring", "p", 1, 1);
@@ -237,7 +251,9 @@
     // The list drops w2 although it is alive behind a cut. Were it given to pool q at once, an entry with an old
     // record would send a carrier's request to its rival's VM.
     fleet_builder b = two_pools();
-    planner planning(planner_options{true, true, 0ms, 0, 10s});
+    planner_options impatient;
+    impatient.restart_patience = 0ms;
+    planner planning(impatient);
     b.seen.listed.erase("w2");
     b.step(planning);
     b.report("e1");
@@ -303,11 +319,12 @@
     REQUIRE(b.state("w1") == vm_state::cordoned);
     b.config.pools["p"].promised = 3;
     b.run(planning);
-    CHECK(b.fleet.find_vm("w1")->wave == 1);
+    CHECK(b.fleet.find_vm("w1")->wave == 0); // Back in service before its turn was over.
     CHECK(b.fleet.find_vm("w2")->wave == 0);
     CHECK(serving(b, "p") == 3);
     b.config.pools["p"].promised = 2;
     b.run(planning);
+    CHECK(b.fleet.find_vm("w1")->wave == 1);
     CHECK(b.fleet.find_vm("w2")->wave == 1);
 }
 
@@ -325,3 +342,21 @@
         CHECK(bytes == first);
     }
 }
+
+TEST_CASE("a VM on its way out goes back when failures break the promise without it") {
+    // w1 is drained for its wave when w2 and w3 fall ill at once. Rebooting w1 now would add a planned loss to theirs.
+    fleet_builder b = two_pools();
+    b.wave("spring", "p", 1, 1);
+    planner planning;
+    b.settle(b.step(planning));
+    b.settle(b.step(planning));
+    REQUIRE(b.state("w1") == vm_state::draining);
+    b.seen.entries["e2"].suspect_vms = {"w3"};
+    const fleet_plan plan = b.step(planning);
+    CHECK(b.state("w1") == vm_state::serving);
+    CHECK(b.fleet.find_vm("w1")->goal_wave == 0);
+    CHECK(plan.reboots.empty());
+    b.seen.entries["e2"].suspect_vms.clear();
+    b.run(planning);
+    CHECK(b.fleet.find_vm("w1")->wave == 1);
+}
