--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,12 @@
 	@cmake --build $(BUILD) --target bench_policy >/dev/null
 	@$(BUILD)/bench/bench_policy $(ARGS)
 
+bench: setup build
+	bench/slopes.sh $(BUILD)
+
+bench-load: setup build
+	@$(BUILD)/bench/bench_load
+
 # Writes the golden sessions anew; the diff is what a reviewer reads.
 golden: setup build
 	SISKINPADDLE_WRITE_GOLDEN=1 $(BUILD)/tests/golden_tests
--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -100,6 +100,7 @@
     bool place(const std::string& pool);
     void carry_out(const std::string& pool);
     void report();
+    [[nodiscard]] bool in_transition() const;
     void count_up();
     void measure(milliseconds passed);
     void note_planned_steps(const fleet_plan& plan);
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -179,6 +179,7 @@
                                            " pool=" + (vm.pool.empty() ? "-" : vm.pool) + ": " + why});
     vm.state = state;
     vm.since = m_next_revision;
+    m_counts_stale = true;
 }
 
 void planner::pass::lose(vm_record& vm, const std::string& why) {
--- a/policy/planner_pass.hpp
+++ b/policy/planner_pass.hpp
@@ -18,6 +18,15 @@
     fleet_plan run();
 
   private:
+    /// Counts over the VMs of one pool.
+    struct pool_counts {
+        std::int64_t held = 0;          ///< In the pool and staying, or on their way to it.
+        std::int64_t awaiting_turn = 0; ///< Whose turn in a running wave is still to come.
+    };
+
+    [[nodiscard]] const pool_counts& counts_for(const std::string& pool) const;
+    void count(const vm_record& vm) const;
+
     // Facts: what has happened to entries and VMs without our doing.
     void drop_gone_entries();
     void read_list();
@@ -47,7 +56,7 @@
     [[nodiscard]] bool planned_steps_allowed();
     [[nodiscard]] std::int64_t held_for(const std::string& pool) const;
     [[nodiscard]] std::int64_t target_size(const std::string& pool) const;
-    [[nodiscard]] std::int64_t wave_remaining(const std::string& pool) const;
+    [[nodiscard]] bool wave_remaining(const std::string& pool) const;
     [[nodiscard]] std::uint64_t newest_wave(const std::string& pool) const;
     [[nodiscard]] const listed_vm* listed(const vm_record& vm) const;
     [[nodiscard]] bool in_state_for(const vm_record& vm, milliseconds bound) const;
@@ -73,6 +82,8 @@
     fleet_plan m_plan;
     std::uint64_t m_next_revision;
     bool m_list_is_fresh = false;
+    mutable std::map<std::string, pool_counts> m_counts;
+    mutable bool m_counts_stale = true;
 };
 
 } // namespace siskinpaddle
--- a/policy/planner_steps.cpp
+++ b/policy/planner_steps.cpp
@@ -32,32 +32,37 @@
     return true;
 }
 
-std::int64_t planner::pass::held_for(const std::string& pool) const {
-    return std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(),
-                         [&pool](const vm_record& vm) {
-                             return vm.pool == pool && vm.state != vm_state::lost && !leaves_pool(vm);
-                         }) +
-           std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(),
-                         [&pool](const vm_record& vm) { return vm.next_pool == pool && leaves_pool(vm); });
+/// Counts once over all VMs what the steps ask for each pool again and again; enter() makes the counts stale.
+const planner::pass::pool_counts& planner::pass::counts_for(const std::string& pool) const {
+    if (m_counts_stale) {
+        m_counts.clear();
+        for (const vm_record& vm : m_plan.next.vms) {
+            count(vm);
+        }
+        m_counts_stale = false;
+    }
+    return m_counts[pool];
 }
 
-std::int64_t planner::pass::wave_remaining(const std::string& pool) const {
-    std::int64_t most = 0;
+void planner::pass::count(const vm_record& vm) const {
+    if (vm.state == vm_state::lost) {
+        return;
+    }
+    ++m_counts[leaves_pool(vm) ? vm.next_pool : vm.pool].held;
+    pool_counts& own = m_counts[vm.pool];
     for (const auto& [name, wave] : m_config.waves) {
-        if (wave.paused || (wave.pool != pool && wave.pool != "*")) {
-            continue;
-        }
         const auto order = static_cast<std::uint64_t>(wave.order);
-        const auto remaining =
-            std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&](const vm_record& vm) {
-                return vm.pool == pool && vm.wave < order && vm.goal_wave != order &&
-                       vm.state != vm_state::lost;
-            });
-        most = std::max(most, std::min<std::int64_t>(wave.width, remaining));
+        const bool in_scope = !wave.paused && (wave.pool == "*" || wave.pool == vm.pool);
+        if (in_scope && vm.wave < order && vm.goal_wave != order) {
+            ++own.awaiting_turn;
+        }
     }
-    return most;
 }
 
+std::int64_t planner::pass::held_for(const std::string& pool) const { return counts_for(pool).held; }
+
+bool planner::pass::wave_remaining(const std::string& pool) const { return counts_for(pool).awaiting_turn > 0; }
+
 std::int64_t planner::pass::target_size(const std::string& pool) const {
     const auto settings = m_config.pools.find(pool);
     if (settings == m_config.pools.end()) {
@@ -67,7 +72,7 @@
         return settings->second.size;
     }
     const std::int64_t spare = settings->second.size - settings->second.promised - m_owner.m_options.reserve;
-    const std::int64_t wanted = wave_remaining(pool) > 0 ? 1 : 0;
+    const std::int64_t wanted = wave_remaining(pool) ? 1 : 0;
     return settings->second.size + std::max<std::int64_t>(0, wanted - std::max<std::int64_t>(0, spare));
 }
 
@@ -178,7 +183,7 @@
 }
 
 bool planner::pass::wave_runs_in(const std::string& pool) const {
-    return wave_remaining(pool) > 0 ||
+    return wave_remaining(pool) ||
            std::any_of(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&pool](const vm_record& vm) {
                return vm.pool == pool && vm.goal_wave != 0 && vm.state != vm_state::serving;
            });
--- /dev/null
+++ b/tests/doors/door_test.cpp
@@ -0,0 +1,222 @@
+#include "control/entry_settings.hpp"
+#include "net/loop_until.hpp"
+#include "peer/peer.hpp"
+#include "platform/task_protocol.hpp"
+#include "policy/fleet_builder.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace siskinpaddle;
+using siskinpaddle::tests::fleet_builder;
+using siskinpaddle::tests::loop_until;
+
+namespace {
+
+constexpr int mutations = 3000;
+
+/// A changed copy: bytes flipped, cut, doubled or replaced by ones that parsers stumble over.
+std::string mutated(std::string text, random_source& random) {
+    static const std::vector<std::string> spices{
+        "\0", "\xff\xff\xff\xff\xff\xff\xff\xff", "{", "}", "[[[[[[[[[[[[[[[[[[[[[[", "\"", "-1", "1e999", "null",
+        "99999999999999999999", "\xc3\x28", "\r\n\r\n", "Content-Length: -5\r\n", "Transfer-Encoding: chunked\r\n"};
+    const std::uint64_t changes = 1 + random.below(4);
+    for (std::uint64_t i = 0; i < changes && !text.empty(); ++i) {
+        const std::size_t at = random.below(text.size());
+        switch (random.below(5)) {
+        case 0:
+            text[at] = static_cast<char>(random.below(256));
+            break;
+        case 1:
+            text.resize(at);
+            break;
+        case 2:
+            text.insert(at, text.substr(at, random.below(40)));
+            break;
+        case 3:
+            text.insert(at, spices[random.below(spices.size())]);
+            break;
+        default:
+            text.erase(at, random.below(20));
+            break;
+        }
+    }
+    return text;
+}
+
+const std::string settings_text =
+    R"({"id":"e1","availability_zone":"a","callers":{"address":"127.0.0.1","port":1},"operators":{"address":"127.0.0.1",
+    "port":2},"peers":{"address":"127.0.0.1","port":3},"platform":{"address":"127.0.0.1","port":4},
+    "peer_key":"a shared key of at least thirty-two characters","routing":"two-choices","seed_peers":[{"address":
+    "127.0.0.1","port":5}]})";
+
+std::string document_text() {
+    const std::string digits(64, '0');
+    return R"({"number":3,"document":{"members":{"m":{"credential_sha256":")" + digits +
+           R"(","admin":true}},"pools":{"p":{"member":"m","promised":1,"size":2}},"services":{"s":{"pool":"p"}},
+           "routes":{"r":{"prefix":"/r","service":"s"}},"waves":{"w":{"pool":"p","order":1}}},
+           "history":[{"number":3,"write_id":"x","member":"m","paths":["/pools/p"]}]})";
+}
+
+} // namespace
+
+TEST_CASE("mutated settings are refused with findings or are good settings") {
+    random_source random(11);
+    int refused = 0;
+    for (int i = 0; i < mutations; ++i) {
+        findings problems;
+        const boost::json::value document = parse_json(mutated(settings_text, random), "", problems);
+        if (problems.empty()) {
+            const entry_settings settings = parse_entry_settings(document, problems);
+            if (problems.empty()) {
+                REQUIRE(settings.peer_key.size() >= 32);
+                REQUIRE(settings.callers.port > 0);
+                REQUIRE(settings.max_requests > 0);
+            }
+        }
+        refused += problems.empty() ? 0 : 1;
+    }
+    CHECK(refused > mutations / 2);
+}
+
+TEST_CASE("mutated configurations and patches never become nonsense in force") {
+    random_source random(12);
+    findings none;
+    const stored_configuration good = decode_stored_configuration(document_text(), none);
+    REQUIRE(none.empty());
+    int refused = 0;
+    for (int i = 0; i < mutations; ++i) {
+        findings problems;
+        const stored_configuration stored = decode_stored_configuration(mutated(document_text(), random), problems);
+        const configuration config = parse_configuration(stored.number, stored.document, problems);
+        if (problems.empty()) {
+            for (const auto& [name, pool] : config.pools) {
+                REQUIRE(pool.size >= pool.promised);
+                REQUIRE(config.members.contains(pool.member));
+            }
+            for (const auto& [name, service] : config.services) {
+                REQUIRE(config.pools.contains(service.pool));
+            }
+        }
+        refused += problems.empty() ? 0 : 1;
+        findings syntax;
+        const boost::json::value merge =
+            parse_json(mutated(R"({"pools":{"p":{"promised":1,"size":3}},"waves":{"w":null}})", random), "", syntax);
+        if (syntax.empty()) {
+            const patch_result result = apply_patch(good, {"m", 3, "w", merge});
+            REQUIRE((result.verdict == patch_verdict::accepted) == (result.next.number == 4));
+        }
+    }
+    CHECK(refused > mutations / 2);
+}
+
+TEST_CASE("mutated peer messages and values are dropped, sealed or not") {
+    random_source random(13);
+    const std::string key = "a shared key of at least thirty-two characters";
+    fleet_builder b;
+    b.entry("e1").entry("e2", "b").vm("w1", "p").vm("w2", "q");
+    heartbeat beat;
+    beat.id = "e1";
+    beat.revisions = {{"config", 3}, {"fleet", 9}};
+    beat.busy_vms = {"w1"};
+    const std::string body = encode_archive(beat);
+    const std::string fleet = encode_fleet(b.fleet);
+    replica values;
+    REQUIRE(values.offer_stored("fleet", fleet, 1) == offer_result::taken);
+    const auto read_heartbeat = [](std::string_view bytes) {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(decode_archive<heartbeat>(bytes));
+                return true;
+            },
+            [] { return false; });
+    };
+    for (int i = 0; i < mutations; ++i) {
+        REQUIRE_FALSE(unseal(key, message_kind::heartbeat, mutated(seal(key, message_kind::heartbeat, body), random) + "x")
+                          .has_value());
+        // A peer with the key but a broken encoder: nothing may crash, whatever is decoded.
+        (void)read_heartbeat(mutated(body, random));
+        const std::string changed = mutated(fleet, random);
+        (void)values.offer_stored("fleet", changed, 2);
+        (void)values.offer_transfer({"fleet", 9, 3, true, changed});
+        (void)values.offer_stored("jobs/p", changed, 2);
+        milliseconds lease{0};
+        findings problems;
+        (void)decode_task_calls(mutated(encode_task_calls({{"j", 1, task_order::run, "k", 5, {}}}, 10s), random), lease,
+                                problems);
+        (void)decode_worker_answer(mutated(encode_worker_answer({1, {{"j", 1, task_state::done, {}}}}), random), problems);
+    }
+    CHECK(read_heartbeat(body));
+}
+
+TEST_CASE("the HTTP door survives garbage, halves and slow senders, and still answers") {
+    random_source random(14);
+    event_loop loop;
+    int answered = 0;
+    http_server_limits limits;
+    limits.max_body = 4096;
+    limits.max_headers = 2048;
+    limits.receive_timeout = 1s;
+    http_server server(loop, limits, [&](const std::shared_ptr<server_request>& from) {
+        ++answered;
+        from->reply(200, {}, from->body());
+    });
+    REQUIRE(server.listen({"127.0.0.1", 0}));
+    const std::string good = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody";
+    frame_client sender(loop);
+    for (int round = 0; round < 60; ++round) {
+        int ended = 0;
+        for (int i = 0; i < 20; ++i) {
+            // The frame's length in front makes the first line garbage now and then; the rest is a changed request.
+            sender.send({"127.0.0.1", server.port()}, mutated(good, random), 150ms,
+                        [&](stream_status, std::string_view) { ++ended; });
+        }
+        REQUIRE(loop_until(loop, [&] { return ended == 20; }));
+    }
+    http_client client(loop);
+    http_call call;
+    call.to = {"127.0.0.1", server.port()};
+    call.method = "POST";
+    call.timeout = 20s;
+    call.body = "still here";
+    std::string body;
+    client.send(call, [&](const http_answer& answer) { body = answer.body; });
+    REQUIRE(loop_until(loop, [&] { return !body.empty(); }));
+    CHECK(body == "still here");
+    int refused = 0;
+    call.body = std::string(10'000, 'x');
+    client.send(call, [&](const http_answer& answer) { refused = answer.code == 200 ? -1 : 1; });
+    REQUIRE(loop_until(loop, [&] { return refused != 0; }));
+    CHECK(refused == 1);
+}
+
+TEST_CASE("the peer door bounds frames and drops senders without the key") {
+    event_loop loop;
+    int heard = 0;
+    peer_task door(loop, "a shared key of at least thirty-two characters",
+                   {[&](const heartbeat&) { ++heard; }, [](const value_request&) { return value_reply{}; }});
+    std::uint16_t port = 0;
+    {
+        http_server probe(loop, {}, [](const std::shared_ptr<server_request>&) {});
+        REQUIRE(probe.listen({"127.0.0.1", 0}));
+        port = probe.port();
+    }
+    REQUIRE(door.listen({"127.0.0.1", port}));
+    peer_task stranger(loop, "another key of at least thirty-two characters.", {});
+    bool ended = false;
+    bool answered = true;
+    stranger.pull({"x", {}}, {"127.0.0.1", port}, [&](const std::optional<value_reply>& reply) {
+        ended = true;
+        answered = reply.has_value();
+    });
+    REQUIRE(loop_until(loop, [&] { return ended; }));
+    CHECK_FALSE(answered);
+    CHECK(door.usage().refused == 1);
+    frame_client raw(loop);
+    int failed = 0;
+    raw.send({"127.0.0.1", port}, std::string(max_frame + 1, 'x'), 20s, [&](stream_status status, std::string_view) {
+        failed = status == stream_status::answered ? -1 : 1;
+    });
+    REQUIRE(loop_until(loop, [&] { return failed != 0; }));
+    CHECK(failed == 1);
+    CHECK(heard == 0);
+}
--- a/tests/fakes/fake_platform.hpp
+++ b/tests/fakes/fake_platform.hpp
@@ -56,6 +56,9 @@
 
     [[nodiscard]] const std::map<std::string, caller_usage>& usage() const noexcept { return m_usage; }
 
+    /// Lists `count` VMs that always live and reboot at once, all with one target's port; for measurements of control.
+    void add_static_vms(int count, const endpoint& target);
+
     /// The value as stored, straight from memory.
     [[nodiscard]] std::string value(const std::string& key) const;
     void put(const std::string& key, std::string bytes);
@@ -88,6 +91,7 @@
         std::string order_pool;
         std::string order_operation;
         std::string done_operation;
+        bool is_static = false;
     };
     struct trouble_state {
         trouble kind = trouble::none;
