Slow start only where warmed-up targets can carry the load

All targets of the pool had just begun to serve, so slow start held all of them back and nobody was left to take the load; the queue and the refusals followed. Ruled out: a shorter ramp, which only shortens the same fault. Change: with more than half of a pool ramping, ramps are ignored; capacity no longer counts targets set aside.

--- a/policy/target_table.cpp
+++ b/policy/target_table.cpp
@@ -61,7 +61,19 @@
     }
 }
 
-int target_table::allowed_now(const target& item, timestamp now) const {
+target_table::pool_view target_table::view(const std::vector<std::string>& ids, timestamp now) const {
+    std::int64_t aside = 0;
+    std::int64_t ramping = 0;
+    for (const std::string& id : ids) {
+        const target& item = m_targets.at(id);
+        aside += item.aside_until > now ? 1 : 0;
+        ramping += now - item.ramp_from < ramp_time ? 1 : 0;
+    }
+    const auto all = static_cast<std::int64_t>(ids.size());
+    return {2 * aside > all, 2 * ramping > all};
+}
+
+int target_table::allowed_now(const target& item, timestamp now, const pool_view& pool) const {
     if (m_policy == routing_policy::round_robin) {
         return item.slots;
     }
@@ -69,15 +81,15 @@
         return 1; // A target on trial gets one request at a time until one succeeds.
     }
     const milliseconds age = now - item.ramp_from;
-    if (age >= ramp_time) {
+    if (age >= ramp_time || pool.ignore_ramp) {
         return item.limit;
     }
     return std::max<int>(1, static_cast<int>(item.limit * age.count() / ramp_time.count()));
 }
 
-bool target_table::usable(const target& item, timestamp now, bool ignore_aside) const {
-    return item.serving && item.in_flight < allowed_now(item, now) &&
-           (ignore_aside || item.aside_until <= now);
+bool target_table::usable(const target& item, timestamp now, const pool_view& pool) const {
+    return item.serving && item.in_flight < allowed_now(item, now, pool) &&
+           (pool.ignore_aside || item.aside_until <= now);
 }
 
 std::vector<const target_table::target*>
@@ -87,15 +99,10 @@
     if (ids == m_by_pool.end()) {
         return good;
     }
-    const auto aside = std::count_if(ids->second.begin(), ids->second.end(), [&](const std::string& id) {
-        return m_targets.at(id).aside_until > now;
-    });
-    // With more than half set aside the evidence speaks against the network, not against each target, and the
-    // few that are left would drown.
-    const bool ignore_aside = 2 * aside > static_cast<std::int64_t>(ids->second.size());
+    const pool_view pool_now = view(ids->second, now);
     for (const std::string& id : ids->second) {
         const target& item = m_targets.at(id);
-        if (usable(item, now, ignore_aside) && !tried.contains(id)) {
+        if (usable(item, now, pool_now) && !tried.contains(id)) {
             good.push_back(&item);
         }
     }
@@ -222,8 +229,11 @@
 std::int64_t target_table::capacity(const std::string& pool, timestamp now) const {
     std::int64_t total = 0;
     if (const auto ids = m_by_pool.find(pool); ids != m_by_pool.end()) {
+        const pool_view pool_now = view(ids->second, now);
         for (const std::string& id : ids->second) {
-            total += allowed_now(m_targets.at(id), now);
+            const target& item = m_targets.at(id);
+            const bool aside = item.aside_until > now && !pool_now.ignore_aside;
+            total += aside ? 0 : allowed_now(item, now, pool_now);
         }
     }
     return total;
--- a/policy/target_table.hpp
+++ b/policy/target_table.hpp
@@ -80,8 +80,15 @@
         timestamp ramp_from{0};
     };
 
-    [[nodiscard]] int allowed_now(const target& item, timestamp now) const;
-    [[nodiscard]] bool usable(const target& item, timestamp now, bool ignore_aside) const;
+    /// What the state of a pool as a whole says about single targets.
+    struct pool_view {
+        bool ignore_aside = false; ///< So many are set aside that the rest would drown.
+        bool ignore_ramp = false;  ///< So many have just returned that the rest can't carry the load meanwhile.
+    };
+
+    [[nodiscard]] pool_view view(const std::vector<std::string>& ids, timestamp now) const;
+    [[nodiscard]] int allowed_now(const target& item, timestamp now, const pool_view& pool) const;
+    [[nodiscard]] bool usable(const target& item, timestamp now, const pool_view& pool) const;
     [[nodiscard]] std::vector<const target*>
     candidates(const std::string& pool, const std::set<std::string>& tried, timestamp now) const;
     void set_aside(target& item, timestamp now);
--- a/tests/fakes/fake_vm.cpp
+++ b/tests/fakes/fake_vm.cpp
@@ -68,7 +68,11 @@
         log("end", item->id);
         item->from->reply(200, headers, item->id + " " + item->from->body());
         // The timer is still running its own action here.
-        m_loop.post([this, item] { m_work.erase(item); });
+        m_loop.post([this, alive = m_lifetime.watch(), item] {
+            if (!alive.expired()) {
+                m_work.erase(item);
+            }
+        });
     });
     item->done->start(time);
 }
@@ -170,7 +174,10 @@
         (void)open();
     });
     // Servers are taken down outside of their own callbacks.
-    m_loop.post([this] {
+    m_loop.post([this, alive = m_lifetime.watch()] {
+        if (alive.expired()) {
+            return;
+        }
         m_target.reset();
         m_agent.reset();
         m_reboot_timer->start(m_settings.reboot_time);
--- a/tests/fakes/fake_vm.hpp
+++ b/tests/fakes/fake_vm.hpp
@@ -81,6 +81,7 @@
     std::ofstream m_log;
     std::unique_ptr<timer> m_poll_timer;
     std::unique_ptr<timer> m_reboot_timer;
+    lifetime m_lifetime;
 };
 
 } // namespace siskinpaddle::fakes
