Bound control's bytes: conditional VM list, one byte budget for records and lists, rarer lease attempts

Change: the list is read with If-None-Match; records written and lists read share a budget of 16 KB/s with a burst of 1 MB; entries that don't hold the control lease ask more seldom the more they are; 100 instead of 500 ended jobs are kept. The planner pairs VMs with the list in one walk. Job sizes are learnt from ended tasks.

--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -28,9 +28,9 @@
     placement_options placing;
     std::int64_t own_spare_percent = 0; ///< Spare VMs of each pool, above its promise.
     std::int64_t own_spare_least = 0;
-    std::int64_t shared_free = 0;    ///< VMs in no pool.
-    std::int64_t width_percent = 0;  ///< Of a pool, out at once; at least one VM.
-    bool one_wave = false;           ///< One wave over the fleet, rather than one for each pool.
+    std::int64_t shared_free = 0;   ///< VMs in no pool.
+    std::int64_t width_percent = 0; ///< Of a pool, out at once; at least one VM.
+    bool one_wave = false;          ///< One wave over the fleet, rather than one for each pool.
 };
 
 /// What a run of five weeks showed.
@@ -54,8 +54,8 @@
     std::int64_t jobs_left = 0;
 };
 
-/// Five weeks of one fleet under one policy: pure decisions over a counted clock, seeded failures and jobs. A model of
-/// the fleet's answers to the planner, not of machines or networks.
+/// Five weeks of one fleet under one policy: pure decisions over a counted clock, seeded failures and jobs. A
+/// model of the fleet's answers to the planner, not of machines or networks.
 class fleet_model {
   public:
     fleet_model(const fleet_shape& shape, const policy_choice& choice, std::uint64_t seed);
@@ -63,7 +63,17 @@
     policy_figures run();
 
   private:
-    enum class event_kind : std::uint8_t { vm_back, vm_fails, vm_restarts, rack_fails, zone_fails, job_arrives, job_ends, reboot_ends, job_stopped };
+    enum class event_kind : std::uint8_t {
+        vm_back,
+        vm_fails,
+        vm_restarts,
+        rack_fails,
+        zone_fails,
+        job_arrives,
+        job_ends,
+        reboot_ends,
+        job_stopped
+    };
 
     struct event {
         timestamp at{0};
--- a/control/planner_task.cpp
+++ b/control/planner_task.cpp
@@ -5,10 +5,17 @@
 namespace {
 
 constexpr milliseconds plan_interval = 250ms;
-constexpr milliseconds lease_time = 6s;
-constexpr milliseconds lease_renewal = 2s;
+constexpr milliseconds lease_time = 4s;
+constexpr milliseconds lease_renewal = 1300ms;
+/// Those that don't hold the lease ask more seldom the more they are, so that the store's load stays bounded.
+constexpr milliseconds least_lease_attempt = 2s;
+constexpr milliseconds lease_attempt_per_entry = 40ms;
 constexpr milliseconds list_interval = 1s;
 constexpr milliseconds reboot_repeat = 2s;
+/// What fleet records written and VM lists read may cost on average: below the 25 KB a second that a node may
+/// spend on control in all. The burst lets a handful of changes go through at once at 870 VMs.
+constexpr std::int64_t control_bytes_per_second = 16'000;
+constexpr std::int64_t control_burst = 1'000'000;
 constexpr std::string_view control_lease = "control";
 
 } // namespace
@@ -16,7 +23,7 @@
 planner_task::planner_task(event_loop& loop, const entry_settings& settings, platform_client& platform,
                            state_task& state, metrics& counters)
     : m_settings(settings), m_platform(platform), m_state(state), m_metrics(counters),
-      m_timer(loop.make_timer([this] { tick(); })) {}
+      m_bytes(control_bytes_per_second, control_burst), m_timer(loop.make_timer([this] { tick(); })) {}
 
 void planner_task::start() {
     tick();
@@ -45,15 +52,16 @@
         m_summary.in_control = held;
         m_planner = planner();
         m_seen = {};
+        m_platform.forget_list();
         m_grace_since.clear();
         m_placed.clear();
     }
     if (held) {
-        if (!m_listing && now >= m_next_list) {
+        if (!m_listing && now >= m_next_list && m_bytes.allows(now)) {
             read_list();
         }
         m_state.probe_silent();
-        if (!m_writing) {
+        if (!m_writing && m_bytes.allows(now)) {
             plan();
         }
         place();
@@ -65,14 +73,17 @@
     m_renewing = true;
     // Counted from before the call: the platform's time-to-live can only have begun later.
     const timestamp asked = event_loop::now();
-    m_platform.acquire_lease(std::string(control_lease), lease_time,
-                             [this, asked](const lease_answer& answer) {
-                                 m_renewing = false;
-                                 m_next_renewal = asked + lease_renewal;
-                                 if (answer.held) {
-                                     m_lease_until = asked + lease_time;
-                                 }
-                             });
+    m_platform.acquire_lease(
+        std::string(control_lease), lease_time, [this, asked](const lease_answer& answer) {
+            m_renewing = false;
+            const auto entries = static_cast<std::int64_t>(m_state.fleet().entries.size());
+            const milliseconds attempt =
+                std::max<milliseconds>(least_lease_attempt, entries * lease_attempt_per_entry);
+            m_next_renewal = asked + (answer.held ? lease_renewal : attempt);
+            if (answer.held) {
+                m_lease_until = asked + lease_time;
+            }
+        });
 }
 
 void planner_task::read_list() {
@@ -81,9 +92,13 @@
         m_listing = false;
         const timestamp now = event_loop::now();
         m_next_list = now + list_interval;
+        if (status == store_status::unchanged) {
+            m_seen.list_read = now;
+        }
         if (status != store_status::ok) {
             return;
         }
+        m_bytes.spend(static_cast<std::int64_t>(m_platform.list_bytes()));
         m_seen.list_known = true;
         m_seen.list_read = now;
         m_seen.listed.clear();
@@ -153,6 +168,7 @@
     next.write_id =
         m_settings.id + "-" + std::to_string(m_state.incarnation()) + "-" + std::to_string(next.revision);
     const std::string bytes = encode_fleet(next);
+    m_bytes.spend(static_cast<std::int64_t>(bytes.size()));
     m_platform.put(
         std::string(fleet_value), m_state.values().store_version(fleet_value), bytes, milliseconds{0},
         [this, bytes, revision = next.revision](const store_answer& answer) {
@@ -235,6 +251,7 @@
     for (const std::string& vm : m_workers.look(pool, table, now)) {
         log_event(event_id::worker_set_aside, {{"vm", vm}, {"pool", pool}});
     }
+    m_usage.look(pool, table);
     const placement_input input{m_state.config(),    m_state.fleet(), pool,          table, m_usage,
                                 m_workers.workers(), team_use(pool),  m_ended_tasks, now};
     placement_plan plan = place_jobs(input);
--- a/control/planner_task.hpp
+++ b/control/planner_task.hpp
@@ -61,6 +61,7 @@
     timestamp m_lease_until{0};
     timestamp m_next_renewal{0};
     timestamp m_next_list{0};
+    byte_budget m_bytes;
     bool m_renewing = false;
     bool m_listing = false;
     bool m_writing = false;
--- a/control/runner_task.cpp
+++ b/control/runner_task.cpp
@@ -39,8 +39,8 @@
 
 runner_task::runner_task(event_loop& loop, const entry_settings& settings, platform_client& platform,
                          state_task& state, worker_client& workers, metrics& counters)
-    : m_settings(settings), m_platform(platform), m_state(state), m_workers(workers),
-      m_metrics(counters), m_timer(loop.make_timer([this] { tick(); })) {}
+    : m_settings(settings), m_platform(platform), m_state(state), m_workers(workers), m_metrics(counters),
+      m_timer(loop.make_timer([this] { tick(); })) {}
 
 void runner_task::start() {
     m_timer->start(sync_interval);
@@ -81,17 +81,18 @@
         return;
     }
     m_metrics.count("task_syncs");
-    m_workers.sync({vm.address, vm.agent_port}, calls, task_lease,
-                   [this, id = vm.id, pool](exchange_status status, const worker_answer& answer) {
-                       m_calling.erase(id);
-                       if (status != exchange_status::answered) {
-                           return;
-                       }
-                       for (const task_report& report : answer.tasks) {
-                           m_news[pool].push_back({report.job, report.epoch, to_result(report.state), id});
-                       }
-                       enter(pool);
-                   });
+    m_workers.sync(
+        {vm.address, vm.agent_port}, calls, task_lease,
+        [this, id = vm.id, pool](exchange_status status, const worker_answer& answer) {
+            m_calling.erase(id);
+            if (status != exchange_status::answered) {
+                return;
+            }
+            for (const task_report& report : answer.tasks) {
+                m_news[pool].push_back({report.job, report.epoch, to_result(report.state), id, report.used});
+            }
+            enter(pool);
+        });
 }
 
 void runner_task::enter(const std::string& pool) {
--- a/demo/caller_fleet.cpp
+++ b/demo/caller_fleet.cpp
@@ -13,8 +13,8 @@
 
 caller_fleet::caller_fleet(event_loop& loop, std::vector<endpoint> entries, std::vector<caller_path> paths,
                            milliseconds interval)
-    : m_entries(std::move(entries)), m_paths(std::move(paths)), m_interval(interval),
-      m_client(loop), m_random(7), m_send_timer(loop.make_timer([this] { send_next(); })),
+    : m_entries(std::move(entries)), m_paths(std::move(paths)), m_interval(interval), m_client(loop),
+      m_random(7), m_send_timer(loop.make_timer([this] { send_next(); })),
       m_check_timer(loop.make_timer([this] { check_entries(); })) {}
 
 void caller_fleet::start() {
--- a/demo/fleet_ledger.cpp
+++ b/demo/fleet_ledger.cpp
@@ -44,8 +44,7 @@
 } // namespace
 
 fleet_ledger::fleet_ledger(event_loop& loop, endpoint platform)
-    : m_platform(std::move(platform)), m_client(loop),
-      m_timer(loop.make_timer([this] { sample(); })) {}
+    : m_platform(std::move(platform)), m_client(loop), m_timer(loop.make_timer([this] { sample(); })) {}
 
 void fleet_ledger::start() {
     sample();
--- a/gateway/operator_gateway.cpp
+++ b/gateway/operator_gateway.cpp
@@ -35,9 +35,8 @@
 operator_gateway::operator_gateway(event_loop& loop, const entry_settings& settings,
                                    platform_client& platform, state_task& state, planner_task& planning,
                                    metrics& counters)
-    : m_settings(settings), m_platform(platform), m_state(state), m_planner(planning),
-      m_metrics(counters), m_server(loop, {}, [this](const request_ptr& from) { receive(from); }),
-      m_client(loop) {}
+    : m_settings(settings), m_platform(platform), m_state(state), m_planner(planning), m_metrics(counters),
+      m_server(loop, {}, [this](const request_ptr& from) { receive(from); }), m_client(loop) {}
 
 bool operator_gateway::listen() {
     return m_server.listen(m_settings.operators);
--- a/main/entry.hpp
+++ b/main/entry.hpp
@@ -18,8 +18,8 @@
     /// Starts all tasks. Precondition: listen() returned no findings.
     void start();
 
-    /// Stops gracefully: takes no new requests, sees those in progress to their end, leaves the fleet record, then
-    /// calls `stopped`.
+    /// Stops gracefully: takes no new requests, sees those in progress to their end, leaves the fleet record,
+    /// then calls `stopped`.
     void drain(std::function<void()> stopped);
 
     /// Drops all traffic with peers while `cut` is set, as a partition would. For tests and drills.
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -69,7 +69,8 @@
 
     using callback = std::function<void(http_answer)>;
 
-    /// Starts the exchange; `done` is called exactly once from the loop, unless the client is destroyed first. Returns a number for cancel().
+    /// Starts the exchange; `done` is called exactly once from the loop, unless the client is destroyed
+    /// first. Returns a number for cancel().
     std::uint64_t send(http_call call, callback done);
 
     /// Ends an exchange without calling back. An ended or unknown number is ignored.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -144,7 +144,8 @@
 };
 
 server_request::server_request(http_server& server, evhttp_request* handle)
-    : m_server(server), m_server_alive(server.m_lifetime.watch()), m_handle(handle), m_method(name_of_command(evhttp_request_get_command(handle))),
+    : m_server(server), m_server_alive(server.m_lifetime.watch()), m_handle(handle),
+      m_method(name_of_command(evhttp_request_get_command(handle))),
       m_target(evhttp_request_get_uri(handle)) {
     for (const evkeyval* field = evhttp_request_get_input_headers(handle)->tqh_first; field != nullptr;
          field = field->next.tqe_next) {
--- a/policy/budget.cpp
+++ b/policy/budget.cpp
@@ -30,7 +30,12 @@
         suspected.insert(report.suspect_vms.begin(), report.suspect_vms.end());
     }
     const std::set<std::string> silent = silent_zones(fleet, seen, now);
+    // Both are in order of ids, so one walk pairs them.
+    auto listed = seen.listed.begin();
     for (const vm_record& vm : fleet.vms) {
+        while (listed != seen.listed.end() && listed->first < vm.id) {
+            ++listed;
+        }
         const auto pool = pools.find(vm.pool);
         if (pool == pools.end()) {
             continue;
@@ -44,8 +49,8 @@
             ++pool->second.planned_out;
             continue;
         }
-        const auto listed = seen.listed.find(vm.id);
-        const bool live = listed != seen.listed.end() && listed->second.state == listing::live;
+        const bool live =
+            listed != seen.listed.end() && listed->first == vm.id && listed->second.state == listing::live;
         if (live && !suspected.contains(vm.id) && !silent.contains(vm.availability_zone)) {
             ++pool->second.available;
         }
--- a/policy/jobs.hpp
+++ b/policy/jobs.hpp
@@ -65,6 +65,7 @@
     std::string kind; ///< Jobs of one kind are alike; their usage is learnt together.
     job_urgency urgency = job_urgency::daily;
     job_size size;
+    job_size used; ///< What its worker reported at its end.
     std::uint64_t expected_ms = 0;
     job_state state = job_state::queued;
     std::string vm;
@@ -79,7 +80,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(id, team, kind, urgency, size, expected_ms, state, vm, vm_epoch, epoch, failures, moves,
+        archive(id, team, kind, urgency, size, used, expected_ms, state, vm, vm_epoch, epoch, failures, moves,
                 failed_on, reason);
     }
 };
@@ -101,7 +102,7 @@
 };
 
 /// Ended jobs that a table keeps, newest first, for callers to ask about.
-inline constexpr std::size_t kept_ended_jobs = 500;
+inline constexpr std::size_t kept_ended_jobs = 100;
 /// Jobs that a pool's table takes at most; more are refused.
 inline constexpr std::size_t most_jobs_of_pool = 4'000;
 
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -214,7 +214,8 @@
         return best;
     }
 
-    /// Whether the VM's turn in a running wave is still to come: what starts there now would soon have to move.
+    /// Whether the VM's turn in a running wave is still to come: what starts there now would soon have to
+    /// move.
     [[nodiscard]] bool is_due(const vm_record& vm) const {
         return m_in.options.avoid_due &&
                std::any_of(m_in.config.waves.begin(), m_in.config.waves.end(), [&vm](const auto& item) {
@@ -275,6 +276,21 @@
 
 } // namespace
 
+void usage_estimates::look(const std::string& pool, const job_table& table) {
+    std::set<std::string>& learnt = m_learnt[pool];
+    std::set<std::string> ended;
+    for (const job_record& job : table.jobs) {
+        if (job.state != job_state::done) {
+            continue;
+        }
+        if (!learnt.contains(job.id) && job.used.cpu_millicores > 0) {
+            learn(job.kind, job.used);
+        }
+        ended.insert(job.id);
+    }
+    learnt = std::move(ended);
+}
+
 void usage_estimates::learn(const std::string& kind, const job_size& used) {
     estimate& known = m_kinds[kind];
     const double weight = known.reports == 0 ? 1 : usage_weight;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -6,6 +6,7 @@
 #include "policy/observations.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,10 @@
 /// from the truth. Pure; not thread-safe.
 class usage_estimates {
   public:
-    /// Takes in one report of a running or ended task.
+    /// Learns from the jobs of a pool that have ended since the last look.
+    void look(const std::string& pool, const job_table& table);
+
+    /// Takes in what one task has used.
     void learn(const std::string& kind, const job_size& used);
 
     /// Size to plan with: what the kind was seen to use, a margin added, or the declared size while unknown.
@@ -28,6 +32,8 @@
         int reports = 0;
     };
     std::map<std::string, estimate> m_kinds;
+    std::map<std::string, std::set<std::string>>
+        m_learnt; ///< Ended jobs of each pool that have been counted.
 };
 
 /// What the workers have shown about a VM, beyond the fleet record.
@@ -54,9 +60,10 @@
 
 /// How jobs are placed; the first-fit baseline is kept for comparison.
 struct placement_options {
-    bool first_fit = false;   ///< Take the first VM with room, whatever follows from it.
-    bool move_all = false;    ///< Stop every job on a leaving VM, not only patient ones.
-    bool avoid_due = true;    ///< Start jobs on VMs whose turn in a wave is still to come only when no other has room.
+    bool first_fit = false; ///< Take the first VM with room, whatever follows from it.
+    bool move_all = false;  ///< Stop every job on a leaving VM, not only patient ones.
+    bool avoid_due =
+        true; ///< Start jobs on VMs whose turn in a wave is still to come only when no other has room.
 };
 
 /// Everything a placement step looks at.
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -4,10 +4,12 @@
 
 planner_options options_for(const weight_settings& weights) {
     planner_options options;
-    // A move is paid when a VM that would have come back by itself is replaced. Most restarts are over within minutes,
-    // so ten are always waited for while the promise holds; the dearer moves are beside idle VMs, the longer.
+    // A move is paid when a VM that would have come back by itself is replaced. Most restarts are over within
+    // minutes, so ten are always waited for while the promise holds; the dearer moves are beside idle VMs,
+    // the longer.
     const std::int64_t ratio = weights.moves / std::max<std::int64_t>(1, weights.buffer);
-    options.restart_patience = std::clamp<milliseconds>(ratio * 10min, weights.moves == 0 ? 0min : 10min, 60min);
+    options.restart_patience =
+        std::clamp<milliseconds>(ratio * 10min, weights.moves == 0 ? 0min : 10min, 60min);
     return options;
 }
 
@@ -27,6 +29,7 @@
 fleet_plan planner::pass::run() {
     remember_states();
     drop_gone_entries();
+    pair_with_list();
     if (m_list_is_fresh) {
         read_list();
         note_suspicions();
@@ -41,22 +44,31 @@
         shed_surplus();
         run_waves();
     }
-    std::erase_if(m_plan.next.vms, [this](const vm_record& vm) {
-        return vm.state == vm_state::lost && vm.pool.empty() && listed(vm) == nullptr &&
-               in_state_for(vm, 10min);
-    });
+    forget_lost();
     m_plan.changed = m_plan.next != m_fleet;
     m_plan.next.revision = m_plan.changed ? m_next_revision : m_fleet.revision;
     return std::move(m_plan);
 }
 
+/// A machine that was lost and given up, and that the platform lists no more, is no part of the fleet.
+void planner::pass::forget_lost() {
+    std::set<std::string> gone;
+    for (const vm_record& vm : m_plan.next.vms) {
+        if (vm.state == vm_state::lost && vm.pool.empty() && listed(vm) == nullptr &&
+            in_state_for(vm, 10min)) {
+            gone.insert(vm.id);
+        }
+    }
+    if (!gone.empty()) {
+        std::erase_if(m_plan.next.vms, [&gone](const vm_record& vm) { return gone.contains(vm.id); });
+    }
+}
+
 void planner::pass::remember_states() {
     for (const vm_record& vm : m_fleet.vms) {
-        auto& seen_revision = m_owner.m_state_seen[vm.id];
-        const auto since = m_owner.m_state_since.try_emplace(vm.id, m_now).first;
-        if (seen_revision != vm.since) {
-            seen_revision = vm.since;
-            since->second = m_now;
+        known_state& known = m_owner.m_states[vm.id];
+        if (known.revision != vm.since || known.since == timestamp{0}) {
+            known = {vm.since, m_now};
         }
     }
 }
@@ -95,9 +107,12 @@
         m_plan.decisions.push_back({id, "discovered in " + item.availability_zone});
         m_plan.next.put_vm(std::move(vm));
     }
+    pair_with_list();
     for (vm_record& vm : m_plan.next.vms) {
         if (const listed_vm* item = listed(vm)) {
-            m_owner.m_unlisted_since.erase(vm.id);
+            if (!m_owner.m_unlisted_since.empty()) {
+                m_owner.m_unlisted_since.erase(vm.id);
+            }
             note_listed(vm, *item);
         } else {
             note_missing(vm);
@@ -208,15 +223,26 @@
 }
 
 const listed_vm* planner::pass::listed(const vm_record& vm) const {
-    const auto found = m_seen.listed.find(vm.id);
-    return found == m_seen.listed.end() ? nullptr : &found->second;
+    return m_listed[static_cast<std::size_t>(&vm - m_plan.next.vms.data())];
+}
+
+void planner::pass::pair_with_list() {
+    m_listed.assign(m_plan.next.vms.size(), nullptr);
+    auto item = m_seen.listed.begin();
+    for (std::size_t i = 0; i < m_listed.size(); ++i) {
+        while (item != m_seen.listed.end() && item->first < m_plan.next.vms[i].id) {
+            ++item;
+        }
+        if (item != m_seen.listed.end() && item->first == m_plan.next.vms[i].id) {
+            m_listed[i] = &item->second;
+        }
+    }
 }
 
 bool planner::pass::in_state_for(const vm_record& vm, milliseconds bound) const {
-    const auto since = m_owner.m_state_since.find(vm.id);
-    const auto revision = m_owner.m_state_seen.find(vm.id);
-    return since != m_owner.m_state_since.end() && revision->second == vm.since &&
-           m_now - since->second >= bound;
+    const auto known = m_owner.m_states.find(vm.id);
+    return known != m_owner.m_states.end() && known->second.revision == vm.since &&
+           m_now - known->second.since >= bound;
 }
 
 int planner::pass::tasks_on(const vm_record& vm) const {
--- a/policy/planner.hpp
+++ b/policy/planner.hpp
@@ -13,12 +13,12 @@
 
 /// How the planner trades buffer against moves; the baseline is kept for comparison.
 struct planner_options {
-    bool share_free_vms = true;            ///< Lend free VMs to a pool while its wave runs.
-    bool lend_spares = true;       ///< Give a breached pool another pool's spare VM when none is free.
-    bool keep_returned_vm = true;          ///< A VM that replaced another stays, the other becomes free.
+    bool share_free_vms = true;   ///< Lend free VMs to a pool while its wave runs.
+    bool lend_spares = true;      ///< Give a breached pool another pool's spare VM when none is free.
+    bool keep_returned_vm = true; ///< A VM that replaced another stays, the other becomes free.
     milliseconds restart_patience = 10min; ///< How long a lost VM may come back before it is replaced.
     std::int64_t reserve = 0;              ///< VMs above the promise that planned steps leave untouched.
-    bool first_fit = false;        ///< Take VMs in order of their ids, not by tasks and racks.
+    bool first_fit = false;                ///< Take VMs in order of their ids, not by tasks and racks.
     milliseconds lost_after = 10s;         ///< How long a VM must be unlisted before it counts as lost.
 };
 
@@ -77,10 +77,15 @@
   private:
     class pass;
 
+    /// When a VM's present state was first seen.
+    struct known_state {
+        std::uint64_t revision = 0;
+        timestamp since{0};
+    };
+
     planner_options m_options;
     std::map<std::string, timestamp> m_unlisted_since;
-    std::map<std::string, timestamp> m_state_since; ///< Per VM: when `since` was first seen.
-    std::map<std::string, std::uint64_t> m_state_seen;
+    std::map<std::string, known_state> m_states;
 };
 
 } // namespace siskinpaddle
--- a/policy/planner_pass.hpp
+++ b/policy/planner_pass.hpp
@@ -72,6 +72,8 @@
     void lose(vm_record& vm, const std::string& why);
     void begin_maintenance(vm_record& vm, const std::string& pool, const std::string& why);
     void remember_states();
+    void pair_with_list();
+    void forget_lost();
     void wait(std::string subject, std::string reason);
 
     planner& m_owner;
@@ -82,6 +84,7 @@
     fleet_plan m_plan;
     std::uint64_t m_next_revision;
     bool m_list_is_fresh = false;
+    std::vector<const listed_vm*> m_listed; ///< For each VM of the next record, in its order.
     mutable std::map<std::string, pool_counts> m_counts;
     mutable bool m_counts_stale = true;
 };
--- a/policy/planner_progress.cpp
+++ b/policy/planner_progress.cpp
@@ -41,11 +41,12 @@
     }
 }
 
-/// A VM on its way out goes back into service when failures have meanwhile brought its pool below the promise: going on
-/// would add a planned loss to theirs. It never left its pool, so nobody's right has to end first.
+/// A VM on its way out goes back into service when failures have meanwhile brought its pool below the
+/// promise: going on would add a planned loss to theirs. It never left its pool, so nobody's right has to end
+/// first.
 bool planner::pass::return_to_breached_pool(vm_record& vm) {
-    const bool on_its_way_out = vm.state == vm_state::cordoned || vm.state == vm_state::draining ||
-                                vm.state == vm_state::drained;
+    const bool on_its_way_out =
+        vm.state == vm_state::cordoned || vm.state == vm_state::draining || vm.state == vm_state::drained;
     const bool by_plan = vm.reason == stop_reason::wave || vm.reason == stop_reason::move;
     const auto pool = m_plan.pools.find(vm.pool);
     if (!on_its_way_out || !by_plan || pool == m_plan.pools.end() || !pool->second.breached()) {
--- a/policy/planner_steps.cpp
+++ b/policy/planner_steps.cpp
@@ -59,9 +59,13 @@
     }
 }
 
-std::int64_t planner::pass::held_for(const std::string& pool) const { return counts_for(pool).held; }
+std::int64_t planner::pass::held_for(const std::string& pool) const {
+    return counts_for(pool).held;
+}
 
-bool planner::pass::wave_remaining(const std::string& pool) const { return counts_for(pool).awaiting_turn > 0; }
+bool planner::pass::wave_remaining(const std::string& pool) const {
+    return counts_for(pool).awaiting_turn > 0;
+}
 
 std::int64_t planner::pass::target_size(const std::string& pool) const {
     const auto settings = m_config.pools.find(pool);
@@ -93,7 +97,8 @@
         const listed_vm* item = listed(vm);
         const bool usable = vm.state == vm_state::free && vm.since != m_next_revision && item != nullptr &&
                             item->state == listing::live;
-        const bool better = best == nullptr || (!m_owner.m_options.first_fit && crowding(vm) < crowding(*best));
+        const bool better =
+            best == nullptr || (!m_owner.m_options.first_fit && crowding(vm) < crowding(*best));
         if (usable && better) {
             best = &vm;
         }
@@ -101,8 +106,8 @@
     return best;
 }
 
-/// Takes a VM for `receiver` from the pool that has most above its promise. Members share the bill for idle VMs, so a
-/// spare that stands idle in one pool while another is below its promise would be paid for twice.
+/// Takes a VM for `receiver` from the pool that has most above its promise. Members share the bill for idle
+/// VMs, so a spare that stands idle in one pool while another is below its promise would be paid for twice.
 void planner::pass::lend_spare(const std::string& receiver) {
     std::string lender;
     std::int64_t most = 0;
@@ -120,12 +125,14 @@
     vm->reason = stop_reason::move;
     vm->next_pool = receiver;
     --m_plan.pools[lender].available;
-    enter(*vm, vm_state::cordoned, "spare of " + lender + "; lent to " + receiver + ", which is below its promise");
+    enter(*vm, vm_state::cordoned,
+          "spare of " + lender + "; lent to " + receiver + ", which is below its promise");
 }
 
 std::int64_t planner::pass::expected_back_in(const std::string& pool) const {
     return std::count_if(m_plan.next.vms.begin(), m_plan.next.vms.end(), [&](const vm_record& vm) {
-        return vm.pool == pool && vm.state == vm_state::lost && !in_state_for(vm, m_owner.m_options.restart_patience);
+        return vm.pool == pool && vm.state == vm_state::lost &&
+               !in_state_for(vm, m_owner.m_options.restart_patience);
     });
 }
 
@@ -243,9 +250,10 @@
     }
     // Empty VMs first: their turn costs no move. Then rack by rack, so that few racks are touched at once.
     if (!m_owner.m_options.first_fit) {
-        std::stable_sort(candidates.begin(), candidates.end(), [this](const vm_record* a, const vm_record* b) {
-            return std::tuple(tasks_on(*a), a->rack) < std::tuple(tasks_on(*b), b->rack);
-        });
+        std::stable_sort(candidates.begin(), candidates.end(),
+                         [this](const vm_record* a, const vm_record* b) {
+                             return std::tuple(tasks_on(*a), a->rack) < std::tuple(tasks_on(*b), b->rack);
+                         });
     }
     for (vm_record* vm : candidates) {
         if (out >= wave.width) {
--- a/policy/policy.hpp
+++ b/policy/policy.hpp
@@ -7,6 +7,7 @@
 #include "policy/admission.hpp"
 #include "policy/answers.hpp"
 #include "policy/budget.hpp"
+#include "policy/byte_budget.hpp"
 #include "policy/claims.hpp"
 #include "policy/configuration.hpp"
 #include "policy/fleet.hpp"
--- a/policy/target_table.hpp
+++ b/policy/target_table.hpp
@@ -83,7 +83,8 @@
     /// What the state of a pool as a whole says about single targets.
     struct pool_view {
         bool ignore_aside = false; ///< So many are set aside that the rest would drown.
-        bool ignore_ramp = false;  ///< So many have just returned that the rest can't carry the load meanwhile.
+        bool ignore_ramp =
+            false; ///< So many have just returned that the rest can't carry the load meanwhile.
     };
 
     [[nodiscard]] pool_view view(const std::vector<std::string>& ids, timestamp now) const;
--- a/policy/task_reports.cpp
+++ b/policy/task_reports.cpp
@@ -29,6 +29,7 @@
         return;
     case task_result::done:
         job.state = job_state::done;
+        job.used = news.used;
         job.reason.clear();
         return;
     case task_result::failed:
--- a/policy/task_reports.hpp
+++ b/policy/task_reports.hpp
@@ -15,6 +15,7 @@
     std::uint32_t epoch = 0;
     task_result result = task_result::running;
     std::string vm;
+    job_size used = {};
 };
 
 /// Enters the workers' words into a table. Words on an older epoch are ignored: that assignment has been
--- a/tests/fakes/fake_platform.hpp
+++ b/tests/fakes/fake_platform.hpp
@@ -56,7 +56,8 @@
 
     [[nodiscard]] const std::map<std::string, caller_usage>& usage() const noexcept { return m_usage; }
 
-    /// Lists `count` VMs that always live and reboot at once, all with one target's port; for measurements of control.
+    /// Lists `count` VMs that always live and reboot at once, all with one target's port; for measurements of
+    /// control.
     void add_static_vms(int count, const endpoint& target);
 
     /// The value as stored, straight from memory.
--- a/tests/net/raw_server.hpp
+++ b/tests/net/raw_server.hpp
@@ -11,8 +11,8 @@
 
 namespace siskinpaddle::tests {
 
-/// A target that answers each connection's first bytes with fixed ones, then closes or stays silent. It counts what it
-/// read, which is the truth on what left the client.
+/// A target that answers each connection's first bytes with fixed ones, then closes or stays silent. It
+/// counts what it read, which is the truth on what left the client.
 class raw_server {
   public:
     raw_server(event_loop& loop, std::string answer, bool close_after)
