Count the echo of a written record in the byte budget; freeze an entry in the demonstration

Cause: slopes at 870 VMs, 8 entries, in a wave: the planner's traffic with the platform was 37.7 KB/s (before any budget 677.6 KB/s) although 16 KB/s were budgeted: a written record comes back by the zone's watch, and a burst of 1 MB is spent within the window. Change: a write counts twice, the burst is 400 KB.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	demo/run.sh $(BUILD)
 
 test: setup build sanitized
-	cd $(BUILD) && ctest --output-on-failure
+	cd $(BUILD) && ctest --output-on-failure -j 4
 	cd $(BUILD)-asan && ctest --output-on-failure -L doors
 
 # Installs what is missing; does nothing on a machine that has it all.
--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -48,7 +48,9 @@
 
 echo "pure parts"
 "$build/bench/bench_slopes" parts
-for size in "50 5 8" "200 10 8" "870 27 8" "870 27 24"; do
+sizes=("50 5 8" "200 10 8" "870 27 8" "870 27 24")
+[ -z "${SISKINPADDLE_SIZE:-}" ] || sizes=("$SISKINPADDLE_SIZE")
+for size in "${sizes[@]}"; do
     set -- $size
     echo "$1 VMs, $2 pools, $3 entries"
     start_platform "$1" "$2"
--- a/control/planner_task.cpp
+++ b/control/planner_task.cpp
@@ -12,10 +12,12 @@
 constexpr milliseconds lease_attempt_per_entry = 40ms;
 constexpr milliseconds list_interval = 1s;
 constexpr milliseconds reboot_repeat = 2s;
-/// What fleet records written and VM lists read may cost on average: below the 25 KB a second that a node may
-/// spend on control in all. The burst lets a handful of changes go through at once at 870 VMs.
+/// What fleet records written and VM lists read may cost on average: below the 25 KB a second that a node may spend on
+/// control in all. The burst lets a failure's few changes go through at once at 870 VMs.
 constexpr std::int64_t control_bytes_per_second = 16'000;
-constexpr std::int64_t control_burst = 1'000'000;
+constexpr std::int64_t control_burst = 400'000;
+/// A record that is written comes back once, by the watch of this entry's zone.
+constexpr std::int64_t copies_of_a_write = 2;
 constexpr std::string_view control_lease = "control";
 
 } // namespace
@@ -168,7 +170,7 @@
     next.write_id =
         m_settings.id + "-" + std::to_string(m_state.incarnation()) + "-" + std::to_string(next.revision);
     const std::string bytes = encode_fleet(next);
-    m_bytes.spend(static_cast<std::int64_t>(bytes.size()));
+    m_bytes.spend(copies_of_a_write * static_cast<std::int64_t>(bytes.size()));
     m_platform.put(
         std::string(fleet_value), m_state.values().store_version(fleet_value), bytes, milliseconds{0},
         [this, bytes, revision = next.revision](const store_answer& answer) {
--- a/demo/session.cpp
+++ b/demo/session.cpp
@@ -87,6 +87,7 @@
             {"wave", &session::start_wave, &session::wave_over},
             {"move", &session::start_move, &session::move_over},
             {"target killed", &session::kill_target, &session::pools_whole},
+            {"entry frozen", &session::freeze_entry, &session::entry_thawed},
             {"entry killed", &session::kill_entry, &session::entry_removed},
             {"entry stopped", &session::stop_entry, &session::entry_removed},
             {"jobs end", &session::nothing, &session::jobs_over},
@@ -248,6 +249,22 @@
         }
     }
 
+    /// A frozen process still holds its ports, so nothing may take it for gone; it wakes and serves again.
+    void freeze_entry() {
+        say("freeze entry 0 for 5 s");
+        m_entries_left = m_ledger.fleet().entries.size();
+        kill(m_settings.entry_pids.front(), SIGSTOP);
+    }
+
+    [[nodiscard]] bool entry_thawed() {
+        if (event_loop::now() - m_stage_since < 5s) {
+            return false;
+        }
+        kill(m_settings.entry_pids.front(), SIGCONT);
+        m_wrong_answers += m_ledger.fleet().entries.size() < m_entries_left ? 1 : 0;
+        return m_callers.ready_entries() == m_settings.entry_pids.size();
+    }
+
     void signal_last_entry(int signal) {
         const std::size_t index = m_settings.entry_pids.size() - 1;
         say("signal " + std::to_string(signal) + " to entry " + std::to_string(index));
--- a/tests/policy/admission_test.cpp
+++ b/tests/policy/admission_test.cpp
@@ -90,6 +90,26 @@
     CHECK(verdict.retry_after_s == 9); // 401 requests of 20 ms one after another.
 }
 
+TEST_CASE("control bytes keep to their rate, single ones go at once") {
+    byte_budget budget(1'000, 5'000);
+    std::int64_t sent = 0;
+    for (timestamp now{0}; now < 100s; now += 10ms) {
+        if (budget.allows(now)) {
+            budget.spend(3'000);
+            sent += 3'000;
+        }
+    }
+    CHECK(sent >= 100'000);
+    CHECK(sent <= 100'000 + 5'000 + 3'000);
+    byte_budget quiet(1'000, 5'000);
+    REQUIRE(quiet.allows(1s));
+    quiet.spend(3'000);
+    CHECK(quiet.allows(1s));
+    quiet.spend(9'000);
+    CHECK_FALSE(quiet.allows(7s));
+    CHECK(quiet.allows(9s));
+}
+
 TEST_CASE("retries stay a fraction of requests") {
     retry_budget budget(0.1, 10);
     int retries = 0;
--- a/tests/policy/routing_test.cpp
+++ b/tests/policy/routing_test.cpp
@@ -72,6 +72,11 @@
     r.apply();
     CHECK_FALSE(r.targets.still_valid(*choice, "p"));
     CHECK_FALSE(r.targets.still_valid(*choice, "q"));
+    // Back in its first pool it is another service's instance all the same.
+    vm.pool = "p";
+    ++vm.epoch;
+    r.apply();
+    CHECK_FALSE(r.targets.still_valid(*choice, "p"));
 }
 
 TEST_CASE("a failing target is set aside, tried again and taken back") {
