--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -480,6 +480,7 @@
 policy_figures fleet_model::run() {
     while (m_now < five_weeks) {
         decide();
+        measure(milliseconds{0});
         const timestamp next = m_now + (in_transition() ? look_again : quiet_look_again);
         while (!m_events.empty() && m_events.top().at <= next) {
             const event item = m_events.top();
--- a/tests/fakes/fake_platform.cpp
+++ b/tests/fakes/fake_platform.cpp
@@ -32,6 +32,18 @@
 void fake_platform::set_trouble(const std::string& caller, trouble kind, milliseconds delay,
                                 int next_writes) {
     m_troubles[caller] = {kind, delay, next_writes};
+    if (kind != trouble::cut && kind != trouble::down) {
+        return;
+    }
+    // A watch that waits already would otherwise still bring its news through the cut.
+    for (auto watch = m_watchers.begin(); watch != m_watchers.end();) {
+        if (caller.empty() || watch->from->headers().get("Caller") == caller) {
+            m_unanswered.push_back(watch->from);
+            watch = m_watchers.erase(watch);
+        } else {
+            ++watch;
+        }
+    }
 }
 
 std::string fake_platform::value(const std::string& key) const {
