--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -54,6 +54,9 @@
     std::int64_t jobs_left = 0;
 };
 
+/// Processor time of the calling thread.
+[[nodiscard]] double cpu_seconds();
+
 /// Five weeks of one fleet under one policy: pure decisions over a counted clock, seeded failures and jobs. A
 /// model of the fleet's answers to the planner, not of machines or networks.
 class fleet_model {
--- a/core/findings.cpp
+++ b/core/findings.cpp
@@ -8,7 +8,9 @@
 
 void findings::append(const findings& other, const std::string& prefix) {
     for (const finding& item : other.m_items) {
-        m_items.push_back({prefix + item.place, item.message});
+        // A finding about the whole input has no pointer for the prefix's colon to part from the file's name.
+        const bool whole = item.place.empty() && prefix.ends_with(':');
+        m_items.push_back({whole ? prefix.substr(0, prefix.size() - 1) : prefix + item.place, item.message});
     }
 }
 
--- a/main/entry.cpp
+++ b/main/entry.cpp
@@ -66,6 +66,10 @@
                   {{"config", m_state.config().number}, {"fleet", m_state.fleet().revision}});
         m_was_ready = ready;
     }
+    if (const std::uint64_t refused = m_state.usage().refused; refused > m_refused_messages) {
+        log_event(event_id::peer_message_refused, {{"since_start", refused}});
+        m_refused_messages = refused;
+    }
     if (m_draining) {
         finish_drain();
     }
--- a/main/entry.hpp
+++ b/main/entry.hpp
@@ -46,6 +46,7 @@
     timestamp m_drain_since{0};
     timestamp m_idle_since{0};
     std::function<void()> m_stopped;
+    std::uint64_t m_refused_messages = 0;
     bool m_draining = false;
     bool m_deregistering = false;
     bool m_was_ready = false;
