--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -93,7 +93,6 @@
     std::uint64_t m_next_number = 1;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<endpoint, std::vector<std::unique_ptr<connection>>> m_idle;
-    std::vector<std::unique_ptr<exchange>> m_retired;
     std::unique_ptr<timer> m_idle_timer;
     std::uint64_t m_bytes_sent = 0;
     std::uint64_t m_bytes_received = 0;
