--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -q && apt-get install -y --no-install-recommends $(PACKAGES))
 
 build:
-	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DSISKINPADDLE_STRICT=ON >/dev/null
 	@cmake --build $(BUILD)
 
 sanitized:
--- a/control/state_task.hpp
+++ b/control/state_task.hpp
@@ -2,7 +2,7 @@
 
 #include "control/entry_settings.hpp"
 #include "peer/peer.hpp"
-#include "platform/platform.hpp"
+#include "trial/trial.hpp"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/jobs/job.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// What a task asks for, or what a VM has.
+struct resources {
+    std::int64_t cpu_millicores = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+
+    bool operator==(const resources&) const = default;
+
+    [[nodiscard]] bool fits_in(const resources& room) const noexcept {
+        return cpu_millicores <= room.cpu_millicores && memory_mb <= room.memory_mb &&
+               accelerators <= room.accelerators;
+    }
+    resources& operator+=(const resources& other) noexcept {
+        cpu_millicores += other.cpu_millicores;
+        memory_mb += other.memory_mb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    resources& operator-=(const resources& other) noexcept {
+        cpu_millicores -= other.cpu_millicores;
+        memory_mb -= other.memory_mb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(cpu_millicores, memory_mb, accelerators);
+    }
+};
+
+/// A step of a job: `count` alike tasks that may run once all tasks of the steps in `after` are done.
+struct step_spec {
+    std::uint32_t count = 1;
+    resources need;
+    std::int64_t estimate_ms = 0; ///< The client's rough estimate of one task's run time.
+    std::vector<std::uint32_t> after;
+    bool checkpointed = false; ///< A stopped task resumes from its last checkpoint.
+    bool gang = false;         ///< All tasks run at the same time or not at all.
+    bool same_rack = false;
+    std::string required_label;   ///< Empty: any VM.
+    std::string data_rack;        ///< Rack of the step's data; empty: none.
+    std::uint32_t max_per_vm = 0; ///< Most tasks of the step on one VM; 0: any number.
+    bool speculative = false;     ///< Two runs of one task may overlap.
+    bool long_running = false;    ///< Runs until the job is cancelled and is restarted however it ends.
+    std::string image;
+    std::int64_t target_tail_ms = 0;    ///< Bound on the tail of a serving task's response times; 0: none.
+    bool uses_leftover = false;         ///< Takes what other tasks leave unused; counts against no capacity.
+    std::uint32_t disruption_budget = 0; ///< Most tasks of a long-running step that we may keep away at once.
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(count, need, estimate_ms, after, checkpointed, gang, same_rack, required_label, data_rack,
+                max_per_vm, speculative, long_running, image, target_tail_ms, uses_leftover,
+                disruption_budget);
+    }
+};
+
+/// A job as its client submitted it.
+struct job_spec {
+    std::string id;    ///< Chosen by the client; unique in its pool.
+    std::string queue; ///< Name of the queue that took it.
+    std::string payload;
+    std::vector<step_spec> steps;
+    std::uint32_t occurrences = 1;
+    bool timed = false;        ///< Occurrences have due times.
+    std::int64_t start_at_ms = 0; ///< Time of day of the first occurrence, ms since 1970.
+    std::int64_t period_ms = 0;
+
+    [[nodiscard]] bool long_running() const noexcept {
+        for (const step_spec& step : steps) {
+            if (step.long_running) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(id, queue, payload, steps, occurrences, timed, start_at_ms, period_ms);
+    }
+};
+
+/// Names one task of one job.
+struct task_id {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const task_id&) const = default;
+};
+
+/// What clients are told of a job.
+enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
+
+template <typename Archive>
+std::uint8_t save_minimal(const Archive&, const job_phase& phase) {
+    return static_cast<std::uint8_t>(phase);
+}
+template <typename Archive>
+void load_minimal(const Archive&, job_phase& phase, const std::uint8_t& value) {
+    phase = static_cast<job_phase>(value);
+}
+
+/// Whether the phase is final.
+[[nodiscard]] constexpr bool is_final(job_phase phase) noexcept {
+    return phase >= job_phase::completed;
+}
+
+} // namespace siskinpaddle::jobs
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::job_phase>{
+    std::pair{siskinpaddle::jobs::job_phase::queued, std::string_view("queued")},
+    std::pair{siskinpaddle::jobs::job_phase::running, std::string_view("running")},
+    std::pair{siskinpaddle::jobs::job_phase::completed, std::string_view("completed")},
+    std::pair{siskinpaddle::jobs::job_phase::failed, std::string_view("failed")},
+    std::pair{siskinpaddle::jobs::job_phase::cancelled, std::string_view("cancelled")}};
--- /dev/null
+++ b/jobs/job_state.cpp
@@ -0,0 +1,190 @@
+#include "jobs/job_state.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+constexpr std::uint8_t done_bit = 0x80;
+constexpr std::uint8_t failures_mask = 0x7f;
+
+std::int64_t chain_of(const job_spec& spec) {
+    std::vector<std::int64_t> ends(spec.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        std::int64_t begin = 0;
+        for (const std::uint32_t before : spec.steps[i].after) {
+            begin = std::max(begin, ends[before]);
+        }
+        ends[i] = begin + spec.steps[i].estimate_ms;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+} // namespace
+
+findings check_job(const job_spec& spec) {
+    findings problems;
+    std::uint64_t tasks = 0;
+    if (spec.steps.empty()) {
+        problems.add("/steps", "a job needs at least one step");
+    }
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const std::string place = "/steps/" + std::to_string(i);
+        tasks += spec.steps[i].count;
+        if (spec.steps[i].count == 0) {
+            problems.add(place + "/count", "must be at least 1");
+        }
+        for (const std::uint32_t before : spec.steps[i].after) {
+            if (before >= i) {
+                problems.add(place + "/after", "may only name earlier steps");
+            }
+        }
+    }
+    if (tasks * std::max<std::uint64_t>(1, spec.occurrences) > max_tasks_per_job) {
+        problems.add("/steps", "more than " + std::to_string(max_tasks_per_job) + " tasks");
+    }
+    return problems;
+}
+
+job_state::job_state(job_spec spec, timestamp accepted_at)
+    : m_spec(std::move(spec)), m_accepted_at(accepted_at), m_chain_ms(chain_of(m_spec)) {
+    for (const step_spec& step : m_spec.steps) {
+        m_offsets.push_back(m_tasks_each);
+        m_tasks_each += step.count;
+    }
+    m_tasks.resize(static_cast<std::size_t>(m_tasks_each) * m_spec.occurrences);
+    for (task_state& item : m_tasks) {
+        item.idle_since = accepted_at;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < m_spec.occurrences; ++occurrence) {
+        for (const step_spec& step : m_spec.steps) {
+            m_counts.push_back({step.count, step.count});
+        }
+    }
+    m_left = static_cast<std::uint32_t>(m_tasks.size());
+    m_idle = m_left;
+}
+
+bool job_state::contains(const task_id& id) const noexcept {
+    return id.occurrence < m_spec.occurrences && id.step < m_spec.steps.size() &&
+           id.index < m_spec.steps[id.step].count;
+}
+
+std::size_t job_state::position(const task_id& id) const {
+    assert(contains(id));
+    return static_cast<std::size_t>(id.occurrence) * m_tasks_each + m_offsets[id.step] + id.index;
+}
+
+task_state& job_state::task(const task_id& id) {
+    return m_tasks[position(id)];
+}
+
+const task_state& job_state::task(const task_id& id) const {
+    return m_tasks[position(id)];
+}
+
+task_id job_state::id_of(step_place place, std::uint32_t index) const {
+    return {m_spec.id, place.occurrence, place.step, index};
+}
+
+bool job_state::unlocked(step_place place) const {
+    return std::ranges::all_of(m_spec.steps[place.step].after, [&](std::uint32_t before) {
+        return counts(step_place{place.occurrence, before}).left == 0;
+    });
+}
+
+run& job_state::add_run(const task_id& id, run item) {
+    task_state& state = task(id);
+    if (state.runs.empty() && !state.done) {
+        --counts({id.occurrence, id.step}).idle;
+        --m_idle;
+    }
+    state.attempts = std::max(state.attempts, item.attempt);
+    state.unaccounted = false;
+    ++m_runs;
+    state.runs.push_back(std::move(item));
+    return state.runs.back();
+}
+
+void job_state::remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now) {
+    task_state& state = task(id);
+    const auto found = std::ranges::find_if(
+        state.runs, [&](const run& item) { return item.attempt == attempt && item.vm == vm; });
+    assert(found != state.runs.end());
+    state.runs.erase(found);
+    --m_runs;
+    if (state.runs.empty() && !state.done) {
+        ++counts({id.occurrence, id.step}).idle;
+        ++m_idle;
+        state.idle_since = now;
+    }
+}
+
+void job_state::mark_done(const task_id& id) {
+    task_state& state = task(id);
+    if (state.done) {
+        return;
+    }
+    state.done = true;
+    state.unaccounted = false;
+    step_counts& of_step = counts({id.occurrence, id.step});
+    --of_step.left;
+    --m_left;
+    if (state.runs.empty()) {
+        --of_step.idle;
+        --m_idle;
+    }
+}
+
+job_progress job_state::progress() const {
+    job_progress result;
+    result.phase = m_phase;
+    result.tasks.reserve(m_tasks.size());
+    for (std::size_t i = 0; i < m_tasks.size(); ++i) {
+        const task_state& item = m_tasks[i];
+        const auto failures = std::min(item.failures, failures_mask);
+        result.tasks += static_cast<char>(item.done ? done_bit | failures : failures);
+        if (!item.done && !item.checkpoint.empty()) {
+            result.checkpoints[static_cast<std::uint32_t>(i)] = item.checkpoint;
+        }
+    }
+    return result;
+}
+
+void job_state::restore(const job_progress& progress) {
+    m_phase = progress.phase;
+    for (const step_place place : [this] {
+             std::vector<step_place> places;
+             each_step([&](step_place item) { places.push_back(item); });
+             return places;
+         }()) {
+        for (std::uint32_t index = 0; index < m_spec.steps[place.step].count; ++index) {
+            const task_id id = id_of(place, index);
+            const std::size_t at = position(id);
+            task_state& item = m_tasks[at];
+            const auto bits = at < progress.tasks.size() ? static_cast<std::uint8_t>(progress.tasks[at]) : 0;
+            item.failures = bits & failures_mask;
+            item.unaccounted = true;
+            if (const auto saved = progress.checkpoints.find(static_cast<std::uint32_t>(at));
+                saved != progress.checkpoints.end()) {
+                item.checkpoint = saved->second;
+            }
+            if ((bits & done_bit) != 0) {
+                mark_done(id);
+                m_begun = true;
+            }
+        }
+    }
+}
+
+void job_state::account_for_all() {
+    for (task_state& item : m_tasks) {
+        item.unaccounted = false;
+    }
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/job_state.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "jobs/fleet_configuration.hpp"
+#include "jobs/vm.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// What is known of a run.
+enum class run_phase : std::uint8_t {
+    starting,  ///< The order is on its way.
+    unsettled, ///< The order was not answered: the run may be there, may come, or may never come.
+    running,
+    stopping ///< A stop was ordered; the run holds its room until its end is reported.
+};
+
+/// One run of a task that may be alive on a VM.
+struct run {
+    std::uint32_t attempt = 0;
+    std::string vm; ///< Incarnation.
+    run_phase phase = run_phase::starting;
+    timestamp started_at{0};
+    std::int64_t start_deadline = 0;  ///< On the VM's clock: the start is refused from then on.
+    std::int64_t confirmed_clock = 0; ///< The VM's clock when it confirmed the run.
+    timestamp stop_sent_at{0};
+    timestamp stop_acked_at{0}; ///< 0: no stop was acknowledged.
+    std::int64_t percent = 0;
+    timestamp progress_at{0}; ///< When `percent` last changed.
+    std::int64_t usage = 0;
+    int pace_percent = 100;
+};
+
+/// One task.
+struct task_state {
+    bool done = false;
+    std::uint8_t failures = 0;
+    std::uint32_t attempts = 0; ///< Runs ordered by this owner.
+    /// A run that an earlier owner ordered may be alive on a VM that has not answered yet.
+    bool unaccounted = false;
+    std::string checkpoint;
+    std::vector<run> runs;
+    std::vector<std::string> failed_on; ///< VMs on which it failed; others are tried first.
+    timestamp idle_since{0};
+};
+
+/// What must outlive an owner about a job, beside its specification. Small: one byte for each task.
+struct job_progress {
+    job_phase phase = job_phase::queued;
+    std::string tasks; ///< For each task: bit 7 done, the other bits failures.
+    std::map<std::uint32_t, std::string> checkpoints;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(phase, tasks, checkpoints);
+    }
+};
+
+/// A job as its owner stores it when it accepts it.
+struct job_record {
+    job_spec spec;
+    std::int64_t accepted_ms = 0; ///< Time of day, ms since 1970.
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(spec, accepted_ms);
+    }
+};
+
+/// Position of a step within a job: which occurrence, which step.
+struct step_place {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+};
+
+/// One job and its tasks. Plain bookkeeping without decisions: it keeps counts in step with the tasks, so
+/// that scans cost nothing for jobs that have nothing to do. Not thread-safe.
+class job_state {
+  public:
+    /// `accepted_at` is on the owner's clock.
+    job_state(job_spec spec, timestamp accepted_at);
+
+    [[nodiscard]] const job_spec& spec() const noexcept { return m_spec; }
+    [[nodiscard]] timestamp accepted_at() const noexcept { return m_accepted_at; }
+    [[nodiscard]] job_phase phase() const noexcept { return m_phase; }
+    void set_phase(job_phase phase) noexcept { m_phase = phase; }
+
+    [[nodiscard]] std::size_t occurrences() const noexcept { return m_spec.occurrences; }
+    [[nodiscard]] bool contains(const task_id& id) const noexcept;
+    /// Precondition: contains(id).
+    [[nodiscard]] task_state& task(const task_id& id);
+    [[nodiscard]] const task_state& task(const task_id& id) const;
+    [[nodiscard]] task_id id_of(step_place place, std::uint32_t index) const;
+
+    /// Whether all steps before this one are done.
+    [[nodiscard]] bool unlocked(step_place place) const;
+    /// Tasks of the step that are neither done nor have a run.
+    [[nodiscard]] std::uint32_t idle(step_place place) const { return counts(place).idle; }
+    [[nodiscard]] std::uint32_t left(step_place place) const { return counts(place).left; }
+    /// Tasks of all steps that are neither done nor have a run.
+    [[nodiscard]] std::uint32_t idle_total() const noexcept { return m_idle; }
+    [[nodiscard]] std::uint32_t runs_total() const noexcept { return m_runs; }
+    [[nodiscard]] bool all_done() const noexcept { return m_left == 0; }
+    /// Whether any task has ever been seen to run.
+    [[nodiscard]] bool has_begun() const noexcept { return m_begun; }
+    void set_begun() noexcept { m_begun = true; }
+
+    run& add_run(const task_id& id, run item);
+    /// Forgets a run. Precondition: it is there.
+    void remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now);
+    void mark_done(const task_id& id);
+
+    [[nodiscard]] job_progress progress() const;
+    /// Takes over what an earlier owner stored; tasks that aren't done become unaccounted.
+    void restore(const job_progress& progress);
+    /// Lets every unaccounted task be started again.
+    void account_for_all();
+
+    /// Longest chain of estimated work through the steps, ms.
+    [[nodiscard]] std::int64_t longest_chain_ms() const noexcept { return m_chain_ms; }
+
+    /// Calls `visit(place)` for each step of each occurrence.
+    template <typename Visit>
+    void each_step(Visit visit) const {
+        for (std::uint32_t occurrence = 0; occurrence < m_spec.occurrences; ++occurrence) {
+            for (std::uint32_t step = 0; step < m_spec.steps.size(); ++step) {
+                visit(step_place{occurrence, step});
+            }
+        }
+    }
+
+    // Bookkeeping of the owner.
+    std::uint64_t changed = 0;   ///< Counts changes that must be stored.
+    std::uint64_t stored = 0;    ///< The value of `changed` that the store holds.
+    bool durable_final = false;  ///< The final phase is stored and may be told.
+    timestamp final_at{0};
+
+  private:
+    struct step_counts {
+        std::uint32_t left = 0;
+        std::uint32_t idle = 0;
+    };
+
+    [[nodiscard]] std::size_t position(const task_id& id) const;
+    [[nodiscard]] const step_counts& counts(step_place place) const {
+        return m_counts[place.occurrence * m_spec.steps.size() + place.step];
+    }
+    [[nodiscard]] step_counts& counts(step_place place) {
+        return m_counts[place.occurrence * m_spec.steps.size() + place.step];
+    }
+
+    job_spec m_spec;
+    timestamp m_accepted_at;
+    job_phase m_phase = job_phase::queued;
+    std::vector<std::uint32_t> m_offsets; ///< First task of each step within one occurrence.
+    std::uint32_t m_tasks_each = 0;       ///< Tasks of one occurrence.
+    std::vector<task_state> m_tasks;
+    std::vector<step_counts> m_counts;
+    std::uint32_t m_idle = 0;
+    std::uint32_t m_left = 0;
+    std::uint32_t m_runs = 0;
+    bool m_begun = false;
+    std::int64_t m_chain_ms = 0;
+};
+
+/// Most tasks that a job may have in all; a client's larger job is refused. From the store's bound on values
+/// of one megabyte and the memory of the smallest node.
+inline constexpr std::uint32_t max_tasks_per_job = 4096;
+
+/// Names everything wrong with a job before it is accepted: steps that wait for later ones, no tasks, too
+/// many tasks.
+[[nodiscard]] findings check_job(const job_spec& spec);
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/jobs.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Public header of the jobs library: the decisions about jobs and the VMs of one pool. Pure: state, events
+/// and clock readings in, orders out; nothing here does I/O. Objects may be used from one thread at a time.
+
+#include "jobs/fleet_configuration.hpp"
+#include "jobs/job.hpp"
+#include "jobs/job_state.hpp"
+#include "jobs/order.hpp"
+#include "jobs/placement.hpp"
+#include "jobs/scheduler.hpp"
+#include "jobs/upkeep.hpp"
+#include "jobs/vm.hpp"
+#include "jobs/vm_state.hpp"
--- /dev/null
+++ b/jobs/order.cpp
@@ -0,0 +1,74 @@
+#include "jobs/order.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+/// A job that ends within this many times its objective is still of some use to its client.
+constexpr int late_factor = 3;
+/// Share of the objective that the expected end may take up. Above 1, since estimates of single jobs are
+/// rough and an empty queue must never turn a job away for its own length.
+constexpr double admission_slack = 1.0;
+/// Clients are told whole seconds. Longer than the queue takes to drain makes no sense for a client whose own
+/// objective is a few seconds.
+constexpr milliseconds least_retry_after = 1s;
+constexpr milliseconds longest_retry_after = 5s;
+
+milliseconds allowed_time(std::int64_t chain_ms, const queue_settings& queue) {
+    return milliseconds(static_cast<std::int64_t>(queue.stretch_factor * static_cast<double>(chain_ms))) +
+           queue.target_latency;
+}
+
+} // namespace
+
+timestamp objective_of(const job_state& job, const queue_settings& queue) {
+    return job.accepted_at() + allowed_time(job.longest_chain_ms(), queue);
+}
+
+job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp now) {
+    job_rank rank;
+    rank.priority = queue.priority;
+    rank.objective_at = objective_of(job, queue);
+    if (job.spec().long_running()) {
+        rank.group = 0;
+        return rank;
+    }
+    const milliseconds allowed = rank.objective_at - job.accepted_at();
+    if (now >= job.accepted_at() + allowed * late_factor) {
+        rank.group = 3;
+    } else if (now >= rank.objective_at) {
+        rank.group = 2;
+    }
+    return rank;
+}
+
+std::int64_t waiting_work(const job_state& job) {
+    std::int64_t work = 0;
+    job.each_step([&](step_place place) {
+        const step_spec& step = job.spec().steps[place.step];
+        work += static_cast<std::int64_t>(job.idle(place)) * step.need.cpu_millicores * step.estimate_ms;
+    });
+    return work;
+}
+
+admission_verdict admit(const job_spec& spec, const queue_settings& queue, std::int64_t longest_chain_ms,
+                        const pool_load& load) {
+    if (spec.long_running() || spec.timed) {
+        return {};
+    }
+    if (load.usable_millicores <= 0) {
+        return {false, longest_retry_after};
+    }
+    const milliseconds queue_time(load.waiting_work / load.usable_millicores);
+    const milliseconds allowed = allowed_time(longest_chain_ms, queue);
+    const milliseconds expected = queue_time + milliseconds(longest_chain_ms);
+    if (queue_time.count() == 0 ||
+        static_cast<double>(expected.count()) <= admission_slack * static_cast<double>(allowed.count())) {
+        return {};
+    }
+    return {false, std::clamp(expected - allowed, least_retry_after, longest_retry_after)};
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/order.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "jobs/job_state.hpp"
+
+namespace siskinpaddle::jobs {
+
+/// Where a job stands among the others that wait for room; smaller goes first.
+struct job_rank {
+    /// 0: long-running jobs, which earn from the moment they run and are few. 1: jobs that can still reach
+    /// their objective. 2: jobs that will be late. 3: jobs too late to be of use; they only fill idle room.
+    int group = 1;
+    int priority = 0;
+    timestamp objective_at{0};
+
+    auto operator<=>(const job_rank&) const = default;
+};
+
+/// When a job should be done for its client to be served in time.
+[[nodiscard]] timestamp objective_of(const job_state& job, const queue_settings& queue);
+
+/// Ranks a job. Answers a demand that rises to several times the pool's room for seconds: first come, first
+/// served would serve every job late once the queue is longer than the objective, so a job that has missed
+/// its objective makes way for those that can still reach theirs.
+[[nodiscard]] job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp now);
+
+/// Estimated work left in tasks that have no run yet, millicore-milliseconds.
+[[nodiscard]] std::int64_t waiting_work(const job_state& job);
+
+/// Load of a pool, as admission sees it.
+struct pool_load {
+    std::int64_t waiting_work = 0;    ///< Millicore-milliseconds that go before a new job.
+    std::int64_t usable_millicores = 0; ///< Capacity of the VMs that take work.
+};
+
+/// What to do with a job that a client wants to submit.
+struct admission_verdict {
+    bool accepted = true;
+    milliseconds retry_after{0};
+};
+
+/// Accepts a job if it can reach its objective behind the work that waits, so that accepted work is finished
+/// in time and the rest is told at once to come back later. Answers bursts and turns above the pool's room: with
+/// everything accepted, all jobs end late. Long-running jobs are always accepted; they need room, not turns.
+[[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
+                                      std::int64_t longest_chain_ms, const pool_load& load);
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/placement.cpp
@@ -0,0 +1,76 @@
+#include "jobs/placement.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+std::size_t runs_of_step(const vm_state& vm, const task_id& task) {
+    const auto first = vm.tasks().lower_bound({task.job, task.occurrence, task.step, 0});
+    const auto last = vm.tasks().lower_bound({task.job, task.occurrence, task.step + 1, 0});
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
+bool may_take(const vm_state& vm, const step_spec& step, const resources& need, const task_id& task,
+              const placement_settings& settings, timestamp now) {
+    if (!vm.listed || !vm.reachable || vm.cordoned || vm.info().draining || vm.full_until_clock) {
+        return false;
+    }
+    if (!vm.ever_heard() || now - vm.heard_at() > settings.silence || vm.set_aside_at(now)) {
+        return false;
+    }
+    if (!step.required_label.empty() && step.required_label != vm.info().kind &&
+        step.required_label != vm.info().rack) {
+        return false;
+    }
+    if (!need.fits_in(vm.room())) {
+        return false;
+    }
+    return step.max_per_vm == 0 || runs_of_step(vm, task) < step.max_per_vm;
+}
+
+/// Share of the VM's processor or memory that is taken, whichever is larger.
+double fullness(const vm_state& vm, const resources& need) {
+    const resources& all = vm.info().capacity;
+    const double cpu = static_cast<double>(vm.used().cpu_millicores + need.cpu_millicores) /
+                       static_cast<double>(std::max<std::int64_t>(1, all.cpu_millicores));
+    const double memory = static_cast<double>(vm.used().memory_mb + need.memory_mb) /
+                          static_cast<double>(std::max<std::int64_t>(1, all.memory_mb));
+    return std::max(cpu, memory);
+}
+
+} // namespace
+
+resources counted_need(const step_spec& step) {
+    resources need = step.need;
+    if (step.uses_leftover) {
+        need.cpu_millicores = 0;
+    }
+    return need;
+}
+
+vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
+                    const placement_settings& settings, timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    const resources need = counted_need(step);
+    const std::vector<std::string>& failed_on = job.task(task).failed_on;
+    vm_state* best = nullptr;
+    std::tuple<bool, bool, int, double> best_cost;
+    for (auto& [incarnation, vm] : vms) {
+        if (!may_take(vm, step, need, task, settings, now)) {
+            continue;
+        }
+        const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
+        const bool far = !step.data_rack.empty() && step.data_rack != vm.info().rack;
+        const std::tuple cost{failed_here, far, vm.strikes(), fullness(vm, need)};
+        if (best == nullptr || cost < best_cost) {
+            best = &vm;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/placement.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "jobs/job_state.hpp"
+#include "jobs/vm_state.hpp"
+
+#include <functional>
+#include <map>
+
+namespace siskinpaddle::jobs {
+
+using vm_table = std::map<std::string, vm_state, std::less<>>;
+
+/// What a run of the step takes from its VM's capacity. Tasks that live on leftover processor time count
+/// with their memory only.
+[[nodiscard]] resources counted_need(const step_spec& step);
+
+/// Limits of placement.
+struct placement_settings {
+    /// A VM that was not heard of for longer gets no new runs: it may be dead. Above the longest wait of a
+    /// lease renewal (2 s) and its round trip.
+    milliseconds silence = 2600ms;
+    milliseconds drain_notice{0};
+};
+
+/// Chooses the VM for one task: one that may take it, the emptiest first, so that the rough sizes of tasks
+/// hurt least; VMs on which the task failed last. Returns null when none has room.
+[[nodiscard]] vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
+                                  const placement_settings& settings, timestamp now);
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/scheduler.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "jobs/order.hpp"
+#include "jobs/placement.hpp"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// Bounds and durations of an owner's decisions.
+struct scheduler_settings {
+    /// Lease of everything that runs on a VM; the platform's longest.
+    milliseconds lease = 6s;
+    /// A start that arrives later than this is refused by the VM. Above a slow round trip, below the two
+    /// seconds after which the platform may carry out an order that was not answered.
+    milliseconds start_patience = 1500ms;
+    /// How long after a takeover runs of the earlier owner may live on VMs that don't answer.
+    milliseconds unaccounted_window = 12s;
+    milliseconds stop_repeat = 600ms; ///< A stop without an answer is sent again after this.
+    std::uint32_t attempts_per_epoch = 1000; ///< Attempt numbers of one owner; its successor's are higher.
+    placement_settings placement;
+};
+
+/// Start a run.
+struct start_order {
+    std::string vm;
+    task_id task;
+    std::uint32_t attempt = 0;
+    std::int64_t deadline = 0; ///< On the VM's clock: arriving later, it is refused.
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/// Stop a run, or keep one from starting.
+struct stop_order {
+    std::string vm;
+    task_id task;
+    std::uint32_t attempt = 0;
+};
+
+/// Let a run work at a share of its speed.
+struct pace_order {
+    std::string vm;
+    task_id task;
+    std::uint32_t attempt = 0;
+    int percent = 100;
+};
+
+/// Why a run or a VM was given up, for the log.
+struct scheduler_note {
+    std::string what;
+    std::string vm;
+    std::optional<task_id> task;
+    std::uint32_t attempt = 0;
+};
+
+struct decisions {
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
+    std::vector<scheduler_note> notes;
+};
+
+/// What has to be stored next, and what may be told once it is.
+struct store_round {
+    std::vector<std::string> jobs;              ///< Jobs with changes.
+    std::map<std::string, std::int64_t> ends;   ///< VM -> ends that the VM may forget afterwards.
+
+    [[nodiscard]] bool empty() const noexcept { return jobs.empty() && ends.empty(); }
+};
+
+enum class cancel_outcome : std::uint8_t { unknown_job, cancelled, already_final };
+
+/// Decides for one pool which task runs where: pure, events and clock readings in, orders out. One owner at a
+/// time has a pool; the fencing token keeps an earlier one's orders from being obeyed. Not thread-safe.
+///
+/// No task runs twice at a time: a run is given up only when its VM says that it isn't there and can't come
+/// any more, when another life of the VM answers, or when the VM's lease has certainly run out.
+class scheduler {
+  public:
+    /// `epoch` counts the owners of the pool from 0.
+    scheduler(scheduler_settings settings, std::uint32_t epoch, timestamp now);
+
+    void configure(std::vector<queue_settings> queues) { m_queues = std::move(queues); }
+
+    // --- Jobs ---
+
+    [[nodiscard]] bool knows(const std::string& job) const { return m_jobs.contains(job); }
+    [[nodiscard]] admission_verdict judge(const job_spec& spec) const;
+    void add_job(const job_record& record, timestamp accepted_at);
+    /// Adds a job that an earlier owner stored. Its tasks start once every VM that may run them was heard.
+    void restore_job(const job_record& record, const std::optional<job_progress>& progress,
+                     timestamp accepted_at);
+    cancel_outcome cancel(const std::string& job, timestamp now);
+    /// The phase to tell clients: a final one only once it is stored. Nothing for an unknown job.
+    [[nodiscard]] std::optional<job_phase> phase_of(const std::string& job) const;
+    /// Jobs of the queue that have not begun.
+    [[nodiscard]] std::size_t pending(const std::string& queue) const;
+    [[nodiscard]] const job_state* find_job(const std::string& job) const;
+    [[nodiscard]] std::size_t job_count() const noexcept { return m_jobs.size(); }
+
+    // --- VMs ---
+
+    /// A VM that the platform lists, or that changed what it tells.
+    void list_vm(const vm_info& info);
+    void delist_vm(const std::string& vm);
+    /// A VM that an earlier owner may have used; its runs are unknown until it reports or is gone.
+    void expect_vm(const vm_info& info);
+    /// This life of the VM has certainly ended.
+    void vm_gone(const std::string& vm, timestamp now);
+    void take_report(const std::string& vm, const vm_report& report, timestamp now);
+    void vm_unreachable(const std::string& vm);
+    void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
+    void stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
+    void cordon(const std::string& vm, bool on);
+    /// Nothing runs on the VM, or may yet start there.
+    [[nodiscard]] bool is_empty(const std::string& vm) const;
+    /// Deadline for the next renewal of the VM's lease; books it as granted. 0: first ask for its clock.
+    [[nodiscard]] std::int64_t renewal_deadline(const std::string& vm, timestamp now);
+    [[nodiscard]] const vm_table& vms() const noexcept { return m_vms; }
+    /// Whether the VM runs something that should be looked at often: a run that is not at work yet, or tasks
+    /// that may disturb each other.
+    [[nodiscard]] bool wants_close_look(const std::string& vm) const;
+
+    // --- Deciding ---
+
+    /// `wall_ms`: time of day for jobs with due times.
+    [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms);
+    [[nodiscard]] pool_load load() const;
+
+    // --- Storing ---
+
+    [[nodiscard]] bool has_changes() const { return !m_changed.empty() || m_ends_to_store; }
+    /// Whether somebody waits for a change: a job that ended.
+    [[nodiscard]] bool has_urgent_changes() const noexcept { return m_urgent; }
+    [[nodiscard]] store_round begin_store();
+    /// The job's changes up to `change` are stored.
+    void job_stored(const std::string& job, std::uint64_t change, timestamp now);
+    void round_stored(const store_round& round);
+    /// The round could not be stored; its changes go into the next one.
+    void round_failed(const store_round& round);
+    /// Forgets jobs whose final phase has been stored for `keep` and that have no run left; returns them.
+    std::vector<std::pair<std::string, job_phase>> forget_final(timestamp now, milliseconds keep);
+
+  private:
+    struct candidate;
+
+    const queue_settings* queue_of(const job_state& job) const;
+    void note(std::string what, const std::string& vm, const task_id* task, std::uint32_t attempt);
+    void changed(job_state& job, bool urgent);
+
+    // Runs.
+    void take_end(vm_state& vm, const end_report& end, timestamp now);
+    void take_done(job_state& job, const task_id& id, timestamp now);
+    void take_failure(job_state& job, const task_id& id, vm_state& vm, timestamp now);
+    void take_running(vm_state& vm, const running_report& item, const vm_report& report, timestamp now);
+    void settle_missing(vm_state& vm, const vm_report& report, timestamp now);
+    void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
+                  timestamp now);
+    void drop_runs_of(vm_state& vm, const char* why, timestamp now);
+    void stop_run(const task_id& id, run& item, timestamp now);
+    void stop_all(job_state& job, timestamp now);
+    void finish(job_state& job, job_phase phase, timestamp now);
+
+    // Deciding.
+    void give_up_lapsed(timestamp now);
+    void account(timestamp now);
+    void tend_runs(timestamp now);
+    void evacuate(vm_state& vm, timestamp now);
+    [[nodiscard]] std::uint32_t away(const job_state& job, step_place place) const;
+    void pace(vm_state& vm);
+    void place_waiting(timestamp now, std::int64_t wall_ms);
+    void place_step(job_state& job, step_place place, timestamp now);
+    bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now);
+    void place_gang(job_state& job, step_place place, timestamp now);
+
+    scheduler_settings m_settings;
+    std::uint32_t m_first_attempt;
+    std::vector<queue_settings> m_queues;
+    std::map<std::string, job_state, std::less<>> m_jobs;
+    vm_table m_vms;
+    std::set<std::string> m_unheard; ///< VMs that may run tasks of an earlier owner and did not report yet.
+    timestamp m_unaccounted_until;
+    bool m_accounted = false;
+    std::set<std::string> m_changed; ///< Jobs to store.
+    bool m_urgent = false;
+    bool m_ends_to_store = false;
+    std::int64_t m_waiting_work = 0;
+    decisions m_out;
+};
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/scheduler_decide.cpp
@@ -0,0 +1,259 @@
+#include "jobs/scheduler.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+/// A checkpointed task on a VM that is to be emptied is stopped and resumed elsewhere if it has at least this
+/// share of its work left; a task that is nearly done ends sooner where it is.
+constexpr std::int64_t nearly_done_percent = 60;
+/// A serving task whose tail is above this share of its target has its leftover neighbours slowed, so that
+/// the target is never passed for long; above the target they are halted.
+constexpr double tail_warning = 0.75;
+constexpr double tail_good = 0.5;
+constexpr int pace_rise = 20; ///< Percent a report, so that a neighbour's effect shows before the next rise.
+constexpr int least_pace = 10;
+/// Without any progress for this long a run counts as stuck. Reports come every two seconds at least.
+constexpr milliseconds stuck_after = 4500ms;
+
+} // namespace
+
+decisions scheduler::decide(timestamp now, std::int64_t wall_ms) {
+    give_up_lapsed(now);
+    account(now);
+    tend_runs(now);
+    place_waiting(now, wall_ms);
+    return std::exchange(m_out, {});
+}
+
+void scheduler::give_up_lapsed(timestamp now) {
+    for (auto item = m_vms.begin(); item != m_vms.end();) {
+        vm_state& vm = item->second;
+        const bool lapsed = vm.ever_heard() && now > vm.lapses_at();
+        if (lapsed && !vm.tasks().empty()) {
+            drop_runs_of(vm, "lease-lapsed", now);
+        }
+        const bool forgettable = !vm.listed && vm.tasks().empty() && !m_unheard.contains(item->first) &&
+                                 (lapsed || !vm.ever_heard());
+        item = forgettable ? m_vms.erase(item) : std::next(item);
+    }
+}
+
+void scheduler::account(timestamp now) {
+    if (m_accounted || (!m_unheard.empty() && now < m_unaccounted_until)) {
+        return;
+    }
+    m_accounted = true;
+    m_unheard.clear();
+    for (auto& [id, job] : m_jobs) {
+        job.account_for_all();
+    }
+}
+
+std::uint32_t scheduler::away(const job_state& job, step_place place) const {
+    std::uint32_t count = 0;
+    for (std::uint32_t index = 0; index < job.spec().steps[place.step].count; ++index) {
+        const task_state& task = job.task(job.id_of(place, index));
+        const bool at_work = std::ranges::any_of(task.runs, [&](const run& item) {
+            return item.phase == run_phase::running && item.percent >= 100;
+        });
+        count += at_work ? 0 : 1;
+    }
+    return count;
+}
+
+void scheduler::tend_runs(timestamp now) {
+    for (auto& [name, vm] : m_vms) {
+        if (vm.cordoned || vm.info().draining) {
+            evacuate(vm, now);
+        }
+        for (const task_id& id : vm.tasks()) {
+            job_state& job = m_jobs.find(id.job)->second;
+            const step_spec& step = job.spec().steps[id.step];
+            for (run& item : job.task(id).runs) {
+                if (item.vm != name) {
+                    continue;
+                }
+                const bool stopping = item.phase == run_phase::stopping || item.phase == run_phase::unsettled;
+                if (stopping && item.stop_acked_at == timestamp(0) &&
+                    now - item.stop_sent_at >= m_settings.stop_repeat) {
+                    stop_run(id, item, now);
+                }
+                const bool stuck = item.phase == run_phase::running && !step.long_running && !step.gang &&
+                                   vm.reachable && now - item.progress_at >= stuck_after &&
+                                   vm.heard_at() > item.progress_at + stuck_after / 2;
+                if (stuck) {
+                    note("run-stuck", name, &id, item.attempt);
+                    vm.book_failure(now);
+                    stop_run(id, item, now);
+                }
+            }
+        }
+    }
+}
+
+void scheduler::evacuate(vm_state& vm, timestamp now) {
+    const std::string& name = vm.info().incarnation;
+    for (const task_id& id : vm.tasks()) {
+        job_state& job = m_jobs.find(id.job)->second;
+        const step_spec& step = job.spec().steps[id.step];
+        for (run& item : job.task(id).runs) {
+            if (item.vm != name || item.phase != run_phase::running) {
+                continue;
+            }
+            if (!step.long_running && (!step.checkpointed || item.percent >= nearly_done_percent)) {
+                continue; // It ends by itself soon.
+            }
+            const bool budgeted = step.long_running && step.disruption_budget > 0;
+            if (budgeted && away(job, {id.occurrence, id.step}) >= step.disruption_budget) {
+                continue; // Its turn comes when the others of its step are at work again.
+            }
+            note("evacuate", name, &id, item.attempt);
+            stop_run(id, item, now);
+        }
+    }
+}
+
+void scheduler::pace(vm_state& vm) {
+    double worst = 0;
+    const std::string& name = vm.info().incarnation;
+    for (const task_id& id : vm.tasks()) {
+        const job_state& job = m_jobs.find(id.job)->second;
+        const step_spec& step = job.spec().steps[id.step];
+        for (const run& item : job.task(id).runs) {
+            if (step.target_tail_ms > 0 && item.vm == name) {
+                worst = std::max(worst,
+                                 static_cast<double>(item.usage) / static_cast<double>(step.target_tail_ms));
+            }
+        }
+    }
+    for (const task_id& id : vm.tasks()) {
+        job_state& job = m_jobs.find(id.job)->second;
+        if (!job.spec().steps[id.step].uses_leftover) {
+            continue;
+        }
+        for (run& item : job.task(id).runs) {
+            if (item.vm != name || item.phase != run_phase::running) {
+                continue;
+            }
+            int wanted = item.pace_percent;
+            if (worst > 1) {
+                wanted = 0;
+            } else if (worst > tail_warning) {
+                wanted = std::max(least_pace, wanted / 2);
+            } else if (worst < tail_good) {
+                wanted = std::min(100, wanted + pace_rise);
+            }
+            if (wanted != item.pace_percent) {
+                item.pace_percent = wanted;
+                m_out.paces.push_back({name, id, item.attempt, wanted});
+            }
+        }
+    }
+}
+
+// --- Placing ---
+
+struct scheduler::candidate {
+    job_rank rank;
+    job_state* job;
+};
+
+void scheduler::place_waiting(timestamp now, std::int64_t wall_ms) {
+    std::vector<candidate> waiting;
+    m_waiting_work = 0;
+    for (auto& [id, job] : m_jobs) {
+        if (is_final(job.phase()) || job.idle_total() == 0) {
+            continue;
+        }
+        const job_rank rank = rank_of(job, *queue_of(job), now);
+        if (rank.group == 1) {
+            m_waiting_work += waiting_work(job);
+        }
+        waiting.push_back({rank, &job});
+    }
+    std::ranges::sort(waiting, {}, &candidate::rank);
+    for (const candidate& item : waiting) {
+        job_state& job = *item.job;
+        job.each_step([&](step_place place) {
+            const bool due = !job.spec().timed ||
+                             wall_ms >= job.spec().start_at_ms + place.occurrence * job.spec().period_ms;
+            if (due && job.idle(place) > 0 && job.unlocked(place)) {
+                place_step(job, place, now);
+            }
+        });
+    }
+}
+
+void scheduler::place_step(job_state& job, step_place place, timestamp now) {
+    const step_spec& step = job.spec().steps[place.step];
+    if (step.gang) {
+        place_gang(job, place, now);
+        return;
+    }
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const task_id id = job.id_of(place, index);
+        const task_state& task = job.task(id);
+        if (task.done || !task.runs.empty() || (task.unaccounted && !step.speculative)) {
+            continue;
+        }
+        if (!place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, now)) {
+            return; // All tasks of a step are alike: where one finds no room, none does.
+        }
+    }
+}
+
+bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now) {
+    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, now);
+    if (vm == nullptr) {
+        return false;
+    }
+    run item;
+    item.attempt = attempt;
+    item.vm = vm->info().incarnation;
+    item.started_at = now;
+    item.progress_at = now;
+    item.start_deadline = vm->deadline(now, m_settings.start_patience);
+    vm->granted(item.start_deadline);
+    vm->add_task(id, counted_need(job.spec().steps[id.step]));
+    m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, {}});
+    job.add_run(id, std::move(item));
+    return true;
+}
+
+/// A gang starts whole or not at all: members that wait for the rest hold room that others could use, and
+/// end when they wait too long.
+void scheduler::place_gang(job_state& job, step_place place, timestamp now) {
+    const step_spec& step = job.spec().steps[place.step];
+    if (job.idle(place) != step.count) {
+        return;
+    }
+    std::uint32_t attempt = m_first_attempt;
+    std::string checkpoint;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const task_state& task = job.task(job.id_of(place, index));
+        if (task.unaccounted) {
+            return;
+        }
+        attempt = std::max(attempt, task.attempts);
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    const std::size_t before = m_out.starts.size();
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const task_id id = job.id_of(place, index);
+        job.task(id).checkpoint = checkpoint;
+        if (place_task(job, id, attempt + 1, now)) {
+            continue;
+        }
+        while (m_out.starts.size() > before) {
+            const start_order order = m_out.starts.back();
+            m_out.starts.pop_back();
+            drop_run(job, order.task, order.attempt, order.vm, now);
+        }
+        return;
+    }
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/scheduler_vms.cpp
@@ -0,0 +1,193 @@
+#include "jobs/scheduler.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+/// A VM answers with at most this many ends; with more waiting, its list says nothing about what is missing.
+constexpr std::size_t ends_in_full_report = 500;
+/// How long a VM that calls itself unhealthy is left alone.
+constexpr milliseconds unhealthy_pause = 1s;
+
+} // namespace
+
+void scheduler::list_vm(const vm_info& info) {
+    const auto found = m_vms.find(info.incarnation);
+    if (found == m_vms.end()) {
+        m_vms.emplace(info.incarnation, vm_state(info));
+        return;
+    }
+    found->second.set_info(info);
+    found->second.listed = true;
+}
+
+void scheduler::delist_vm(const std::string& vm) {
+    const auto found = m_vms.find(vm);
+    if (found != m_vms.end()) {
+        found->second.listed = false;
+    }
+}
+
+void scheduler::expect_vm(const vm_info& info) {
+    if (!m_vms.contains(info.incarnation)) {
+        vm_state vm(info);
+        vm.listed = false;
+        m_vms.emplace(info.incarnation, std::move(vm));
+    }
+    m_unheard.insert(info.incarnation);
+}
+
+void scheduler::vm_gone(const std::string& vm, timestamp now) {
+    const auto found = m_vms.find(vm);
+    m_unheard.erase(vm);
+    if (found == m_vms.end()) {
+        return;
+    }
+    drop_runs_of(found->second, "vm-gone", now);
+    m_vms.erase(found);
+}
+
+void scheduler::vm_unreachable(const std::string& vm) {
+    if (const auto found = m_vms.find(vm); found != m_vms.end()) {
+        found->second.reachable = false;
+    }
+}
+
+void scheduler::take_report(const std::string& name, const vm_report& report, timestamp now) {
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end()) {
+        return;
+    }
+    vm_state& vm = found->second;
+    vm.heard(report.clock_ms, now);
+    vm.reachable = true;
+    for (const end_report& end : report.ended) {
+        if (end.sequence > vm.seen) {
+            vm.seen = end.sequence;
+            m_ends_to_store = true;
+            take_end(vm, end, now);
+        }
+    }
+    for (const running_report& item : report.running) {
+        take_running(vm, item, report, now);
+    }
+    if (report.ended.size() < ends_in_full_report) {
+        settle_missing(vm, report, now);
+    }
+    m_unheard.erase(name);
+    pace(vm);
+}
+
+void scheduler::start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
+                               timestamp now) {
+    const auto job = m_jobs.find(order.task.job);
+    const auto vm = m_vms.find(order.vm);
+    if (vm != m_vms.end() && clock_ms > 0) {
+        vm->second.heard(clock_ms, now);
+    }
+    if (job == m_jobs.end()) {
+        return;
+    }
+    task_state& task = job->second.task(order.task);
+    const auto item = std::ranges::find_if(task.runs, [&](const run& one) {
+        return one.attempt == order.attempt && one.vm == order.vm;
+    });
+    if (item == task.runs.end()) {
+        return; // Its end was reported before this answer, or its VM is gone.
+    }
+    switch (outcome) {
+    case order_outcome::accepted:
+        if (item->phase == run_phase::starting) {
+            item->phase = run_phase::running;
+        }
+        item->confirmed_clock = std::max(item->confirmed_clock, clock_ms);
+        item->progress_at = now;
+        job->second.set_begun();
+        return;
+    case order_outcome::unknown:
+        if (item->phase == run_phase::starting) {
+            item->phase = run_phase::unsettled;
+            stop_run(order.task, *item, now);
+        }
+        return;
+    case order_outcome::refused_room:
+        if (vm != m_vms.end()) {
+            vm->second.full_until_clock = clock_ms;
+        }
+        break;
+    case order_outcome::refused_unhealthy:
+        if (vm != m_vms.end()) {
+            vm->second.set_aside(now + unhealthy_pause);
+        }
+        break;
+    default:
+        break;
+    }
+    if (item->phase != run_phase::running) {
+        drop_run(job->second, order.task, order.attempt, order.vm, now);
+    }
+}
+
+void scheduler::stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms,
+                              timestamp now) {
+    const auto job = m_jobs.find(order.task.job);
+    if (job == m_jobs.end() || !job->second.contains(order.task) || outcome != order_outcome::accepted) {
+        return;
+    }
+    for (run& item : job->second.task(order.task).runs) {
+        if (item.attempt == order.attempt && item.vm == order.vm) {
+            // From here on a run that isn't there can't come any more: a newer report settles it.
+            item.stop_acked_at = now;
+            item.confirmed_clock = std::max(item.confirmed_clock, clock_ms);
+        }
+    }
+}
+
+void scheduler::cordon(const std::string& vm, bool on) {
+    if (const auto found = m_vms.find(vm); found != m_vms.end()) {
+        found->second.cordoned = on;
+    }
+}
+
+bool scheduler::is_empty(const std::string& vm) const {
+    const auto found = m_vms.find(vm);
+    return found == m_vms.end() || found->second.tasks().empty();
+}
+
+std::int64_t scheduler::renewal_deadline(const std::string& vm, timestamp now) {
+    const auto found = m_vms.find(vm);
+    if (found == m_vms.end()) {
+        return 0;
+    }
+    const std::int64_t deadline = found->second.deadline(now, m_settings.lease);
+    if (deadline > 0) {
+        found->second.granted(deadline);
+    }
+    return deadline;
+}
+
+bool scheduler::wants_close_look(const std::string& name) const {
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end()) {
+        return false;
+    }
+    bool serving = false;
+    bool leftover = false;
+    for (const task_id& id : found->second.tasks()) {
+        const job_state& job = m_jobs.find(id.job)->second;
+        const step_spec& step = job.spec().steps[id.step];
+        serving = serving || step.target_tail_ms > 0;
+        leftover = leftover || step.uses_leftover;
+        for (const run& item : job.task(id).runs) {
+            if (item.vm == name && (item.phase == run_phase::unsettled || item.phase == run_phase::stopping ||
+                                    (step.long_running && item.percent < 100))) {
+                return true;
+            }
+        }
+    }
+    return serving && leftover;
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/upkeep.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// What is known of a machine when a wave is planned.
+struct upkeep_machine {
+    std::string machine;
+    std::string pool;
+    std::string vm;     ///< Incarnation that it runs; empty while it runs none.
+    bool up = true;     ///< It runs, and is not being moved or kept up.
+    bool idle = false;  ///< Its pool's owner says that nothing runs there.
+};
+
+/// A wave as its owner follows it.
+struct wave_state {
+    std::int64_t number = 0;
+    std::vector<std::string> machines;
+    std::size_t at_once = 1;
+    std::set<std::string> begun;                ///< Their upkeep has begun, or has been and gone.
+    std::map<std::string, std::string> waiting; ///< Begun, with the VM that it ran then; not back yet.
+};
+
+/// What to do next.
+struct wave_step {
+    std::vector<std::string> clear;  ///< Machines whose VMs are to be empty.
+    std::vector<std::string> order;  ///< Machines whose upkeep may begin now.
+    bool completed = false;
+};
+
+/// How many machines of one pool are emptied ahead of their turn: the next one is ready when its turn comes,
+/// and no more of the pool's room is given up than that.
+inline constexpr std::size_t clear_ahead = 1;
+
+/// Plans a wave's next step. Never more than `at_once` machines are down for it, counting every machine whose
+/// order may have been carried out; machines that are idle go first, since they cost nobody anything.
+[[nodiscard]] wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines);
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/vm.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "jobs/job.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// One life of a VM as it registered itself. A VM that restarts registers under a new `incarnation`.
+struct vm_info {
+    std::string incarnation;
+    std::string machine; ///< Stays the same over the VM's lives.
+    std::string pool;
+    std::string address;
+    std::uint16_t port = 0;
+    std::string availability_zone;
+    std::string kind;
+    std::string rack;
+    resources capacity;
+    bool draining = false;
+    std::int64_t remaining_ms = -1; ///< While draining: least time left; -1 if not told.
+
+    bool operator==(const vm_info&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(incarnation, machine, pool, address, port, availability_zone, kind, rack, capacity, draining,
+                remaining_ms);
+    }
+};
+
+/// How a run ended, as its VM reports it.
+enum class run_end : std::uint8_t {
+    done,
+    failed,  ///< By its own fault or its VM's.
+    stopped, ///< On our order.
+    lapsed,  ///< The VM's lease ran out.
+    broken,  ///< Another member of its gang ended.
+    alone    ///< It waited too long for the rest of its gang.
+};
+
+/// A run that a VM reports as going on.
+struct running_report {
+    task_id task;
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+    std::int64_t percent = 0;
+    std::int64_t usage = 0; ///< Serving tasks: tail latency in ms. Others: millicores in use.
+};
+
+/// A run that a VM reports as ended.
+struct end_report {
+    std::int64_t sequence = 0; ///< Counts the ends of one life of a VM, from 1.
+    task_id task;
+    std::uint32_t attempt = 0;
+    run_end how = run_end::failed;
+    std::string checkpoint;
+};
+
+/// A VM's answer to the renewal of its lease.
+struct vm_report {
+    std::int64_t clock_ms = 0; ///< The VM's own steady clock.
+    std::vector<running_report> running;
+    std::vector<end_report> ended;
+};
+
+/// How an order to a VM was answered.
+enum class order_outcome : std::uint8_t {
+    accepted,
+    refused_fenced,    ///< The VM has seen a higher fencing token.
+    refused_old,       ///< A run that is as new or newer was there.
+    refused_late,      ///< The order's deadline had passed when it arrived.
+    refused_room,      ///< The VM has no room for the task.
+    refused_ticket,    ///< The ticket is missing or no longer valid.
+    refused_unhealthy, ///< The VM calls itself unhealthy; nothing was done.
+    refused_invalid,   ///< The VM doesn't understand the order.
+    wrong_incarnation, ///< Another life of a VM answers at the address.
+    not_sent,          ///< No byte of the order left this process.
+    unknown            ///< No answer: it may have been, or may yet be, carried out.
+};
+
+} // namespace siskinpaddle::jobs
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::run_end>{
+    std::pair{siskinpaddle::jobs::run_end::done, std::string_view("done")},
+    std::pair{siskinpaddle::jobs::run_end::failed, std::string_view("failed")},
+    std::pair{siskinpaddle::jobs::run_end::stopped, std::string_view("stopped")},
+    std::pair{siskinpaddle::jobs::run_end::lapsed, std::string_view("lapsed")},
+    std::pair{siskinpaddle::jobs::run_end::broken, std::string_view("broken")},
+    std::pair{siskinpaddle::jobs::run_end::alone, std::string_view("alone")}};
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::order_outcome>{
+    std::pair{siskinpaddle::jobs::order_outcome::accepted, std::string_view("accepted")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_fenced, std::string_view("refused-fenced")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_old, std::string_view("refused-old")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_late, std::string_view("refused-late")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_room, std::string_view("refused-room")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_ticket, std::string_view("refused-ticket")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_unhealthy, std::string_view("refused-unhealthy")},
+    std::pair{siskinpaddle::jobs::order_outcome::refused_invalid, std::string_view("refused-invalid")},
+    std::pair{siskinpaddle::jobs::order_outcome::wrong_incarnation, std::string_view("wrong-incarnation")},
+    std::pair{siskinpaddle::jobs::order_outcome::not_sent, std::string_view("not-sent")},
+    std::pair{siskinpaddle::jobs::order_outcome::unknown, std::string_view("unknown")}};
--- /dev/null
+++ b/jobs/vm_state.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "jobs/vm.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace siskinpaddle::jobs {
+
+/// A VM's steady clock may run this much slower than ours; the platform's stated bound.
+inline constexpr double slowest_vm_clock = 0.98;
+
+/// What an owner knows of one VM: its room, its lease, how far its ends were taken, how it behaves. Not
+/// thread-safe.
+class vm_state {
+  public:
+    explicit vm_state(vm_info info) : m_info(std::move(info)) {}
+
+    [[nodiscard]] const vm_info& info() const noexcept { return m_info; }
+    void set_info(vm_info info) { m_info = std::move(info); }
+
+    /// Takes a reading of the VM's clock. `answered_at` is when the answer reached us, so the VM's clock is
+    /// at least `clock_ms` then.
+    void heard(std::int64_t clock_ms, timestamp answered_at);
+    [[nodiscard]] bool ever_heard() const noexcept { return m_clock_ms >= 0; }
+    [[nodiscard]] timestamp heard_at() const noexcept { return m_heard_at; }
+
+    /// Deadline on the VM's clock, `lease` from now; 0 when its clock is not known yet.
+    [[nodiscard]] std::int64_t deadline(timestamp now, milliseconds lease) const;
+    /// Remembers a deadline that was sent: the VM may have taken it even without an answer.
+    void granted(std::int64_t deadline);
+    /// From when on all that we ever let run there has certainly ended, if the VM hears nothing more.
+    [[nodiscard]] timestamp lapses_at() const;
+
+    [[nodiscard]] bool has_run(const task_id& task) const { return m_tasks.contains(task); }
+    void add_task(const task_id& task, const resources& need);
+    void remove_task(const task_id& task, const resources& need);
+    [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
+    [[nodiscard]] resources room() const;
+    [[nodiscard]] const resources& used() const noexcept { return m_used; }
+
+    /// Books an end of a run: repeated failures without a success set the VM aside for a while, longer each
+    /// time. Answers to VMs that fail all that they start while their health check stays good.
+    void book_success();
+    void book_failure(timestamp now);
+    /// Sets the VM aside after a refusal that says that it is unhealthy.
+    void set_aside(timestamp until) { m_aside_until = std::max(m_aside_until, until); }
+    [[nodiscard]] bool set_aside_at(timestamp now) const noexcept { return now < m_aside_until; }
+    [[nodiscard]] int strikes() const noexcept { return m_strikes; }
+
+    bool listed = true;            ///< The platform lists it.
+    bool reachable = true;         ///< Its last order was answered.
+    bool cordoned = false;         ///< No new runs: an upkeep or a move waits for it to be empty.
+    std::int64_t seen = 0;         ///< Ends up to here were taken in.
+    std::int64_t acknowledged = 0; ///< Ends up to here are stored, so the VM may forget them.
+    std::optional<std::int64_t> full_until_clock; ///< It refused for want of room; wait for a newer report.
+
+  private:
+    vm_info m_info;
+    std::int64_t m_clock_ms = -1;
+    timestamp m_heard_at{0};
+    std::int64_t m_granted = 0;
+    std::multiset<task_id> m_tasks;
+    resources m_used;
+    int m_strikes = 0;
+    timestamp m_aside_until{0};
+};
+
+} // namespace siskinpaddle::jobs
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -223,9 +223,6 @@
 }
 
 void http_server::drain() {
-    if (m_draining) {
-        return;
-    }
     m_draining = true;
     if (m_socket != nullptr) {
         evhttp_del_accept_socket(m_http, m_socket);
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -73,6 +73,10 @@
     /// Stops accepting and asks each client, with its next answer, to close its connection.
     void drain();
 
+    /// Goes on accepting, but asks each client, with its next answer, to close its connection: a process that
+    /// will stop soon sheds its connections while the platform still sends it new ones.
+    void shed_connections() { m_draining = true; }
+
     [[nodiscard]] std::size_t in_progress() const noexcept { return m_in_progress; }
     [[nodiscard]] std::size_t connections() const noexcept;
 
--- /dev/null
+++ b/node/ingress_task.cpp
@@ -0,0 +1,278 @@
+#include "node/ingress_task.hpp"
+
+#include "node/keys.hpp"
+
+#include "node/job_lookup.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// An owner answers in a few milliseconds, plus a write of the store; when it is frozen or cut off, the way
+/// through the store must still fit into the client's deadline of about three seconds.
+constexpr milliseconds owner_timeout = 900ms;
+/// While nobody can take the job: an owner is replaced in about three seconds.
+constexpr milliseconds retry_after_gap = 2s;
+constexpr milliseconds retry_after_start = 1s;
+/// A queue's count may be this old.
+constexpr milliseconds count_age = 1500ms;
+/// Above the largest body that a configuration allows so far; the configured bound is checked per call.
+constexpr std::size_t largest_body = 1U << 20U;
+
+peer_request message_for(peer_request_kind kind, const platform::client_call& call,
+                         std::int64_t configuration) {
+    peer_request message;
+    message.kind = static_cast<std::uint8_t>(kind);
+    message.pool = call.pool;
+    message.job = call.job;
+    message.queue = call.queue;
+    message.configuration = configuration;
+    return message;
+}
+
+} // namespace
+
+ingress_task::ingress_task(context parts, local_handler local)
+    : m_parts(parts), m_local(std::move(local)),
+      m_server(parts.loop, {.max_body = largest_body},
+               [this](request_handle request) { take(std::move(request)); }) {}
+
+void ingress_task::take(request_handle request) {
+    const timestamp now = event_loop::now();
+    if (!m_parts.configuration.known()) {
+        m_parts.counters.count("clients_without_configuration");
+        platform::answer_unavailable(*request, retry_after_start);
+        return;
+    }
+    const jobs::fleet_configuration& configuration = m_parts.configuration.current();
+    client_context client{request, platform::decode_client_call(*request, configuration), {}, now};
+    if (client.call.queue.empty()) {
+        log_event(event_id::client_refused, {{"target", request->target()},
+                                             {"why", "no-queue"},
+                                             {"configuration", configuration.version}});
+        platform::answer_no_queue(*request);
+        return;
+    }
+    peer_request message =
+        message_for(peer_request_kind::submit, client.call, configuration.version);
+    switch (client.call.request) {
+    case platform::client_request::submit: {
+        findings problems;
+        client.spec = platform::decode_job(request->body(), client.call.job, client.call.queue, problems);
+        if (request->body().size() > configuration.max_body_bytes) {
+            problems.add("/", "the body is larger than the operator allows");
+        }
+        if (!problems.empty()) {
+            log_event(event_id::client_refused, {{"job", client.call.job},
+                                                 {"why", "invalid"},
+                                                 {"place", problems.items().front().place},
+                                                 {"problem", problems.items().front().message}});
+            platform::answer_invalid(*request, problems.to_string());
+            return;
+        }
+        message.spec = client.spec;
+        ask_owner(client, std::move(message), &ingress_task::submit_answered);
+        return;
+    }
+    case platform::client_request::status:
+        message.kind = static_cast<std::uint8_t>(peer_request_kind::status);
+        ask_owner(client, std::move(message), &ingress_task::status_answered);
+        return;
+    case platform::client_request::cancel:
+        message.kind = static_cast<std::uint8_t>(peer_request_kind::cancel);
+        ask_owner(client, std::move(message), &ingress_task::cancel_answered);
+        return;
+    case platform::client_request::count: {
+        message.kind = static_cast<std::uint8_t>(peer_request_kind::count);
+        const auto known = m_counts.find(client.call.queue);
+        if (known != m_counts.end() && now - known->second.at < count_age) {
+            platform::answer_pending(*request, known->second.jobs);
+            return;
+        }
+        ask_owner(client, std::move(message), &ingress_task::count_answered);
+        return;
+    }
+    case platform::client_request::invalid:
+        platform::answer_no_queue(*request);
+        return;
+    }
+}
+
+void ingress_task::ask_owner(const client_context& client, peer_request message, handler next) {
+    const auto take_answer = [this, client, next, alive = m_lifetime.watch()](const peer_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        const peer_outcome outcome = outcome_of(answer);
+        if (outcome != peer_outcome::unknown && outcome != peer_outcome::unavailable) {
+            m_owner_answered_at = event_loop::now();
+        }
+        m_parts.configuration.heard_of(answer.configuration);
+        (this->*next)(client, answer);
+    };
+    if (m_local(message, take_answer)) {
+        return;
+    }
+    const auto owner = m_parts.membership.owner_of(pool_duty(client.call.pool));
+    if (!owner || owner->incarnation == m_parts.membership.self().incarnation) {
+        take_answer(answer_of(peer_outcome::not_owner));
+        return;
+    }
+    const milliseconds timeout = std::min(owner_timeout, client.call.deadline / 2);
+    m_parts.peers.call({owner->address, owner->port}, message, timeout, take_answer);
+}
+
+void ingress_task::observe(const client_context& client, std::string_view outcome) {
+    const std::string kind(name_of(client.call.request));
+    m_parts.counters.count("clients_" + kind + "_" + std::string(outcome));
+    m_parts.counters.observe("client_" + kind,
+                             static_cast<double>((event_loop::now() - client.received_at).count()));
+}
+
+void ingress_task::refuse(const client_context& client, std::string_view why, milliseconds retry_after) {
+    observe(client, "refused");
+    log_event(event_id::client_refused, {{"job", client.call.job},
+                                         {"call", name_of(client.call.request)},
+                                         {"why", why},
+                                         {"after_ms", (event_loop::now() - client.received_at).count()}});
+    platform::answer_unavailable(*client.request, retry_after);
+}
+
+void ingress_task::give_up(const client_context& client, std::string_view why) {
+    observe(client, "unknown");
+    log_event(event_id::client_unknown, {{"job", client.call.job},
+                                         {"call", name_of(client.call.request)},
+                                         {"why", why},
+                                         {"after_ms", (event_loop::now() - client.received_at).count()}});
+    platform::answer_unknown(*client.request);
+}
+
+// --- Submit ---
+
+void ingress_task::submit_answered(const client_context& client, const peer_answer& answer) {
+    switch (outcome_of(answer)) {
+    case peer_outcome::ok:
+        observe(client, "ok");
+        platform::answer_accepted(*client.request);
+        return;
+    case peer_outcome::overloaded:
+        observe(client, "overloaded");
+        platform::answer_overloaded(*client.request, milliseconds(answer.retry_after_ms));
+        return;
+    default:
+        submit_by_store(client, outcome_of(answer) == peer_outcome::unknown);
+        return;
+    }
+}
+
+/// Leaves the job where the pool's next owner finds it. `may_be_stored`: the owner may have accepted it, so a
+/// refusal would not be true any more.
+void ingress_task::submit_by_store(const client_context& client, bool may_be_stored) {
+    const jobs::job_record record{client.spec, wall_clock_ms()};
+    const std::string& id = client.call.job;
+    platform::store_transaction change;
+    change.conditions.push_back({submit_key(client.call.pool, id), 0});
+    change.conditions.push_back({job_prefix(client.call.pool) + id, 0});
+    change.conditions.push_back({progress_prefix(client.call.pool) + id, 0});
+    change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
+    m_parts.store.commit(change, [this, client, may_be_stored,
+                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        if (answer.status == platform::store_status::ok || answer.status == platform::store_status::conflict) {
+            observe(client, "ok_by_store");
+            platform::answer_accepted(*client.request);
+        } else if (answer.status == platform::store_status::refused && !may_be_stored) {
+            refuse(client, "store", retry_after_gap);
+        } else {
+            give_up(client, "store");
+        }
+    });
+}
+
+// --- Status ---
+
+void ingress_task::status_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) != peer_outcome::ok) {
+        status_by_store(client);
+        return;
+    }
+    observe(client, "ok");
+    platform::answer_phase(*client.request, static_cast<jobs::job_phase>(answer.phase));
+}
+
+void ingress_task::status_by_store(const client_context& client) {
+    look_up_job(m_parts.store, client.call.pool, client.call.job,
+                [this, client, alive = m_lifetime.watch()](const lookup_answer& answer) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!answer.answered) {
+                        refuse(client, "store", retry_after_start);
+                    } else if (answer.phase) {
+                        observe(client, "ok_by_store");
+                        platform::answer_phase(*client.request, *answer.phase);
+                    } else {
+                        observe(client, "no_job");
+                        platform::answer_no_job(*client.request);
+                    }
+                });
+}
+
+// --- Cancel ---
+
+void ingress_task::cancel_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) == peer_outcome::ok) {
+        observe(client, "ok");
+        platform::answer_accepted(*client.request);
+        return;
+    }
+    look_up_job(m_parts.store, client.call.pool, client.call.job,
+                [this, client, alive = m_lifetime.watch()](const lookup_answer& found) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!found.answered) {
+                        refuse(client, "store", retry_after_start);
+                    } else if (!found.phase) {
+                        observe(client, "no_job");
+                        platform::answer_no_job(*client.request);
+                    } else {
+                        cancel_by_store(client);
+                    }
+                });
+}
+
+void ingress_task::cancel_by_store(const client_context& client) {
+    platform::store_transaction change;
+    change.writes.push_back({cancel_key(client.call.pool, client.call.job), "1", 0});
+    m_parts.store.commit(change,
+                         [this, client, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                             if (alive.expired()) {
+                                 return;
+                             }
+                             if (answer.status == platform::store_status::ok) {
+                                 observe(client, "ok_by_store");
+                                 platform::answer_accepted(*client.request);
+                             } else {
+                                 give_up(client, "store");
+                             }
+                         });
+}
+
+// --- Count ---
+
+void ingress_task::count_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) != peer_outcome::ok) {
+        refuse(client, "no-owner", retry_after_start);
+        return;
+    }
+    observe(client, "ok");
+    m_counts[client.call.queue] = {answer.count, event_loop::now()};
+    platform::answer_pending(*client.request, answer.count);
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/ingress_task.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "node/configuration_task.hpp"
+#include "node/membership_task.hpp"
+#include "node/peer_client.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle::node {
+
+/// Takes clients' calls, hands them to the pool's owner, and falls back to the store where the owner can't be
+/// reached. Not thread-safe.
+class ingress_task {
+  public:
+    /// What the task works with; all outlive it.
+    struct context {
+        event_loop& loop;
+        platform::store_client& store;
+        membership_task& membership;
+        configuration_task& configuration;
+        peer_client& peers;
+        metrics& counters;
+    };
+    /// Hands a request to this node's own pool task; returns false if there is none.
+    using local_handler = std::function<bool(const peer_request&, peer_server::reply)>;
+
+    ingress_task(context parts, local_handler local);
+
+    [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+    /// Asks clients to go elsewhere with their next request; goes on serving.
+    void shed() { m_server.shed_connections(); }
+    /// Takes no new connections.
+    void close() { m_server.drain(); }
+    [[nodiscard]] bool idle() const noexcept { return m_server.in_progress() == 0; }
+    /// When an owner last answered.
+    [[nodiscard]] timestamp owner_answered_at() const noexcept { return m_owner_answered_at; }
+
+  private:
+    using request_handle = std::shared_ptr<server_request>;
+    struct client_context {
+        request_handle request;
+        platform::client_call call;
+        jobs::job_spec spec; ///< Of a submit.
+        timestamp received_at;
+    };
+    using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
+
+    void take(request_handle request);
+    void ask_owner(const client_context& client, peer_request message, handler next);
+    void submit_answered(const client_context& client, const peer_answer& answer);
+    void status_answered(const client_context& client, const peer_answer& answer);
+    void cancel_answered(const client_context& client, const peer_answer& answer);
+    void count_answered(const client_context& client, const peer_answer& answer);
+    void submit_by_store(const client_context& client, bool may_be_stored);
+    void status_by_store(const client_context& client);
+    void cancel_by_store(const client_context& client);
+    void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
+    void give_up(const client_context& client, std::string_view why);
+    void observe(const client_context& client, std::string_view outcome);
+
+    context m_parts;
+    local_handler m_local;
+    http_server m_server;
+    timestamp m_owner_answered_at{0};
+    struct cached_count {
+        std::uint64_t jobs = 0;
+        timestamp at{0};
+    };
+    std::map<std::string, cached_count> m_counts; ///< By queue.
+    lifetime m_lifetime;
+};
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/membership_task.cpp
@@ -0,0 +1,311 @@
+#include "node/membership_task.hpp"
+
+#include "node/keys.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// A dead node's duties wait this long for a new owner; runs on VMs outlive it under their own leases of six
+/// seconds. Renewed three times within it, so that one lost renewal costs nothing.
+constexpr milliseconds lease_ttl = 3s;
+constexpr milliseconds renew_interval = 900ms;
+constexpr milliseconds retry_interval = 300ms;
+/// Our clock and the store's run apart, and the answer may be late.
+constexpr milliseconds certainty_margin = 200ms;
+/// Between two looks at vacant duties.
+constexpr milliseconds claim_interval = 100ms;
+/// After the first start nodes appear within this of each other; whoever claims earlier takes everything.
+constexpr milliseconds settle_time = 900ms;
+/// Between a node's turns to claim, so that the first choice wins without a race.
+constexpr milliseconds turn = 120ms;
+/// The last owner of a duty, if it lives, takes it up again without a takeover.
+constexpr milliseconds last_owner_advantage = 800ms;
+
+constexpr milliseconds watch_wait = 5s;
+
+std::string draw_incarnation() {
+    std::random_device source;
+    return to_hex((static_cast<std::uint64_t>(source()) << 32U) ^ source());
+}
+
+} // namespace
+
+membership_task::membership_task(event_loop& loop, const node_settings& settings, platform::store_client& store,
+                                 handlers on_change)
+    : m_loop(loop), m_settings(settings), m_store(store), m_handlers(std::move(on_change)),
+      m_self{settings.id, draw_incarnation(), settings.peers.address, settings.peers.port,
+             settings.availability_zone},
+      m_watch(loop, store, control_prefix, watch_wait,
+              [this](const platform::store_item& item) { take_change(item); }),
+      m_renew_timer(loop.make_timer([this] { m_lease == 0 ? grant() : renew(); })),
+      m_claim_timer(loop.make_timer([this] { consider_claims(); })) {}
+
+void membership_task::start() {
+    m_started_at = event_loop::now();
+    grant();
+    m_watch.start([this] { m_listed = true; });
+    m_claim_timer->start(claim_interval);
+}
+
+timestamp membership_task::certain_until(const std::string& duty) const {
+    const auto found = m_owned.find(duty);
+    return found == m_owned.end() ? timestamp(0) : found->second.certain_until;
+}
+
+timestamp membership_task::act_until(const std::string& duty) const {
+    const auto found = m_owned.find(duty);
+    return found == m_owned.end() ? timestamp(0) : found->second.certain_until + grace_after_lease;
+}
+
+void membership_task::grant() {
+    if (m_leaving) {
+        return;
+    }
+    const timestamp asked_at = event_loop::now();
+    m_store.grant_lease(lease_ttl,
+                        [this, asked_at, alive = m_lifetime.watch()](const platform::lease_answer& answer) {
+                            if (!alive.expired()) {
+                                granted(answer, asked_at);
+                            }
+                        });
+}
+
+void membership_task::granted(const platform::lease_answer& answer, timestamp asked_at) {
+    if (answer.status != platform::store_status::ok || m_leaving) {
+        m_renew_timer->start(retry_interval);
+        return;
+    }
+    m_lease = answer.lease;
+    m_renewed_at = asked_at;
+    m_lease_certain_until = asked_at + answer.ttl - certainty_margin;
+    register_self();
+}
+
+void membership_task::register_self() {
+    platform::store_transaction change;
+    change.writes.push_back({node_prefix + m_self.id, encode_archive(m_self), m_lease});
+    m_store.commit(change, [this, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (alive.expired() || m_leaving) {
+            return;
+        }
+        if (answer.status == platform::store_status::no_lease) {
+            m_lease = 0;
+        } else if (answer.status == platform::store_status::ok) {
+            m_registered_at = event_loop::now();
+            log_event(event_id::node_registered, {{"node", m_self.id}, {"incarnation", m_self.incarnation}});
+        } else if (m_lease != 0) {
+            register_self();
+            return;
+        }
+        m_renew_timer->start(m_lease == 0 ? retry_interval : renew_interval);
+    });
+}
+
+void membership_task::renew() {
+    if (m_leaving) {
+        return;
+    }
+    const timestamp asked_at = event_loop::now();
+    m_store.renew_lease(m_lease,
+                        [this, asked_at, alive = m_lifetime.watch()](const platform::lease_answer& answer) {
+                            if (!alive.expired()) {
+                                renewed(answer, asked_at);
+                            }
+                        });
+}
+
+void membership_task::renewed(const platform::lease_answer& answer, timestamp asked_at) {
+    if (m_leaving) {
+        return;
+    }
+    if (answer.status == platform::store_status::ok) {
+        m_renewed_at = asked_at;
+        m_lease_certain_until = asked_at + answer.ttl - certainty_margin;
+        for (auto& [duty, held] : m_owned) {
+            // Claims under an earlier lease prove nothing any more: others may have claimed in between.
+            if (held.lease == m_lease) {
+                held.certain_until = m_lease_certain_until;
+            }
+        }
+        m_renew_timer->start(renew_interval);
+        return;
+    }
+    if (answer.status == platform::store_status::no_lease) {
+        log_event(event_id::node_lease_lost, {{"node", m_self.id}});
+        m_lease = 0;
+        grant();
+        return;
+    }
+    m_renew_timer->start(retry_interval);
+}
+
+void membership_task::set_duties(std::set<std::string> duties) {
+    m_duties = std::move(duties);
+}
+
+std::optional<node_record> membership_task::owner_of(const std::string& duty) const {
+    const auto found = m_owners.find(duty);
+    return found == m_owners.end() ? std::nullopt : std::optional(found->second.owner);
+}
+
+void membership_task::take_change(const platform::store_item& item) {
+    if (item.key.starts_with(node_prefix)) {
+        const std::string id = item.key.substr(node_prefix.size());
+        const auto record = decode_archive<node_record>(item.value);
+        if (item.deleted || !record) {
+            m_nodes.erase(id);
+        } else {
+            m_nodes[id] = record.value();
+        }
+    } else if (item.key.starts_with(owner_prefix)) {
+        take_owner(item.key.substr(owner_prefix.size()), item);
+    } else if (item.key.starts_with(alive_prefix)) {
+        const std::string duty = item.key.substr(alive_prefix.size());
+        if (item.deleted) {
+            m_alive.erase(duty);
+        } else {
+            m_alive[duty] = item;
+        }
+    }
+}
+
+void membership_task::take_owner(const std::string& duty, const platform::store_item& item) {
+    const auto record = decode_archive<owner_record>(item.value);
+    if (item.deleted || !record || m_owner_revisions[duty] >= item.revision) {
+        return;
+    }
+    m_owners[duty] = record.value();
+    m_owner_revisions[duty] = item.revision;
+    log_event(event_id::duty_owner, {{"duty", duty},
+                                     {"owner", record.value().owner.id},
+                                     {"epoch", record.value().epoch},
+                                     {"token", item.revision}});
+    if (record.value().owner.incarnation == m_self.incarnation) {
+        gain(duty, record.value(), item.revision);
+    } else if (m_owned.erase(duty) > 0) {
+        m_handlers.lost(duty);
+    }
+}
+
+void membership_task::gain(const std::string& duty, const owner_record& record, std::int64_t revision) {
+    const auto owned = m_owned.find(duty);
+    if (owned != m_owned.end() && owned->second.item.token >= revision) {
+        return;
+    }
+    const holding held{{duty, record.epoch, revision}, m_lease, m_lease_certain_until};
+    m_owned[duty] = held;
+    m_handlers.gained(held.item);
+}
+
+milliseconds membership_task::claim_delay(const std::string& duty) const {
+    const auto owner = m_owners.find(duty);
+    if (owner != m_owners.end() && owner->second.owner.incarnation == m_self.incarnation) {
+        return milliseconds(0);
+    }
+    std::size_t rank = 0;
+    const std::uint64_t own = hash64(duty + "/" + m_self.id);
+    for (const auto& [id, record] : m_nodes) {
+        rank += hash64(duty + "/" + id) < own ? 1 : 0;
+    }
+    // A node that already owns something lets the others go first, so that the work spreads.
+    const std::size_t turns = std::min<std::size_t>(rank, 6) + 4 * m_owned.size();
+    milliseconds delay = turn * turns;
+    if (owner != m_owners.end() && owner->second.owner.id != m_self.id && m_nodes.contains(owner->second.owner.id)) {
+        delay += last_owner_advantage;
+    }
+    return delay;
+}
+
+void membership_task::consider_claims() {
+    m_claim_timer->start(claim_interval);
+    const timestamp now = event_loop::now();
+    const bool ready = m_claiming && m_listed && m_lease != 0 && m_registered_at != timestamp(0) &&
+                       now - m_started_at >= settle_time;
+    for (const std::string& duty : m_duties) {
+        const auto alive = m_alive.find(duty);
+        const auto owner = m_owners.find(duty);
+        const bool mine = owner != m_owners.end() && owner->second.owner.id == m_self.id;
+        // A key under the lease of our own earlier incarnation is a leftover: that process is gone.
+        const bool leftover = mine && alive != m_alive.end() && alive->second.lease != m_lease;
+        if (alive != m_alive.end() && !leftover) {
+            m_vacant_since.erase(duty);
+            continue;
+        }
+        const timestamp since = m_vacant_since.try_emplace(duty, now).first->second;
+        if (ready && !m_claims.contains(duty) && now - since >= claim_delay(duty)) {
+            claim(duty);
+        }
+    }
+}
+
+void membership_task::claim(const std::string& duty) {
+    const auto owner = m_owners.find(duty);
+    owner_record record{m_self, 0};
+    if (owner != m_owners.end()) {
+        const bool same = owner->second.owner.incarnation == m_self.incarnation;
+        record.epoch = owner->second.epoch + (same ? 0 : 1);
+    }
+    const auto alive = m_alive.find(duty);
+    platform::store_transaction change;
+    change.conditions.push_back({owner_prefix + duty, m_owner_revisions[duty]});
+    change.conditions.push_back(
+        {alive_prefix + duty, alive == m_alive.end() ? 0 : alive->second.revision});
+    change.writes.push_back({owner_prefix + duty, encode_archive(record), 0});
+    change.writes.push_back({alive_prefix + duty, m_self.id, m_lease});
+    m_claims.insert(duty);
+    log_event(event_id::duty_claimed, {{"duty", duty}, {"epoch", record.epoch}});
+    m_store.commit(change,
+                   [this, duty, record, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                       if (!alive.expired()) {
+                           claimed(duty, record, answer);
+                       }
+                   });
+}
+
+void membership_task::claimed(const std::string& duty, const owner_record& record,
+                              const platform::store_answer& answer) {
+    m_claims.erase(duty);
+    m_vacant_since.erase(duty);
+    if (answer.status == platform::store_status::no_lease) {
+        m_lease = 0;
+        m_renew_timer->start(milliseconds(0));
+        return;
+    }
+    if (answer.status != platform::store_status::ok) {
+        return; // If it was carried out after all, the watch tells.
+    }
+    m_owners[duty] = record;
+    m_owner_revisions[duty] = std::max(m_owner_revisions[duty], answer.revision);
+    gain(duty, record, answer.revision);
+}
+
+void membership_task::release(const std::string& duty) {
+    m_owned.erase(duty);
+    platform::store_transaction change;
+    const auto alive = m_alive.find(duty);
+    if (alive == m_alive.end()) {
+        return;
+    }
+    change.conditions.push_back({alive_prefix + duty, alive->second.revision});
+    change.removals.push_back(alive_prefix + duty);
+    m_store.commit(change, [](const platform::store_answer&) {});
+}
+
+void membership_task::leave(std::function<void()> done) {
+    m_leaving = true;
+    m_claiming = false;
+    m_owned.clear();
+    m_watch.stop();
+    if (m_lease == 0) {
+        done();
+        return;
+    }
+    m_store.end_lease(m_lease, std::move(done));
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/node.cpp
@@ -0,0 +1,244 @@
+#include "node/node.hpp"
+
+#include "node/keys.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+constexpr milliseconds tick_interval = 200ms;
+/// Neither the store nor an owner has answered for this long: what is asked here can't be served.
+constexpr milliseconds reach_bound = 3s;
+constexpr milliseconds peer_timeout = 800ms;
+/// After SIGTERM the platform needs two misses of its readiness check, one a second, to send no more.
+constexpr milliseconds shed_time = 2500ms;
+/// Left of the grace period when the process ends whatever is open.
+constexpr milliseconds exit_margin = 700ms;
+
+} // namespace
+
+node::node(event_loop& loop, const node_settings& settings)
+    : m_loop(loop), m_settings(settings), m_store(loop, settings.store), m_vms(loop), m_peers(loop),
+      m_configuration(loop, m_store, [this] { configuration_changed(); }),
+      m_membership(loop, settings, m_store,
+                   {[this](const ownership& held) { duty_gained(held); },
+                    [this](const std::string& duty) { duty_lost(duty); }}),
+      m_ingress({loop, m_store, m_membership, m_configuration, m_peers, m_counters},
+                [this](const peer_request& request, peer_server::reply done) {
+                    return handle_local(request, std::move(done));
+                }),
+      m_peer_server(loop, [this](const peer_request& request,
+                                 peer_server::reply done) { handle_peer(request, std::move(done)); }),
+      m_readiness(loop, {},
+                  [this](const std::shared_ptr<server_request>& request) {
+                      if (platform::is_readiness_call(*request)) {
+                          platform::answer_readiness(*request, ready());
+                      } else {
+                          request->reply(404, {}, "");
+                      }
+                  }),
+      m_metrics_server(loop, {},
+                       [this](const std::shared_ptr<server_request>& request) {
+                           request->reply(200, {}, metrics_text());
+                       }),
+      m_timer(loop.make_timer([this] { tick(); })) {}
+
+findings node::listen() {
+    findings problems;
+    if (!m_ingress.listen(m_settings.clients)) {
+        problems.add("/clients", "can't bind " + m_settings.clients.to_string());
+    }
+    if (!m_readiness.listen(m_settings.readiness)) {
+        problems.add("/readiness", "can't bind " + m_settings.readiness.to_string());
+    }
+    if (!m_peer_server.listen(m_settings.peers)) {
+        problems.add("/peer_port", "can't bind " + m_settings.peers.to_string());
+    }
+    if (!m_metrics_server.listen(m_settings.metrics)) {
+        problems.add("/metrics_port", "can't bind " + m_settings.metrics.to_string());
+    }
+    return problems;
+}
+
+void node::start() {
+    log_event(event_id::node_started, {{"incarnation", m_membership.self().incarnation},
+                                       {"zone", m_settings.availability_zone},
+                                       {"clients", m_settings.clients.to_string()},
+                                       {"peers", m_settings.peers.to_string()},
+                                       {"store", m_settings.store.to_string()}});
+    m_configuration.start();
+    m_membership.start();
+    tick();
+}
+
+void node::configuration_changed() {
+    const jobs::fleet_configuration& configuration = m_configuration.current();
+    std::set<std::string> duties{fleet_duty};
+    for (const std::string& pool : configuration.working_pools()) {
+        duties.insert(pool_duty(pool));
+    }
+    m_membership.set_duties(std::move(duties));
+    for (const auto& [duty, task] : m_pools) {
+        task->configure(configuration);
+    }
+}
+
+void node::duty_gained(const ownership& held) {
+    if (held.duty == fleet_duty) {
+        if (m_fleet != nullptr) {
+            m_fleet->renew_token(held);
+            return;
+        }
+        m_fleet = std::make_unique<fleet_task>(
+            fleet_task::context{m_loop, m_settings, m_store, m_membership, m_configuration,
+                                [this](const peer_request& request, peer_server::reply done) {
+                                    ask_pool(request, std::move(done));
+                                }},
+            held);
+        m_fleet->start();
+        return;
+    }
+    if (const auto known = m_pools.find(held.duty); known != m_pools.end()) {
+        known->second->renew_token(held);
+        return;
+    }
+    const std::string pool = held.duty.substr(pool_duty("").size());
+    auto task = std::make_unique<pool_task>(
+        pool_task::context{m_loop, m_settings, m_store, m_vms, m_membership, m_counters}, pool, held);
+    task->configure(m_configuration.current());
+    task->start();
+    m_pools[held.duty] = std::move(task);
+}
+
+void node::duty_lost(const std::string& duty) {
+    log_event(event_id::duty_lost, {{"duty", duty}, {"found_by", "claim of another"}});
+    // Not from inside a callback of the task itself.
+    m_loop.post([this, duty] {
+        if (m_membership.owns(duty)) {
+            return;
+        }
+        m_pools.erase(duty);
+        if (duty == fleet_duty) {
+            m_fleet.reset();
+        }
+    });
+}
+
+// --- Requests ---
+
+bool node::handle_local(const peer_request& request, peer_server::reply done) {
+    const auto task = m_pools.find(pool_duty(request.pool));
+    if (task == m_pools.end() || !m_membership.owns(task->first)) {
+        return false;
+    }
+    if (event_loop::now() >= m_membership.act_until(task->first)) {
+        return false; // Perhaps no longer ours: the store knows.
+    }
+    task->second->handle(request, std::move(done));
+    return true;
+}
+
+void node::handle_peer(const peer_request& request, peer_server::reply done) {
+    m_configuration.heard_of(request.configuration);
+    const auto with_version = [this, done = std::move(done)](peer_answer answer) {
+        answer.configuration = m_configuration.current().version;
+        done(answer);
+    };
+    if (!handle_local(request, with_version)) {
+        with_version(answer_of(peer_outcome::not_owner));
+    }
+}
+
+void node::ask_pool(const peer_request& request, peer_server::reply done) {
+    if (handle_local(request, done)) {
+        return;
+    }
+    const auto owner = m_membership.owner_of(pool_duty(request.pool));
+    if (!owner) {
+        done(answer_of(peer_outcome::not_owner));
+        return;
+    }
+    m_peers.call({owner->address, owner->port}, request, peer_timeout, std::move(done));
+}
+
+// --- Readiness and stop ---
+
+bool node::ready() const {
+    const timestamp now = event_loop::now();
+    const timestamp reached = std::max(m_membership.renewed_at(), m_ingress.owner_answered_at());
+    return !m_stopping && m_configuration.known() && now - reached < reach_bound;
+}
+
+void node::tick() {
+    m_timer->start(tick_interval);
+    const bool is_ready = ready();
+    if (is_ready != m_was_ready) {
+        m_was_ready = is_ready;
+        log_event(is_ready ? event_id::node_ready : event_id::node_not_ready,
+                  {{"configuration", m_configuration.current().version},
+                   {"store_age_ms", (event_loop::now() - m_membership.renewed_at()).count()},
+                   {"stopping", static_cast<int>(m_stopping)}});
+    }
+    const bool reachable = event_loop::now() - m_membership.renewed_at() < reach_bound;
+    if (reachable != m_store_reachable) {
+        m_store_reachable = reachable;
+        log_event(reachable ? event_id::store_back : event_id::store_unreachable,
+                  {{"store", m_settings.store.to_string()}});
+    }
+    if (m_stopping) {
+        finish_stop();
+    }
+}
+
+void node::stop(std::function<void()> stopped) {
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stopped = std::move(stopped);
+    m_stop_at = event_loop::now();
+    log_event(event_id::node_stopping, {{"duties", m_pools.size() + (m_fleet ? 1 : 0)}});
+    m_membership.stop_claiming();
+    m_ingress.shed();
+    if (m_fleet != nullptr) {
+        m_fleet->stop();
+        m_membership.release(fleet_duty);
+    }
+    for (const auto& [duty, task] : m_pools) {
+        ++m_winding_down;
+        task->wind_down([this, duty = duty] {
+            --m_winding_down;
+            m_membership.release(duty);
+        });
+    }
+}
+
+void node::finish_stop() {
+    const milliseconds since = event_loop::now() - m_stop_at;
+    if (since >= shed_time && !m_closed) {
+        m_closed = true;
+        m_ingress.close();
+    }
+    const bool quiet = m_closed && m_ingress.idle() && m_winding_down == 0;
+    if (m_left || (!quiet && since < m_settings.grace - exit_margin)) {
+        return;
+    }
+    m_left = true;
+    m_membership.leave([this] {
+        log_event(event_id::node_stopped, {{"after_ms", (event_loop::now() - m_stop_at).count()}});
+        m_stopped();
+    });
+}
+
+std::string node::metrics_text() {
+    m_counters.set("store_calls", m_store.calls());
+    m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
+    for (const auto& [duty, task] : m_pools) {
+        m_counters.set("pool_jobs{pool=\"" + task->pool() + "\"}", task->scheduler().job_count());
+    }
+    return m_counters.to_text();
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/node.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "node/fleet_task.hpp"
+#include "node/ingress_task.hpp"
+#include "node/pool_task.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle::node {
+
+/// One node process put together: its tasks on one loop, their start and their graceful stop. Not thread-safe.
+class node {
+  public:
+    node(event_loop& loop, const node_settings& settings);
+
+    /// Binds every listener. Findings name each address that can't be bound.
+    [[nodiscard]] findings listen();
+    /// Precondition: listen() returned no findings.
+    void start();
+    /// Hands over its duties, answers what is in progress, then calls `stopped`, within the grace period.
+    void stop(std::function<void()> stopped);
+
+  private:
+    void configuration_changed();
+    void duty_gained(const ownership& held);
+    void duty_lost(const std::string& duty);
+    bool handle_local(const peer_request& request, peer_server::reply done);
+    void handle_peer(const peer_request& request, peer_server::reply done);
+    void ask_pool(const peer_request& request, peer_server::reply done);
+    [[nodiscard]] bool ready() const;
+    void tick();
+    void finish_stop();
+    [[nodiscard]] std::string metrics_text();
+
+    event_loop& m_loop;
+    const node_settings& m_settings;
+    metrics m_counters;
+    platform::store_client m_store;
+    platform::vm_client m_vms;
+    peer_client m_peers;
+    configuration_task m_configuration;
+    membership_task m_membership;
+    std::map<std::string, std::unique_ptr<pool_task>> m_pools;
+    std::unique_ptr<fleet_task> m_fleet;
+    ingress_task m_ingress;
+    peer_server m_peer_server;
+    http_server m_readiness;
+    http_server m_metrics_server;
+    std::unique_ptr<timer> m_timer;
+    std::function<void()> m_stopped;
+    timestamp m_stop_at{0};
+    std::size_t m_winding_down = 0;
+    bool m_was_ready = false;
+    bool m_store_reachable = false;
+    bool m_stopping = false;
+    bool m_closed = false;
+    bool m_left = false;
+};
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/node_settings.cpp
@@ -0,0 +1,89 @@
+#include "node/node_settings.hpp"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <netinet/in.h>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+bool is_address(const std::string& text) {
+    in_addr parsed{};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
+}
+
+/// "ADDRESS:PORT".
+endpoint read_endpoint(json_object& root, std::string_view key, findings& out) {
+    const std::string text = root.text(key);
+    const std::size_t colon = text.rfind(':');
+    endpoint where;
+    where.address = text.substr(0, colon);
+    if (colon != std::string::npos) {
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), where.port);
+    }
+    if (!is_address(where.address) || where.port == 0) {
+        out.add(root.path_of(key), "must be IPv4-NUMBER:PORT");
+    }
+    return where;
+}
+
+/// A duration given as a number that may have a fraction.
+milliseconds read_duration(json_object& root, std::string_view key, double unit_ms, double most, findings& out) {
+    const boost::json::value* value = root.child(key);
+    if (value == nullptr || !value->is_number()) {
+        out.add(root.path_of(key), "must be a number");
+        return milliseconds(0);
+    }
+    const double number = value->to_number<double>() * unit_ms;
+    if (number < 0 || number > most) {
+        out.add(root.path_of(key), "is out of range");
+        return milliseconds(0);
+    }
+    return milliseconds(static_cast<std::int64_t>(number));
+}
+
+constexpr double one_hour_ms = 3'600'000;
+
+} // namespace
+
+node_settings parse_node_settings(const boost::json::value& document, findings& out) {
+    json_object root(document, "", out);
+    node_settings settings;
+    settings.id = root.text("id");
+    if (settings.id.empty()) {
+        out.add("/id", "must not be empty");
+    }
+    settings.availability_zone = root.text("availability_zone");
+    settings.clients = read_endpoint(root, "clients", out);
+    settings.readiness = read_endpoint(root, "readiness", out);
+    const std::string address = root.text("address");
+    if (!is_address(address)) {
+        out.add("/address", "must be an IPv4 number");
+    }
+    settings.peers = {address, static_cast<std::uint16_t>(root.number("peer_port", {1, 65'535}))};
+    settings.metrics = {address, static_cast<std::uint16_t>(root.number("metrics_port", {1, 65'535}))};
+    settings.store = read_endpoint(root, "store", out);
+    settings.machines = read_endpoint(root, "machines", out);
+    const boost::json::value* advice = root.child("advice");
+    if (advice != nullptr && advice->is_string() && !advice->get_string().empty()) {
+        settings.advice = read_endpoint(root, "advice", out);
+    }
+    settings.vm_lease = read_duration(root, "vm_lease_ms", 1, one_hour_ms, out);
+    if (settings.vm_lease < 1s) {
+        out.add("/vm_lease_ms", "must be at least 1000");
+    }
+    settings.order_quiet = read_duration(root, "order_quiet_ms", 1, one_hour_ms, out);
+    settings.grace = read_duration(root, "grace_s", 1000, one_hour_ms, out);
+    settings.keep_ended = read_duration(root, "keep_ended_s", 1000, 24 * one_hour_ms, out);
+    settings.upkeep_time = read_duration(root, "upkeep_s", 1000, one_hour_ms, out);
+    settings.move_time = read_duration(root, "move_s", 1000, one_hour_ms, out);
+    const boost::json::value* rate = root.child("machine_orders_per_s");
+    settings.machine_orders_per_s = rate != nullptr && rate->is_number() ? rate->to_number<double>() : 0;
+    if (settings.machine_orders_per_s <= 0) {
+        out.add("/machine_orders_per_s", "must be a number above 0");
+    }
+    return settings;
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/node_settings.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "net/net.hpp"
+
+#include <string>
+
+namespace siskinpaddle::node {
+
+/// Settings of one node process, checked.
+struct node_settings {
+    std::string id;
+    std::string availability_zone;
+    endpoint clients;   ///< Where clients' requests arrive.
+    endpoint readiness; ///< Where the platform asks whether this node takes traffic.
+    endpoint peers;     ///< Where other nodes call.
+    endpoint metrics;
+    endpoint store;
+    endpoint machines;
+    endpoint advice;          ///< Port 0: there is no policy service.
+    milliseconds vm_lease{0}; ///< Longest lease that VMs grant.
+    milliseconds order_quiet{0}; ///< Two holders of a machine may not order within this of each other.
+    milliseconds grace{0};    ///< From SIGTERM to SIGKILL.
+    milliseconds keep_ended{0}; ///< How long clients may ask for an ended job.
+    milliseconds upkeep_time{0};
+    milliseconds move_time{0};
+    double machine_orders_per_s = 1;
+};
+
+/// Reads and checks a settings document; findings name every problem with its place.
+[[nodiscard]] node_settings parse_node_settings(const boost::json::value& document, findings& out);
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/peer_client.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "node/peer_protocol.hpp"
+#include "net/net.hpp"
+
+#include <functional>
+
+namespace siskinpaddle::node {
+
+/// Calls other nodes: HTTP with cereal bodies. A connection that can't be made answers `unavailable`, one
+/// that ends without an answer `unknown`.
+class peer_client {
+  public:
+    using callback = std::function<void(const peer_answer&)>;
+
+    explicit peer_client(event_loop& loop);
+
+    void call(const endpoint& to, const peer_request& request, milliseconds timeout, callback done);
+
+  private:
+    http_client m_client;
+};
+
+/// Answers other nodes' calls.
+class peer_server {
+  public:
+    using reply = std::function<void(const peer_answer&)>;
+    using handler = std::function<void(const peer_request&, reply)>;
+
+    peer_server(event_loop& loop, handler on_request);
+
+    [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+
+  private:
+    void take(std::shared_ptr<server_request> request);
+
+    handler m_handler;
+    http_server m_server;
+};
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/peer_protocol.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "jobs/jobs.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::node {
+
+/// What one node asks of another.
+enum class peer_request_kind : std::uint8_t {
+    submit,    ///< Accept a job.
+    status,    ///< Tell a job's phase.
+    cancel,    ///< Cancel a job.
+    count,     ///< Tell how many jobs of a queue have not begun.
+    clear_vms, ///< Empty these VMs and keep them empty; tell which of them are.
+};
+
+/// How a peer answered.
+enum class peer_outcome : std::uint8_t {
+    ok,
+    not_owner,
+    unknown_job,
+    overloaded,  ///< Not accepted; never runs.
+    unavailable, ///< Not carried out.
+    unknown      ///< It may have been carried out.
+};
+
+struct peer_request {
+    std::uint8_t kind = 0;
+    std::string pool;
+    std::string job;
+    std::string queue;
+    jobs::job_spec spec;          ///< With `submit`.
+    std::vector<std::string> vms; ///< With `clear_vms`: all VMs that are to be empty; others may work again.
+    std::int64_t configuration = 0; ///< Version in force at the sender.
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(kind, pool, job, queue, spec, vms, configuration);
+    }
+};
+
+struct peer_answer {
+    std::uint8_t outcome = static_cast<std::uint8_t>(peer_outcome::unknown);
+    std::uint8_t phase = 0;
+    std::uint64_t count = 0;
+    std::int64_t retry_after_ms = 0;
+    std::vector<std::string> vms;   ///< With `clear_vms`: those that are empty.
+    std::int64_t configuration = 0; ///< Version in force at the answering node.
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(outcome, phase, count, retry_after_ms, vms, configuration);
+    }
+};
+
+[[nodiscard]] inline peer_answer answer_of(peer_outcome outcome) {
+    peer_answer answer;
+    answer.outcome = static_cast<std::uint8_t>(outcome);
+    return answer;
+}
+
+[[nodiscard]] inline peer_outcome outcome_of(const peer_answer& answer) {
+    return static_cast<peer_outcome>(answer.outcome);
+}
+
+} // namespace siskinpaddle::node
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::node::peer_outcome>{
+    std::pair{siskinpaddle::node::peer_outcome::ok, std::string_view("ok")},
+    std::pair{siskinpaddle::node::peer_outcome::not_owner, std::string_view("not-owner")},
+    std::pair{siskinpaddle::node::peer_outcome::unknown_job, std::string_view("unknown-job")},
+    std::pair{siskinpaddle::node::peer_outcome::overloaded, std::string_view("overloaded")},
+    std::pair{siskinpaddle::node::peer_outcome::unavailable, std::string_view("unavailable")},
+    std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")}};
--- /dev/null
+++ b/node/pool_renewals.cpp
@@ -0,0 +1,106 @@
+#include "node/pool_task.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// A renewal waits this long for an end. The platform allows two seconds; below that by a margin, so that a
+/// lease of six seconds always has four left when its owner dies.
+constexpr milliseconds renewal_wait = 1500ms;
+/// Where runs may disturb each other or are not at work yet.
+constexpr milliseconds close_look_wait = 400ms;
+constexpr milliseconds renewal_retry = 150ms;
+constexpr milliseconds longest_retry = 600ms;
+/// While the owner may not act.
+constexpr milliseconds paused_retry = 250ms;
+
+} // namespace
+
+void pool_task::renew_later(const std::string& vm, milliseconds pause) {
+    vm_link& link = m_links[vm];
+    if (link.pause == nullptr) {
+        link.pause = m_parts.loop.make_timer([this, vm] { renew(vm); });
+    }
+    link.pause->start(pause);
+}
+
+void pool_task::renew(const std::string& vm) {
+    const auto known = m_scheduler.vms().find(vm);
+    if (known == m_scheduler.vms().end()) {
+        m_parts.loop.post([this, vm, alive = m_lifetime.watch()] {
+            if (!alive.expired() && !m_scheduler.vms().contains(vm)) {
+                m_links.erase(vm); // Not from inside its own timer.
+            }
+        });
+        return;
+    }
+    vm_link& link = m_links[vm];
+    if (link.renewing) {
+        return;
+    }
+    if (!may_act() || (m_winding_down && !m_scheduler.has_changes())) {
+        renew_later(vm, paused_retry);
+        return;
+    }
+    const jobs::vm_state& state = known->second;
+    if (state.seen > state.acknowledged) {
+        link.waits_for_store = true;
+        return;
+    }
+    if (!state.listed && state.tasks().empty() && state.ever_heard()) {
+        renew_later(vm, longest_retry); // Nothing runs there: let its lease run out.
+        return;
+    }
+    link.renewing = true;
+    milliseconds wait(0);
+    if (state.ever_heard() && state.reachable) {
+        wait = m_scheduler.wants_close_look(vm) ? close_look_wait : renewal_wait;
+    }
+    const std::int64_t deadline = m_scheduler.renewal_deadline(vm, event_loop::now());
+    m_parts.vms.renew(state.info(), m_held.token, deadline, state.acknowledged, wait,
+                      [this, vm, token = m_held.token,
+                       alive = m_lifetime.watch()](const platform::renewal_answer& answer) {
+                          if (!alive.expired()) {
+                              renewed(vm, answer, token);
+                          }
+                      });
+}
+
+void pool_task::renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token) {
+    const auto link = m_links.find(vm);
+    if (link == m_links.end()) {
+        return;
+    }
+    link->second.renewing = false;
+    const timestamp now = event_loop::now();
+    m_parts.counters.count("renewals_" + std::string(name_of(answer.outcome)));
+    if (answer.outcome == jobs::order_outcome::accepted) {
+        if (link->second.failures > 0) {
+            log_event(event_id::vm_reachable, {{"pool", m_pool}, {"vm", vm}});
+        }
+        link->second.failures = 0;
+        m_scheduler.take_report(vm, *answer.report, now);
+        decide_soon();
+        renew(vm);
+        return;
+    }
+    if (answer.outcome == jobs::order_outcome::wrong_incarnation) {
+        m_scheduler.vm_gone(vm, now);
+    } else if (answer.outcome == jobs::order_outcome::refused_fenced) {
+        ownership_lost("fence", token);
+    } else if (link->second.failures++ == 0) {
+        const auto known = m_scheduler.vms().find(vm);
+        log_event(event_id::vm_unreachable,
+                  {{"pool", m_pool},
+                   {"vm", vm},
+                   {"outcome", name_of(answer.outcome)},
+                   {"lapses_in_ms", (known->second.lapses_at() - now).count()}});
+    }
+    m_scheduler.vm_unreachable(vm);
+    decide_soon();
+    renew_later(vm, std::min(longest_retry, renewal_retry * std::max(1, link->second.failures)));
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/pool_requests.cpp
@@ -0,0 +1,308 @@
+#include "node/pool_task.hpp"
+
+#include "node/keys.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// Most jobs accepted by one transaction, beside its condition.
+constexpr std::size_t submits_at_once = platform::max_transaction_entries - 1;
+constexpr milliseconds submit_retry = 120ms;
+/// Refuse at once while the store has failed for this long: the job can't be stored in time.
+constexpr milliseconds store_failing_bound = 400ms;
+constexpr milliseconds retry_after_outage = 2s;
+
+} // namespace
+
+void pool_task::handle(const peer_request& request, reply done) {
+    if (!m_ready || m_lost || m_winding_down) {
+        done(answer_of(peer_outcome::not_owner));
+        return;
+    }
+    switch (static_cast<peer_request_kind>(request.kind)) {
+    case peer_request_kind::submit:
+        submit(request, done);
+        return;
+    case peer_request_kind::status:
+        status(request, done);
+        return;
+    case peer_request_kind::cancel:
+        cancel(request, done);
+        return;
+    case peer_request_kind::count: {
+        peer_answer answer = answer_of(peer_outcome::ok);
+        answer.count = m_scheduler.pending(request.queue);
+        done(answer);
+        return;
+    }
+    case peer_request_kind::clear_vms:
+        clear_vms(request, done);
+        return;
+    }
+    done(answer_of(peer_outcome::unavailable));
+}
+
+bool pool_task::store_is_failing() const {
+    return m_store_failing_since != timestamp(0) &&
+           event_loop::now() - m_store_failing_since >= store_failing_bound;
+}
+
+void pool_task::note_store(bool good) {
+    if (good) {
+        m_store_failing_since = timestamp(0);
+    } else if (m_store_failing_since == timestamp(0)) {
+        m_store_failing_since = event_loop::now();
+    }
+}
+
+void pool_task::submit(const peer_request& request, const reply& done) {
+    const std::string& id = request.spec.id;
+    if (m_scheduler.knows(id) || m_ended.contains(id)) {
+        done(answer_of(peer_outcome::ok));
+        return;
+    }
+    if (m_submitting.contains(id)) {
+        m_submits_again.emplace(id, done);
+        return;
+    }
+    if (store_is_failing()) {
+        peer_answer answer = answer_of(peer_outcome::unavailable);
+        answer.retry_after_ms = retry_after_outage.count();
+        log_event(event_id::submit_refused, {{"pool", m_pool}, {"job", id}, {"why", "store"}});
+        done(answer);
+        return;
+    }
+    const jobs::pool_load load = m_scheduler.load();
+    const jobs::admission_verdict verdict = m_scheduler.judge(request.spec);
+    const std::int64_t waiting_ms =
+        load.usable_millicores > 0 ? load.waiting_work / load.usable_millicores : -1;
+    if (!verdict.accepted) {
+        peer_answer answer = answer_of(peer_outcome::overloaded);
+        answer.retry_after_ms = verdict.retry_after.count();
+        log_event(event_id::submit_refused, {{"pool", m_pool},
+                                             {"job", id},
+                                             {"why", "load"},
+                                             {"waiting_ms", waiting_ms},
+                                             {"retry_after_ms", verdict.retry_after.count()}});
+        done(answer);
+        return;
+    }
+    log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", id}, {"waiting_ms", waiting_ms}});
+    m_submitting.insert(id);
+    m_submits.push_back({{request.spec, wall_clock_ms()}, done});
+    if (!m_writing_submits) {
+        write_submits();
+    }
+}
+
+void pool_task::write_submits() {
+    std::vector<waiting_submit> batch;
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    while (!m_submits.empty() && batch.size() < submits_at_once) {
+        waiting_submit item = std::move(m_submits.front());
+        m_submits.pop_front();
+        change.writes.push_back({job_prefix(m_pool) + item.record.spec.id, encode_archive(item.record), 0});
+        batch.push_back(std::move(item));
+    }
+    if (batch.empty()) {
+        return;
+    }
+    m_writing_submits = true;
+    m_parts.store.commit(change, [this, batch = std::move(batch), token = m_held.token, alive = m_lifetime.watch()](
+                                     const platform::store_answer& answer) mutable {
+        if (!alive.expired()) {
+            submits_written(std::move(batch), answer, token);
+        }
+    });
+}
+
+void pool_task::settle_submit(const std::string& job, const reply& done, peer_outcome outcome) {
+    m_submitting.erase(job);
+    done(answer_of(outcome));
+    const auto [first, last] = m_submits_again.equal_range(job);
+    for (auto item = first; item != last; ++item) {
+        item->second(answer_of(outcome));
+    }
+    m_submits_again.erase(first, last);
+}
+
+bool pool_task::has_unsettled(const std::vector<waiting_submit>& batch) const {
+    return std::ranges::any_of(batch, [this](const waiting_submit& item) {
+        return m_unsettled_submits.contains(item.record.spec.id);
+    });
+}
+
+void pool_task::submits_written(std::vector<waiting_submit> batch, const platform::store_answer& answer,
+                                std::int64_t token) {
+    m_writing_submits = false;
+    const bool stored = answer.status == platform::store_status::ok;
+    note_store(stored || answer.status == platform::store_status::conflict);
+    if (answer.status == platform::store_status::conflict) {
+        ownership_lost("submit", token);
+    }
+    const bool open = answer.status == platform::store_status::unknown ||
+                      (answer.status == platform::store_status::refused && has_unsettled(batch));
+    if (open && !m_lost) {
+        // The write may yet be carried out, so no refusal would be true: repeat it until the outcome is known.
+        for (const waiting_submit& item : batch) {
+            m_unsettled_submits.insert(item.record.spec.id);
+        }
+        m_submits.insert(m_submits.begin(), std::make_move_iterator(batch.begin()),
+                         std::make_move_iterator(batch.end()));
+        m_submit_timer->start(submit_retry);
+        m_writing_submits = true;
+        return;
+    }
+    for (const waiting_submit& item : batch) {
+        const std::string& id = item.record.spec.id;
+        if (stored) {
+            m_scheduler.add_job(item.record, event_loop::now());
+            settle_submit(id, item.done, peer_outcome::ok);
+        } else {
+            const bool unsettled =
+                answer.status == platform::store_status::unknown || m_unsettled_submits.contains(id);
+            settle_submit(id, item.done, unsettled ? peer_outcome::unknown : peer_outcome::unavailable);
+        }
+        m_unsettled_submits.erase(id);
+    }
+    if (stored) {
+        decide_soon();
+    }
+    if (!m_lost) {
+        write_submits();
+    }
+}
+
+void pool_task::status(const peer_request& request, const reply& done) const {
+    std::optional<jobs::job_phase> phase = m_scheduler.phase_of(request.job);
+    if (const auto ended = m_ended.find(request.job); !phase && ended != m_ended.end()) {
+        phase = ended->second;
+    }
+    if (!phase) {
+        done(answer_of(m_submitting.contains(request.job) ? peer_outcome::unavailable
+                                                          : peer_outcome::unknown_job));
+        return;
+    }
+    peer_answer answer = answer_of(peer_outcome::ok);
+    answer.phase = static_cast<std::uint8_t>(*phase);
+    done(answer);
+}
+
+void pool_task::cancel(const peer_request& request, const reply& done) {
+    const std::string& id = request.job;
+    if (m_ended.contains(id)) {
+        done(answer_of(peer_outcome::ok));
+        return;
+    }
+    switch (m_scheduler.cancel(id, event_loop::now())) {
+    case jobs::cancel_outcome::unknown_job:
+        done(answer_of(m_submitting.contains(id) ? peer_outcome::unavailable : peer_outcome::unknown_job));
+        return;
+    case jobs::cancel_outcome::already_final:
+    case jobs::cancel_outcome::cancelled:
+        log_event(event_id::job_cancelled, {{"pool", m_pool}, {"job", id}});
+        m_cancels.push_back({id, done});
+        settle_cancels();
+        decide_soon();
+        return;
+    }
+}
+
+/// Answers the cancellings whose jobs' final phase is stored.
+void pool_task::settle_cancels() {
+    std::erase_if(m_cancels, [this](const waiting_cancel& item) {
+        const jobs::job_state* job = m_scheduler.find_job(item.job);
+        if (job != nullptr && !job->durable_final) {
+            return false;
+        }
+        item.done(answer_of(peer_outcome::ok));
+        return true;
+    });
+}
+
+void pool_task::clear_vms(const peer_request& request, const reply& done) {
+    const std::set<std::string> wanted(request.vms.begin(), request.vms.end());
+    for (const std::string& vm : m_cleared_vms) {
+        if (!wanted.contains(vm)) {
+            m_scheduler.cordon(vm, false);
+        }
+    }
+    m_cleared_vms = wanted;
+    m_cleared_at = event_loop::now();
+    peer_answer answer = answer_of(peer_outcome::ok);
+    for (const std::string& vm : wanted) {
+        m_scheduler.cordon(vm, true);
+        if (m_scheduler.is_empty(vm)) {
+            answer.vms.push_back(vm);
+        }
+    }
+    decide_soon();
+    done(answer);
+}
+
+// --- Requests that did not reach an owner ---
+
+void pool_task::take_inbox(const platform::store_item& item) {
+    if (item.deleted || m_lost) {
+        return;
+    }
+    const std::string submit_prefix = submit_key(m_pool, "");
+    if (item.key.starts_with(submit_prefix)) {
+        take_inbox_submit(item, item.key.substr(submit_prefix.size()));
+        return;
+    }
+    const std::string job = item.key.substr(cancel_key(m_pool, "").size());
+    peer_request request;
+    request.job = job;
+    cancel(request, [this, item](const peer_answer& answer) {
+        if (outcome_of(answer) == peer_outcome::ok) {
+            remove_inbox(item.key);
+        } else {
+            m_inbox_again.push_back(item); // Its submit may still be on the way here.
+        }
+    });
+}
+
+void pool_task::take_inbox_submit(const platform::store_item& item, const std::string& job) {
+    const auto record = decode_archive<jobs::job_record>(item.value);
+    if (m_scheduler.knows(job) || m_ended.contains(job) || !record) {
+        remove_inbox(item.key);
+        return;
+    }
+    // Its client was told that it is accepted, so it is taken whatever the load.
+    log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", job}, {"by", "inbox"}});
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    change.writes.push_back({job_prefix(m_pool) + job, item.value, 0});
+    change.removals.push_back(item.key);
+    m_parts.store.commit(
+        change, [this, item, job, record = record.value(), token = m_held.token,
+                 alive = m_lifetime.watch()](const platform::store_answer& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            if (answer.status == platform::store_status::ok) {
+                if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
+                    m_scheduler.add_job(record, accepted_at(record.accepted_ms));
+                }
+                decide_soon();
+            } else if (answer.status == platform::store_status::conflict) {
+                ownership_lost("inbox", token);
+            } else {
+                m_inbox_again.push_back(item);
+            }
+        });
+}
+
+void pool_task::remove_inbox(const std::string& key) {
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    change.removals.push_back(key);
+    m_parts.store.commit(change, [](const platform::store_answer&) {});
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/pool_storing.cpp
@@ -0,0 +1,182 @@
+#include "node/pool_task.hpp"
+
+#include "node/keys.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// Changes that nobody waits for are collected this long, so that many ends go into one write.
+constexpr milliseconds store_collect = 25ms;
+/// A job that ended has a client asking for it: nearly at once, but several at a time.
+constexpr milliseconds urgent_collect = 2ms;
+constexpr milliseconds store_retry = 120ms;
+/// A final job takes two entries: its progress and the removal of its record. One entry is the condition.
+constexpr std::size_t jobs_at_once = (platform::max_transaction_entries - 1) / 2;
+/// An ended job stays with the scheduler this long, for late reports on its runs.
+constexpr milliseconds ended_in_scheduler = 3s;
+/// Between two looks for ended jobs to forget.
+constexpr milliseconds forget_interval = 2s;
+/// VMs that are kept empty for an upkeep go back to work if whoever asked for it is silent for this long.
+constexpr milliseconds cleared_bound = 6s;
+
+} // namespace
+
+void pool_task::store_soon() {
+    const bool urgent = m_scheduler.has_urgent_changes();
+    if (m_storing || (m_store_planned && !(urgent && !m_store_urgent))) {
+        return;
+    }
+    m_store_planned = true;
+    m_store_urgent = urgent;
+    m_store_timer->start(urgent ? urgent_collect : store_collect);
+}
+
+void pool_task::store_round() {
+    m_store_planned = false;
+    m_store_urgent = false;
+    if (m_storing || m_lost || !m_scheduler.has_changes()) {
+        return;
+    }
+    m_storing = true;
+    m_round = m_scheduler.begin_store();
+    m_chunks_open = 0;
+    m_round_good = true;
+    if (m_round.jobs.empty()) {
+        round_done();
+        return;
+    }
+    m_chunks_open = (m_round.jobs.size() + jobs_at_once - 1) / jobs_at_once;
+    for (std::size_t begin = 0; begin < m_round.jobs.size(); begin += jobs_at_once) {
+        write_chunk(begin);
+    }
+}
+
+void pool_task::write_chunk(std::size_t begin) {
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    std::vector<std::pair<std::string, std::uint64_t>> written;
+    const std::size_t end = std::min(m_round.jobs.size(), begin + jobs_at_once);
+    for (std::size_t i = begin; i < end; ++i) {
+        const std::string& id = m_round.jobs[i];
+        const jobs::job_state* job = m_scheduler.find_job(id);
+        if (job == nullptr) {
+            continue;
+        }
+        change.writes.push_back({progress_prefix(m_pool) + id, encode_archive(job->progress()), 0});
+        if (jobs::is_final(job->phase())) {
+            change.removals.push_back(job_prefix(m_pool) + id);
+        }
+        written.emplace_back(id, job->changed);
+    }
+    m_parts.store.commit(change, [this, written, token = m_held.token,
+                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (!alive.expired()) {
+            chunk_written(written, answer, token);
+        }
+    });
+}
+
+void pool_task::chunk_written(const std::vector<std::pair<std::string, std::uint64_t>>& written,
+                              const platform::store_answer& answer, std::int64_t token) {
+    const bool stored = answer.status == platform::store_status::ok;
+    note_store(stored || answer.status == platform::store_status::conflict);
+    if (stored) {
+        for (const auto& [id, change] : written) {
+            m_scheduler.job_stored(id, change, event_loop::now());
+            log_if_ended(id);
+        }
+    } else {
+        m_round_good = false;
+        if (answer.status == platform::store_status::conflict) {
+            ownership_lost("progress", token);
+        }
+    }
+    if (--m_chunks_open == 0) {
+        round_done();
+    }
+}
+
+void pool_task::log_if_ended(const std::string& id) const {
+    const jobs::job_state* job = m_scheduler.find_job(id);
+    if (job == nullptr || !job->durable_final) {
+        return;
+    }
+    log_event(event_id::job_ended,
+              {{"pool", m_pool},
+               {"job", id},
+               {"phase", name_of(job->phase())},
+               {"age_ms", (event_loop::now() - job->accepted_at()).count()},
+               {"chain_ms", job->longest_chain_ms()}});
+}
+
+void pool_task::round_done() {
+    m_storing = false;
+    if (m_round_good) {
+        m_scheduler.round_stored(m_round);
+    } else {
+        m_scheduler.round_failed(m_round);
+    }
+    settle_cancels();
+    for (auto& [vm, link] : m_links) {
+        if (std::exchange(link.waits_for_store, false)) {
+            renew_later(vm, milliseconds(0));
+        }
+    }
+    if (m_scheduler.has_changes() && !m_lost) {
+        m_store_planned = true;
+        m_store_timer->start(m_round_good ? urgent_collect : store_retry);
+    } else if (m_wound_down) {
+        std::exchange(m_wound_down, {})();
+    }
+}
+
+void pool_task::wind_down(std::function<void()> done) {
+    m_winding_down = true;
+    m_wound_down = std::move(done);
+    if (!m_storing && !m_scheduler.has_changes()) {
+        std::exchange(m_wound_down, {})();
+    } else {
+        store_soon();
+    }
+}
+
+void pool_task::forget_old() {
+    const timestamp now = event_loop::now();
+    if (now - m_forgot_at < forget_interval) {
+        return;
+    }
+    m_forgot_at = now;
+    if (!m_cleared_vms.empty() && now - m_cleared_at > cleared_bound) {
+        for (const std::string& vm : m_cleared_vms) {
+            m_scheduler.cordon(vm, false);
+        }
+        m_cleared_vms.clear();
+    }
+    for (const platform::store_item& item : std::exchange(m_inbox_again, {})) {
+        take_inbox(item);
+    }
+    for (const auto& [id, phase] : m_scheduler.forget_final(now, ended_in_scheduler)) {
+        m_ended[id] = phase;
+        m_ended_at[id] = now;
+    }
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    for (const auto& [id, ended] : m_ended_at) {
+        if (now - ended > m_parts.settings.keep_ended && change.removals.size() < 2 * jobs_at_once) {
+            change.removals.push_back(progress_prefix(m_pool) + id);
+        }
+    }
+    for (const std::string& key : change.removals) {
+        const std::string id = key.substr(progress_prefix(m_pool).size());
+        m_ended.erase(id);
+        m_ended_at.erase(id);
+    }
+    if (!change.removals.empty()) {
+        m_parts.store.commit(change, [](const platform::store_answer&) {});
+    }
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/pool_task.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "node/membership_task.hpp"
+#include "node/peer_protocol.hpp"
+#include "node/vm_directory.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace siskinpaddle::node {
+
+/// Owns one pool: carries out what its scheduler decides, stores what must last before it is told, and answers
+/// for the pool's jobs. Lives from gaining the duty until losing it. Not thread-safe.
+class pool_task {
+  public:
+    using reply = std::function<void(const peer_answer&)>;
+
+    /// What the task works with; all outlive it.
+    struct context {
+        event_loop& loop;
+        const node_settings& settings;
+        platform::store_client& store;
+        platform::vm_client& vms;
+        membership_task& membership;
+        metrics& counters;
+    };
+
+    pool_task(context parts, std::string pool, const ownership& held);
+
+    /// Reads what is stored and takes over the pool's VMs.
+    void start();
+    /// The same owner holds the duty under a new token.
+    void renew_token(const ownership& held);
+    void configure(const jobs::fleet_configuration& configuration);
+    /// Answers a request about the pool, at once or once what it needs is stored.
+    void handle(const peer_request& request, reply done);
+    /// Orders nothing more; what is changed is still stored. `done` is called once all is stored.
+    void wind_down(std::function<void()> done);
+
+    [[nodiscard]] const std::string& pool() const noexcept { return m_pool; }
+    [[nodiscard]] bool ready() const noexcept { return m_ready; }
+    [[nodiscard]] const jobs::scheduler& scheduler() const noexcept { return m_scheduler; }
+
+  private:
+    /// One VM's lease renewals.
+    struct vm_link {
+        bool renewing = false;
+        bool waits_for_store = false; ///< Ends are to be stored, so that the next renewal acknowledges them.
+        int failures = 0;
+        std::unique_ptr<timer> pause;
+    };
+    struct waiting_submit {
+        jobs::job_record record;
+        reply done;
+    };
+    struct waiting_cancel {
+        std::string job;
+        reply done;
+    };
+
+    // Taking over.
+    void load_progress(const std::string& after);
+    void load_jobs(const std::string& after);
+    void load_vms();
+    void finish_loading();
+    void retry_loading(std::function<void()> step);
+    [[nodiscard]] timestamp accepted_at(std::int64_t wall_ms) const;
+
+    // VMs.
+    void vm_changed(const std::string& vm, const std::optional<jobs::vm_info>& info);
+    void record_vms();
+    void use_recorded();
+    void renew(const std::string& vm);
+    void renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
+    void renew_later(const std::string& vm, milliseconds pause);
+
+    // Deciding.
+    [[nodiscard]] bool may_act() const;
+    void decide_soon();
+    void decide();
+    void send_start(const jobs::start_order& order);
+    void send_stop(const jobs::stop_order& order);
+    void send_pace(const jobs::pace_order& order);
+    void check_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
+                      const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
+    void log_decisions(const jobs::decisions& wanted) const;
+
+    // Requests.
+    void submit(const peer_request& request, const reply& done);
+    void cancel(const peer_request& request, const reply& done);
+    void status(const peer_request& request, const reply& done) const;
+    void clear_vms(const peer_request& request, const reply& done);
+    void settle_cancels();
+    void settle_submit(const std::string& job, const reply& done, peer_outcome outcome);
+    void write_submits();
+    [[nodiscard]] bool has_unsettled(const std::vector<waiting_submit>& batch) const;
+    void submits_written(std::vector<waiting_submit> batch, const platform::store_answer& answer,
+                         std::int64_t token);
+    void take_inbox(const platform::store_item& item);
+    void take_inbox_submit(const platform::store_item& item, const std::string& job);
+    void remove_inbox(const std::string& key);
+
+    // Storing.
+    void store_soon();
+    void store_round();
+    void write_chunk(std::size_t begin);
+    void chunk_written(const std::vector<std::pair<std::string, std::uint64_t>>& written,
+                       const platform::store_answer& answer, std::int64_t token);
+    void log_if_ended(const std::string& id) const;
+    void round_done();
+    [[nodiscard]] bool store_is_failing() const;
+    void note_store(bool good);
+    /// An answer to what was sent under `token` says that somebody else owns the pool.
+    void ownership_lost(const char* found_by, std::int64_t token);
+    [[nodiscard]] platform::store_condition owner_condition() const;
+    void forget_old();
+
+    context m_parts;
+    std::string m_pool;
+    ownership m_held;
+    jobs::scheduler m_scheduler;
+    vm_directory m_directory;
+    watch_task m_inbox;
+    bool m_ready = false;
+    bool m_lost = false;
+    bool m_winding_down = false;
+    std::function<void()> m_wound_down;
+
+    std::map<std::string, jobs::job_progress> m_loaded_progress;
+    std::map<std::string, jobs::job_phase> m_ended; ///< Jobs that ended and are no longer in the scheduler.
+    std::map<std::string, timestamp> m_ended_at;
+    std::vector<jobs::vm_info> m_recorded; ///< VMs that may hold runs, as stored.
+    bool m_recording = false;
+    bool m_record_again = false;
+
+    std::map<std::string, vm_link> m_links;
+    std::unique_ptr<timer> m_decide_timer;
+    bool m_deciding = false;
+    bool m_acting = true; ///< As last logged.
+
+    std::deque<waiting_submit> m_submits;
+    std::set<std::string> m_submitting; ///< Jobs whose record is on its way to the store.
+    bool m_writing_submits = false;
+    std::set<std::string> m_unsettled_submits; ///< Written at least once without an answer.
+    std::multimap<std::string, reply> m_submits_again; ///< Repeats of submits that are on their way.
+    std::unique_ptr<timer> m_submit_timer;
+    std::vector<waiting_cancel> m_cancels;
+    std::vector<platform::store_item> m_inbox_again; ///< Requests whose taking could not be stored yet.
+
+    std::unique_ptr<timer> m_store_timer;
+    std::unique_ptr<timer> m_retry;
+    std::function<void()> m_retry_action;
+    bool m_storing = false;
+    bool m_store_planned = false;
+    bool m_store_urgent = false;
+    jobs::store_round m_round;
+    std::size_t m_chunks_open = 0;
+    bool m_round_good = true;
+    timestamp m_store_failing_since{0}; ///< 0: the last write was answered.
+    std::set<std::string> m_cleared_vms; ///< VMs that are to be empty ...
+    timestamp m_cleared_at{0};           ///< ... as was last asked for then.
+    timestamp m_forgot_at{0};
+    lifetime m_lifetime;
+};
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/siskinpaddle_node.cpp
@@ -0,0 +1,89 @@
+#include "node/node.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <tclap/CmdLine.h>
+
+using namespace siskinpaddle;
+
+namespace {
+
+enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
+
+node::node_settings read_settings(const std::string& path, findings& out) {
+    const std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        out.add("", "can't be read");
+        return {};
+    }
+    const boost::json::value document = parse_json(text.str(), "", out);
+    return out.empty() ? node::parse_node_settings(document, out) : node::node_settings{};
+}
+
+/// What a running process takes over from changed settings: nothing yet but the report of their findings.
+void check_again(const std::string& path) {
+    findings problems;
+    static_cast<void>(read_settings(path, problems));
+    if (problems.empty()) {
+        log_event(event_id::settings_reloaded, {{"file", path}});
+    } else {
+        log_event(event_id::settings_refused, {{"file", path}, {"problems", problems.to_string()}});
+    }
+}
+
+int run(const node::node_settings& settings, const std::string& path, event_level level) {
+    start_event_log(settings.id, level);
+    event_loop loop;
+    node::node process(loop, settings);
+    if (const findings problems = process.listen(); !problems.empty()) {
+        std::cerr << problems.to_string();
+        return exit_failed;
+    }
+    const auto stop = [&] { process.stop([&loop] { loop.stop(); }); };
+    loop.on_signal(SIGTERM, stop);
+    loop.on_signal(SIGINT, stop);
+    loop.on_signal(SIGHUP, [&] { check_again(path); });
+    process.start();
+    loop.run();
+    return exit_good;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine line("Node process of siskinpaddle on the users' platform: takes clients' jobs, and owns "
+                            "pools and the fleet's orders when it holds their duties. Exit codes: 0 good, 1 "
+                            "failed, 2 bad settings.",
+                            ' ', SISKINPADDLE_VERSION);
+        TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (JSON).", true, "", "FILE", line);
+        TCLAP::ValueArg<std::string> level("l", "log-level", "debug, info, warning or error.", false, "info",
+                                           "LEVEL", line);
+        TCLAP::SwitchArg check("", "check", "Only check the settings and print every finding.", line);
+        line.parse(argc, argv);
+        findings problems;
+        const node::node_settings settings = read_settings(file.getValue(), problems);
+        const auto least = value_named<event_level>(level.getValue());
+        if (!least) {
+            problems.add("--log-level", "'" + level.getValue() + "' is not a level");
+        }
+        if (!problems.empty()) {
+            findings placed;
+            placed.append(problems, file.getValue() + ":");
+            std::cerr << placed.to_string();
+            return exit_bad_settings;
+        }
+        if (check.getValue()) {
+            std::cout << file.getValue() << ": good\n";
+            return exit_good;
+        }
+        return run(settings, file.getValue(), *least);
+    } catch (const std::exception& error) {
+        std::cerr << "siskinpaddle-node: " << error.what() << "\n";
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/node/vm_directory.cpp
@@ -0,0 +1,44 @@
+#include "node/vm_directory.hpp"
+
+#include "telemetry/telemetry.hpp"
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// A watch is cut and begun anew this often; a connection that went silent is found within this time.
+constexpr milliseconds watch_wait = 2s;
+
+} // namespace
+
+vm_directory::vm_directory(event_loop& loop, platform::store_client& store, change_handler on_change)
+    : m_on_change(std::move(on_change)),
+      m_watch(loop, store, std::string(platform::vm_prefix), watch_wait,
+              [this](const platform::store_item& item) { take(item); }) {}
+
+void vm_directory::start(std::function<void()> on_ready) {
+    m_watch.start(std::move(on_ready));
+}
+
+void vm_directory::take(const platform::store_item& item) {
+    const std::string incarnation = item.key.substr(platform::vm_prefix.size());
+    if (item.deleted) {
+        if (m_vms.erase(incarnation) > 0) {
+            m_on_change(incarnation, std::nullopt);
+        }
+        return;
+    }
+    const auto info = platform::decode_vm(item.key, item.value);
+    if (!info) {
+        log_event(event_id::vm_damaged, {{"vm", incarnation}, {"revision", item.revision}});
+        return;
+    }
+    const auto known = m_vms.find(incarnation);
+    if (known != m_vms.end() && known->second == *info) {
+        return;
+    }
+    m_vms[incarnation] = *info;
+    m_on_change(incarnation, info);
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/watch_task.cpp
@@ -0,0 +1,153 @@
+#include "node/watch_task.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// Pause before a failed call is repeated: short, since what is watched must be known within two seconds,
+/// and doubled up to a bound, since the store counts each call.
+constexpr milliseconds first_pause = 50ms;
+constexpr milliseconds longest_pause = 400ms;
+
+} // namespace
+
+watch_task::watch_task(event_loop& loop, platform::store_client& store, std::string prefix, milliseconds wait,
+                       change_handler on_change)
+    : m_loop(loop), m_store(store), m_prefix(std::move(prefix)), m_wait(wait),
+      m_on_change(std::move(on_change)), m_retry(loop.make_timer([this] {
+          if (m_running && m_retry_action) {
+              std::exchange(m_retry_action, {})();
+          }
+      })) {}
+
+void watch_task::start(std::function<void()> on_ready) {
+    m_on_ready = std::move(on_ready);
+    m_running = true;
+    refresh();
+}
+
+void watch_task::refresh() {
+    ++m_round;
+    list({}, m_round);
+}
+
+void watch_task::again(std::function<void()> action) {
+    const milliseconds pause = std::min(longest_pause, first_pause * (1 << std::min(m_failures, 5)));
+    ++m_failures;
+    m_retry_action = std::move(action);
+    m_retry->start(pause);
+}
+
+void watch_task::list(const std::string& after, std::uint64_t round) {
+    if (after.empty()) {
+        m_listing.clear();
+        m_listing_revision = 0;
+    }
+    m_store.range(m_prefix, after, [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (!alive.expired()) {
+            take_page(answer, round);
+        }
+    });
+}
+
+void watch_task::take_page(const platform::store_answer& answer, std::uint64_t round) {
+    if (!m_running || round != m_round) {
+        return;
+    }
+    if (answer.status != platform::store_status::ok) {
+        again([this, round] { list({}, round); });
+        return;
+    }
+    m_failures = 0;
+    m_answered_at = event_loop::now();
+    if (m_listing_revision == 0) {
+        // Pages are no snapshot: what changes while they are read shows in a watch from the first one.
+        m_listing_revision = answer.revision;
+    }
+    std::string last;
+    for (const platform::store_item& item : answer.items) {
+        last = item.key;
+        m_listing[item.key] = item;
+    }
+    if (answer.more && !last.empty()) {
+        list(last, round);
+        return;
+    }
+    finish_listing();
+    watch(round);
+}
+
+void watch_task::finish_listing() {
+    std::vector<platform::store_item> removed;
+    for (const auto& [key, item] : m_items) {
+        if (!m_listing.contains(key) && item.revision <= m_listing_revision) {
+            platform::store_item gone = item;
+            gone.deleted = true;
+            gone.revision = m_listing_revision;
+            removed.push_back(gone);
+        }
+    }
+    m_revision = std::max(m_revision, m_listing_revision);
+    const auto listing = std::exchange(m_listing, {});
+    for (const platform::store_item& item : removed) {
+        apply(item);
+    }
+    for (const auto& [key, item] : listing) {
+        apply(item);
+    }
+    if (m_on_ready) {
+        std::exchange(m_on_ready, {})();
+    }
+}
+
+void watch_task::apply(const platform::store_item& item) {
+    const auto known = m_items.find(item.key);
+    if (known != m_items.end() && known->second.revision >= item.revision) {
+        return;
+    }
+    if (item.deleted) {
+        if (known == m_items.end()) {
+            return;
+        }
+        m_items.erase(known);
+    } else {
+        m_items[item.key] = item;
+    }
+    m_on_change(item);
+}
+
+void watch_task::watch(std::uint64_t round) {
+    m_store.watch(m_prefix, m_revision, m_wait,
+                  [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                      if (!alive.expired()) {
+                          take_events(answer, round);
+                      }
+                  });
+}
+
+void watch_task::take_events(const platform::store_answer& answer, std::uint64_t round) {
+    if (!m_running || round != m_round) {
+        return;
+    }
+    if (answer.status == platform::store_status::compacted) {
+        list({}, round);
+        return;
+    }
+    if (answer.status != platform::store_status::ok) {
+        again([this, round] { watch(round); });
+        return;
+    }
+    m_failures = 0;
+    m_answered_at = event_loop::now();
+    for (const platform::store_item& item : answer.items) {
+        apply(item);
+    }
+    m_revision = std::max(m_revision, answer.revision);
+    if (m_running && round == m_round) {
+        watch(round);
+    }
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/watch_task.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "platform/platform.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle::node {
+
+/// Keeps a copy of all items under one prefix of the store, by one listing and then watches. A watch that
+/// fails goes on from the same revision; where the history is gone, the items are listed anew and the
+/// differences told as changes, so that nothing is missed.
+class watch_task {
+  public:
+    /// Called for each change: an item as it is now, or one that was removed (`deleted`).
+    using change_handler = std::function<void(const platform::store_item&)>;
+
+    watch_task(event_loop& loop, platform::store_client& store, std::string prefix, milliseconds wait,
+               change_handler on_change);
+
+    /// Begins with a listing; `on_ready` is called once, when the first one is complete.
+    void start(std::function<void()> on_ready = {});
+    void stop() { m_running = false; }
+
+    /// When the store last answered here.
+    [[nodiscard]] timestamp answered_at() const noexcept { return m_answered_at; }
+    [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
+    [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept { return m_items; }
+
+    /// Lists anew at once, e.g. because a peer knows of something newer.
+    void refresh();
+
+  private:
+    void list(const std::string& after, std::uint64_t round);
+    void take_page(const platform::store_answer& answer, std::uint64_t round);
+    void finish_listing();
+    void watch(std::uint64_t round);
+    void take_events(const platform::store_answer& answer, std::uint64_t round);
+    void apply(const platform::store_item& item);
+    void again(std::function<void()> action);
+
+    event_loop& m_loop;
+    platform::store_client& m_store;
+    std::string m_prefix;
+    milliseconds m_wait;
+    change_handler m_on_change;
+    std::function<void()> m_on_ready;
+    std::map<std::string, platform::store_item> m_items;
+    std::map<std::string, platform::store_item> m_listing;
+    std::int64_t m_listing_revision = 0;
+    std::int64_t m_revision = 0;
+    timestamp m_answered_at{0};
+    std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are ignored.
+    bool m_running = false;
+    int m_failures = 0;
+    std::unique_ptr<timer> m_retry;
+    std::function<void()> m_retry_action;
+    lifetime m_lifetime;
+};
+
+} // namespace siskinpaddle::node
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -63,7 +63,7 @@
     process_name = process;
     least_level = least;
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     using sink = sinks::synchronous_sink<sinks::text_ostream_backend>;
     auto frontend = boost::make_shared<sink>(backend);
--- a/telemetry/event_log.hpp
+++ b/telemetry/event_log.hpp
@@ -22,7 +22,7 @@
         : name(field), value(std::to_string(number)) {}
 };
 
-/// Sends events to standard error, one line each, from `least` upwards. Call once, before any thread logs.
+/// Sends events to standard output, one line each, from `least` upwards. Call once, before any thread logs.
 void start_event_log(std::string_view process, event_level least);
 
 /// Writes one event: time, level, number, name and `key=value` fields. Values with blanks are quoted.
--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -1,7 +1,7 @@
 #include "control/entry_settings.hpp"
 #include "net/loop_until.hpp"
 #include "peer/peer.hpp"
-#include "platform/task_protocol.hpp"
+#include "trial/task_protocol.hpp"
 #include "policy/fleet_builder.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/fakes/fake_vm.hpp
+++ b/tests/fakes/fake_vm.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/net.hpp"
-#include "platform/platform.hpp"
+#include "trial/trial.hpp"
 
 #include <fstream>
 #include <functional>
--- a/platform/platform_client.cpp
+++ b/trial/platform_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_client.hpp"
+#include "trial/platform_client.hpp"
 
 namespace siskinpaddle {
 
--- a/platform/task_protocol.cpp
+++ b/trial/task_protocol.cpp
@@ -1,4 +1,4 @@
-#include "platform/task_protocol.hpp"
+#include "trial/task_protocol.hpp"
 
 namespace siskinpaddle {
 
--- a/platform/worker_client.cpp
+++ b/trial/worker_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/worker_client.hpp"
+#include "trial/worker_client.hpp"
 
 namespace siskinpaddle {
 
--- a/platform/worker_client.hpp
+++ b/trial/worker_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/net.hpp"
-#include "platform/task_protocol.hpp"
+#include "trial/task_protocol.hpp"
 
 #include <functional>
 
