--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -61,6 +61,11 @@
         return;
     }
     vm_state& vm = found->second;
+    if (!vm.ever_heard()) {
+        // An earlier owner may have granted a whole lease just before: without this, runs that are adopted here
+        // look lapsed until our first renewal is answered, and are started a second time.
+        vm.granted(report.clock_ms + m_settings.lease.count());
+    }
     vm.heard(report.clock_ms, now);
     vm.reachable = true;
     for (const end_report& end : report.ended) {
