--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -119,7 +119,8 @@
     void cordon(const std::string& vm, bool on);
     /// Nothing runs on the VM, or may yet start there.
     [[nodiscard]] bool is_empty(const std::string& vm) const;
-    /// Deadline for the next renewal of the VM's lease; books it as granted. 0: first ask for its clock.
+    /// Deadline for the next renewal of the VM's lease; books it as granted. 0: only look, since its clock is
+    /// not known yet or it does not answer.
     [[nodiscard]] std::int64_t renewal_deadline(const std::string& vm, timestamp now);
     [[nodiscard]] const vm_table& vms() const noexcept { return m_vms; }
     /// Whether the VM runs something that should be looked at often: a run that is not at work yet, or tasks
@@ -171,7 +172,8 @@
     void account(timestamp now);
     void tend_runs(timestamp now);
     void evacuate(vm_state& vm, timestamp now);
-    [[nodiscard]] std::uint32_t away(const job_state& job, step_place place) const;
+    [[nodiscard]] std::uint32_t away(const job_state& job, step_place place, timestamp now) const;
+    [[nodiscard]] bool at_work(const run& item, timestamp now) const;
     void pace(vm_state& vm);
     void place_waiting(timestamp now, std::int64_t wall_ms);
     void place_step(job_state& job, step_place place, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -52,14 +52,20 @@
     }
 }
 
-std::uint32_t scheduler::away(const job_state& job, step_place place) const {
+/// A run counts as at work only while its VM answers: a VM that went dark takes its runs with it before their
+/// lease has run out, and moving another task meanwhile would pass the step's disruption budget.
+bool scheduler::at_work(const run& item, timestamp now) const {
+    const auto vm = m_vms.find(item.vm);
+    return item.phase == run_phase::running && item.percent >= 100 && vm != m_vms.end() &&
+           vm->second.reachable && now - vm->second.heard_at() <= m_settings.placement.silence;
+}
+
+std::uint32_t scheduler::away(const job_state& job, step_place place, timestamp now) const {
     std::uint32_t count = 0;
     for (std::uint32_t index = 0; index < job.spec().steps[place.step].count; ++index) {
         const task_state& task = job.task(job.id_of(place, index));
-        const bool at_work = std::ranges::any_of(task.runs, [&](const run& item) {
-            return item.phase == run_phase::running && item.percent >= 100;
-        });
-        count += at_work ? 0 : 1;
+        const bool working = std::ranges::any_of(task.runs, [&](const run& item) { return at_work(item, now); });
+        count += working ? 0 : 1;
     }
     return count;
 }
@@ -107,7 +113,7 @@
                 continue; // It ends by itself soon.
             }
             const bool budgeted = step.long_running && step.disruption_budget > 0;
-            if (budgeted && away(job, {id.occurrence, id.step}) >= step.disruption_budget) {
+            if (budgeted && away(job, {id.occurrence, id.step}, now) >= step.disruption_budget) {
                 continue; // Its turn comes when the others of its step are at work again.
             }
             note("evacuate", name, &id, item.attempt);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -163,7 +163,9 @@
 
 std::int64_t scheduler::renewal_deadline(const std::string& vm, timestamp now) {
     const auto found = m_vms.find(vm);
-    if (found == m_vms.end()) {
+    if (found == m_vms.end() || !found->second.reachable) {
+        // A renewal that is not answered may still arrive. Were it to carry a new deadline, the lease of a VM that
+        // is silent would never have run out for certain, and its runs would never start again elsewhere.
         return 0;
     }
     const std::int64_t deadline = found->second.deadline(now, m_settings.lease);
