--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::uint8_t done_bit = 0x80;
-constexpr std::uint8_t failures_mask = 0x7f;
+constexpr char done_mark = '1';
+constexpr char open_mark = '0';
 
 std::int64_t chain_of(const job_spec& spec) {
     std::vector<std::int64_t> ends(spec.steps.size(), 0);
@@ -143,13 +143,19 @@
 job_progress job_state::progress() const {
     job_progress result;
     result.phase = m_phase;
-    result.tasks.reserve(m_tasks.size());
+    result.done.reserve(m_tasks.size());
     for (std::size_t i = 0; i < m_tasks.size(); ++i) {
         const task_state& item = m_tasks[i];
-        const auto failures = std::min(item.failures, failures_mask);
-        result.tasks += static_cast<char>(item.done ? done_bit | failures : failures);
-        if (!item.done && !item.checkpoint.empty()) {
-            result.checkpoints[static_cast<std::uint32_t>(i)] = item.checkpoint;
+        const auto number = static_cast<std::uint32_t>(i);
+        result.done += item.done ? done_mark : open_mark;
+        if (item.done) {
+            continue;
+        }
+        if (!item.failed_attempts.empty()) {
+            result.failed_attempts[number] = item.failed_attempts;
+        }
+        if (!item.checkpoint.empty()) {
+            result.checkpoints[number] = item.checkpoint;
         }
     }
     return result;
@@ -157,27 +163,27 @@
 
 void job_state::restore(const job_progress& progress) {
     m_phase = progress.phase;
-    for (const step_place place : [this] {
-             std::vector<step_place> places;
-             each_step([&](step_place item) { places.push_back(item); });
-             return places;
-         }()) {
+    each_step([&](step_place place) {
         for (std::uint32_t index = 0; index < m_spec.steps[place.step].count; ++index) {
-            const task_id id = id_of(place, index);
-            const std::size_t at = position(id);
-            task_state& item = m_tasks[at];
-            const auto bits = at < progress.tasks.size() ? static_cast<std::uint8_t>(progress.tasks[at]) : 0;
-            item.failures = bits & failures_mask;
-            item.unaccounted = true;
-            if (const auto saved = progress.checkpoints.find(static_cast<std::uint32_t>(at));
-                saved != progress.checkpoints.end()) {
-                item.checkpoint = saved->second;
-            }
-            if ((bits & done_bit) != 0) {
-                mark_done(id);
-                m_begun = true;
-            }
+            restore_task(id_of(place, index), progress);
         }
+    });
+}
+
+void job_state::restore_task(const task_id& id, const job_progress& progress) {
+    const std::size_t at = position(id);
+    const auto number = static_cast<std::uint32_t>(at);
+    task_state& item = m_tasks[at];
+    item.unaccounted = true;
+    if (const auto failed = progress.failed_attempts.find(number); failed != progress.failed_attempts.end()) {
+        item.failed_attempts = failed->second;
+    }
+    if (const auto saved = progress.checkpoints.find(number); saved != progress.checkpoints.end()) {
+        item.checkpoint = saved->second;
+    }
+    if (at < progress.done.size() && progress.done[at] == done_mark) {
+        mark_done(id);
+        m_begun = true;
     }
 }
 
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -37,7 +37,9 @@
 /// One task.
 struct task_state {
     bool done = false;
-    std::uint8_t failures = 0;
+    /// Attempts that ended as failed. By number: a VM lists an end until it is acknowledged, so a successor can
+    /// see an end again that its predecessor counted and stored.
+    std::vector<std::uint32_t> failed_attempts;
     std::uint32_t attempts = 0; ///< Runs ordered by this owner.
     /// A run that an earlier owner ordered may be alive on a VM that has not answered yet.
     bool unaccounted = false;
@@ -47,15 +49,17 @@
     timestamp idle_since{0};
 };
 
-/// What must outlive an owner about a job, beside its specification. Small: one byte for each task.
+/// What must outlive an owner about a job, beside its specification. Small: one byte for each task, and what
+/// few tasks have.
 struct job_progress {
     job_phase phase = job_phase::queued;
-    std::string tasks; ///< For each task: bit 7 done, the other bits failures.
+    std::string done; ///< For each task '1' if it is done, else '0'.
+    std::map<std::uint32_t, std::vector<std::uint32_t>> failed_attempts;
     std::map<std::uint32_t, std::string> checkpoints;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(phase, tasks, checkpoints);
+        archive(phase, done, failed_attempts, checkpoints);
     }
 };
 
@@ -144,6 +148,7 @@
         std::uint32_t idle = 0;
     };
 
+    void restore_task(const task_id& id, const job_progress& progress);
     [[nodiscard]] std::size_t position(const task_id& id) const;
     [[nodiscard]] const step_counts& counts(step_place place) const {
         return m_counts[place.occurrence * m_spec.steps.size() + place.step];
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -188,19 +188,23 @@
     }
 }
 
-void scheduler::take_failure(job_state& job, const task_id& id, vm_state& vm, timestamp now) {
+void scheduler::take_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm,
+                             timestamp now) {
     const step_spec& step = job.spec().steps[id.step];
     if (step.long_running) {
         return;
     }
     const task_id counted = step.gang ? job.id_of({id.occurrence, id.step}, 0) : id;
     task_state& state = job.task(counted);
-    ++state.failures;
+    if (std::ranges::find(state.failed_attempts, attempt) != state.failed_attempts.end()) {
+        return; // Counted and stored by an earlier owner, or the gang's other members failed with it.
+    }
+    state.failed_attempts.push_back(attempt);
     job.task(id).failed_on.push_back(vm.info().incarnation);
     changed(job, false);
     const queue_settings& queue = *queue_of(job);
-    if (state.failures >= queue.max_attempts && &queue != &unknown_queue) {
-        note("job-failed", vm.info().incarnation, &counted, state.failures);
+    if (state.failed_attempts.size() >= queue.max_attempts && &queue != &unknown_queue) {
+        note("job-failed", vm.info().incarnation, &counted, attempt);
         finish(job, job_phase::failed, now);
     }
 }
@@ -234,7 +238,7 @@
     if (end.how == run_end::done) {
         take_done(job, end.task, now);
     } else if (end.how == run_end::failed) {
-        take_failure(job, end.task, vm, now);
+        take_failure(job, end.task, end.attempt, vm, now);
     }
 }
 
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -129,8 +129,9 @@
 
     // --- Deciding ---
 
-    /// `wall_ms`: time of day for jobs with due times.
-    [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms);
+    /// `wall_ms`: time of day for jobs with due times. `certain`: nobody else can have owned the pool since; only
+    /// then does silence of a VM prove anything, since a successor that reaches it would renew its lease.
+    [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms, bool certain);
     [[nodiscard]] pool_load load() const;
 
     // --- Storing ---
@@ -157,7 +158,7 @@
     // Runs.
     void take_end(vm_state& vm, const end_report& end, timestamp now);
     void take_done(job_state& job, const task_id& id, timestamp now);
-    void take_failure(job_state& job, const task_id& id, vm_state& vm, timestamp now);
+    void take_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm, timestamp now);
     void take_running(vm_state& vm, const running_report& item, const vm_report& report, timestamp now);
     void settle_missing(vm_state& vm, const vm_report& report, timestamp now);
     void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -20,9 +20,11 @@
 
 } // namespace
 
-decisions scheduler::decide(timestamp now, std::int64_t wall_ms) {
-    give_up_lapsed(now);
-    account(now);
+decisions scheduler::decide(timestamp now, std::int64_t wall_ms, bool certain) {
+    if (certain) {
+        give_up_lapsed(now);
+        account(now);
+    }
     tend_runs(now);
     place_waiting(now, wall_ms);
     return std::exchange(m_out, {});
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -287,7 +287,9 @@
     if (m_record_again) {
         record_vms();
     }
-    const jobs::decisions wanted = m_scheduler.decide(event_loop::now(), wall_clock_ms());
+    const timestamp now = event_loop::now();
+    const bool certain = now < m_parts.membership.certain_until(m_held.duty);
+    const jobs::decisions wanted = m_scheduler.decide(now, wall_clock_ms(), certain);
     log_decisions(wanted);
     for (const jobs::stop_order& order : wanted.stops) {
         send_stop(order);
