--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -61,7 +61,7 @@
     if (load.usable_millicores <= 0) {
         return {false, longest_retry_after};
     }
-    const milliseconds queue_time(load.waiting_work / load.usable_millicores);
+    const milliseconds queue_time = load.wait();
     const milliseconds allowed = allowed_time(longest_chain_ms, queue);
     const milliseconds expected = queue_time + milliseconds(longest_chain_ms);
     if (queue_time.count() == 0 ||
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -2,6 +2,8 @@
 
 #include "jobs/job_state.hpp"
 
+#include <algorithm>
+
 namespace siskinpaddle::jobs {
 
 /// Where a job stands among the others that wait for room; smaller goes first.
@@ -29,7 +31,14 @@
 /// Load of a pool, as admission sees it.
 struct pool_load {
     std::int64_t waiting_work = 0;    ///< Millicore-milliseconds that go before a new job.
-    std::int64_t usable_millicores = 0; ///< Capacity of the VMs that take work.
+    std::int64_t usable_millicores = 0; ///< Capacity of the VMs that take work ...
+    std::int64_t used_millicores = 0;   ///< ... and what runs there takes.
+    std::size_t usable_vms = 0;
+
+    /// How long the pool takes for the work that waits.
+    [[nodiscard]] milliseconds wait() const noexcept {
+        return milliseconds(waiting_work / std::max<std::int64_t>(1, usable_millicores));
+    }
 };
 
 /// What to do with a job that a client wants to submit.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -51,6 +51,8 @@
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
+            load.used_millicores += vm.used().cpu_millicores;
+            ++load.usable_vms;
         }
     }
     return load;
--- a/jobs/upkeep.cpp
+++ b/jobs/upkeep.cpp
@@ -6,18 +6,25 @@
 
 namespace {
 
-/// A machine that begun its upkeep is back when it runs another VM than before.
-bool is_back(const upkeep_machine& machine, const std::string& vm_before) {
-    return machine.up && !machine.vm.empty() && machine.vm != vm_before;
+/// The list of machines may be this much older than the moment it is read.
+constexpr milliseconds list_lag = 1000ms;
+
+/// A machine that began its upkeep is back when it runs another VM than before. One that was off runs none
+/// before and after; it is back when it is up although the upkeep's time has passed.
+bool is_back(const upkeep_machine& machine, const pending_upkeep& upkeep, milliseconds upkeep_time, timestamp now) {
+    const bool another_vm = !machine.vm.empty() && machine.vm != upkeep.vm_before;
+    const bool time_passed = machine.vm == upkeep.vm_before && now - upkeep.ordered_at > upkeep_time + list_lag;
+    return machine.up && (another_vm || time_passed);
 }
 
 } // namespace
 
-wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines) {
+wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines,
+                    milliseconds upkeep_time, timestamp now) {
     wave_step step;
     std::erase_if(wave.waiting, [&](const auto& item) {
         const auto found = machines.find(item.first);
-        return found == machines.end() || is_back(found->second, item.second);
+        return found == machines.end() || is_back(found->second, item.second, upkeep_time, now);
     });
     std::vector<const upkeep_machine*> left;
     std::size_t down = wave.waiting.size();
--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -19,13 +19,19 @@
     bool idle = false;  ///< Its pool's owner says that nothing runs there.
 };
 
+/// An upkeep that was ordered and is not known to be over.
+struct pending_upkeep {
+    std::string vm_before; ///< The VM that the machine ran then; empty for one that was off.
+    timestamp ordered_at{0};
+};
+
 /// A wave as its owner follows it.
 struct wave_state {
     std::int64_t number = 0;
     std::vector<std::string> machines;
     std::size_t at_once = 1;
     std::set<std::string> begun;                ///< Their upkeep has begun, or has been and gone.
-    std::map<std::string, std::string> waiting; ///< Begun, with the VM that it ran then; not back yet.
+    std::map<std::string, pending_upkeep> waiting; ///< Begun and not back yet.
 };
 
 /// What to do next.
@@ -41,6 +47,8 @@
 
 /// Plans a wave's next step. Never more than `at_once` machines are down for it, counting every machine whose
 /// order may have been carried out; machines that are idle go first, since they cost nobody anything.
-[[nodiscard]] wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines);
+/// `upkeep_time`: how long a machine is down.
+[[nodiscard]] wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines,
+                                  milliseconds upkeep_time, timestamp now);
 
 } // namespace siskinpaddle::jobs
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -127,7 +127,7 @@
             item.told_running = true;
             tell(number, false);
         }
-        const jobs::wave_step step = jobs::plan_wave(item.state, m_machines);
+        const jobs::wave_step step = jobs::plan_wave(item.state, m_machines, m_parts.settings.upkeep_time, event_loop::now());
         for (const std::string& machine : step.clear) {
             const jobs::upkeep_machine& info = m_machines[machine];
             to_clear[info.pool].insert(info.vm);
@@ -178,7 +178,7 @@
 /// do, and never lets too many be down at once.
 void fleet_task::order(wave& item, const std::string& machine) {
     item.state.begun.insert(machine);
-    item.state.waiting[machine] = m_machines[machine].vm;
+    item.state.waiting[machine] = {m_machines[machine].vm, event_loop::now()};
     platform::store_transaction change;
     change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
     change.writes.push_back({wave_record_key(item.state.number), encode_archive(item.state.begun), 0});
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -233,7 +233,9 @@
 }
 
 std::string node::metrics_text() {
-    m_counters.set("store_calls", m_store.calls());
+    for (const auto& [kind, calls] : m_store.calls()) {
+        m_counters.set("store_calls_" + kind, calls);
+    }
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
     for (const auto& [duty, task] : m_pools) {
         m_counters.set("pool_jobs{pool=\"" + task->pool() + "\"}", task->scheduler().job_count());
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -77,8 +77,7 @@
     }
     const jobs::pool_load load = m_scheduler.load();
     const jobs::admission_verdict verdict = m_scheduler.judge(request.spec);
-    const std::int64_t waiting_ms =
-        load.usable_millicores > 0 ? load.waiting_work / load.usable_millicores : -1;
+    const std::int64_t waiting_ms = load.wait().count();
     if (!verdict.accepted) {
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds load_retry = 150ms;
 /// How often decisions are looked at without an event: leases that ran out, stops to repeat.
 constexpr milliseconds decide_interval = 200ms;
+constexpr milliseconds load_interval = 1s;
 /// A watch is begun anew this often; a connection that went silent is found within this time.
 constexpr milliseconds inbox_wait = 3s;
 
@@ -304,8 +305,22 @@
         store_soon();
     }
     forget_old();
+    log_load(now);
 }
 
+void pool_task::log_load(timestamp now) {
+    const jobs::pool_load load = m_scheduler.load();
+    if (now - m_load_logged_at < load_interval || m_scheduler.job_count() == 0) {
+        return;
+    }
+    m_load_logged_at = now;
+    log_event(event_id::pool_load, {{"pool", m_pool},
+                                    {"vms", load.usable_vms},
+                                    {"usable_cores", load.usable_millicores / 1000},
+                                    {"used_cores", load.used_millicores / 1000},
+                                    {"waiting_ms", load.wait().count()},
+                                    {"jobs", m_scheduler.job_count()}});
+}
 
 /// One line for each step that got tasks placed, and one for each note.
 void pool_task::log_decisions(const jobs::decisions& wanted) const {
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -89,6 +89,7 @@
     void check_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
                       const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
     void log_decisions(const jobs::decisions& wanted) const;
+    void log_load(timestamp now);
 
     // Requests.
     void submit(const peer_request& request, const reply& done);
@@ -165,6 +166,7 @@
     std::set<std::string> m_cleared_vms; ///< VMs that are to be empty ...
     timestamp m_cleared_at{0};           ///< ... as was last asked for then.
     timestamp m_forgot_at{0};
+    timestamp m_load_logged_at{0};
     lifetime m_lifetime;
 };
 
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -8,13 +8,16 @@
 
 /// A watch is cut and begun anew this often; a connection that went silent is found within this time.
 constexpr milliseconds watch_wait = 2s;
+/// Each VM writes its registration every second and a half, so watches of many VMs would return all the time:
+/// 121 calls a second for 48 VMs and four owners without the pause, 9 with it, counted by the store's client.
+constexpr milliseconds watch_pause = 400ms;
 
 } // namespace
 
 vm_directory::vm_directory(event_loop& loop, platform::store_client& store, change_handler on_change)
     : m_on_change(std::move(on_change)),
       m_watch(loop, store, std::string(platform::vm_prefix), watch_wait,
-              [this](const platform::store_item& item) { take(item); }) {}
+              [this](const platform::store_item& item) { take(item); }, watch_pause) {}
 
 void vm_directory::start(std::function<void()> on_ready) {
     m_watch.start(std::move(on_ready));
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 watch_task::watch_task(event_loop& loop, platform::store_client& store, std::string prefix, milliseconds wait,
-                       change_handler on_change)
-    : m_loop(loop), m_store(store), m_prefix(std::move(prefix)), m_wait(wait),
+                       change_handler on_change, milliseconds pause)
+    : m_loop(loop), m_store(store), m_prefix(std::move(prefix)), m_wait(wait), m_pause(pause),
       m_on_change(std::move(on_change)), m_retry(loop.make_timer([this] {
           if (m_running && m_retry_action) {
               std::exchange(m_retry_action, {})();
@@ -36,6 +36,10 @@
 void watch_task::again(std::function<void()> action) {
     const milliseconds pause = std::min(longest_pause, first_pause * (1 << std::min(m_failures, 5)));
     ++m_failures;
+    later(pause, std::move(action));
+}
+
+void watch_task::later(milliseconds pause, std::function<void()> action) {
     m_retry_action = std::move(action);
     m_retry->start(pause);
 }
@@ -145,7 +149,12 @@
         apply(item);
     }
     m_revision = std::max(m_revision, answer.revision);
-    if (m_running && round == m_round) {
+    if (!m_running || round != m_round) {
+        return;
+    }
+    if (m_pause.count() > 0 && !answer.items.empty()) {
+        later(m_pause, [this, round] { watch(round); });
+    } else {
         watch(round);
     }
 }
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -17,8 +17,10 @@
     /// Called for each change: an item as it is now, or one that was removed (`deleted`).
     using change_handler = std::function<void(const platform::store_item&)>;
 
+    /// `wait`: how long a watch waits for a change. `pause`: between two watches, where what changes all the
+    /// time need not be known at once, since each watch is a call that the platform counts.
     watch_task(event_loop& loop, platform::store_client& store, std::string prefix, milliseconds wait,
-               change_handler on_change);
+               change_handler on_change, milliseconds pause = milliseconds(0));
 
     /// Begins with a listing; `on_ready` is called once, when the first one is complete.
     void start(std::function<void()> on_ready = {});
@@ -40,11 +42,13 @@
     void take_events(const platform::store_answer& answer, std::uint64_t round);
     void apply(const platform::store_item& item);
     void again(std::function<void()> action);
+    void later(milliseconds pause, std::function<void()> action);
 
     event_loop& m_loop;
     platform::store_client& m_store;
     std::string m_prefix;
     milliseconds m_wait;
+    milliseconds m_pause;
     change_handler m_on_change;
     std::function<void()> m_on_ready;
     std::map<std::string, platform::store_item> m_items;
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -103,6 +103,7 @@
     wave_completed = 1942,
     machines_unknown = 1943,
     log_lines_dropped = 1944,
+    pool_load = 1945,
 };
 
 /// Catalogue line of an event.
@@ -195,6 +196,7 @@
     event_entry{event_id::machine_ordered, "machine-ordered", event_level::info},
     event_entry{event_id::wave_completed, "wave-completed", event_level::info},
     event_entry{event_id::machines_unknown, "machines-unknown", event_level::warning},
+    event_entry{event_id::pool_load, "pool-load", event_level::info},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
