Machines follow the demand from pool to pool

Change: owners tell their demand, the fleet's owner lends idle VMs and parks them in the spare pool; what runs is packed so that whole VMs stay idle. Ruled out: admission alone (the pool was full).

--- /dev/null
+++ b/jobs/balance.cpp
@@ -0,0 +1,172 @@
+#include "jobs/balance.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+/// A pool while a plan is made.
+struct pool_account {
+    std::string name;
+    std::size_t have = 0;   ///< VMs that work for it, or are about to.
+    std::size_t wanted = 0;
+    std::vector<const balance_machine*> idle;      ///< May leave at once.
+    std::vector<const balance_machine*> clearable; ///< May leave when their short runs have ended.
+
+    [[nodiscard]] std::size_t missing() const noexcept { return wanted > have ? wanted - have : 0; }
+    [[nodiscard]] std::size_t surplus() const noexcept { return have > wanted ? have - wanted : 0; }
+};
+
+std::size_t wanted_vms(const pool_demand& demand, std::int64_t millicores_each, const balance_settings& settings) {
+    const auto hosts = static_cast<std::size_t>(
+        std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.long_running; }));
+    const double each = static_cast<double>(std::max<std::int64_t>(1, millicores_each));
+    const double need = static_cast<double>(demand.need_millicores) * settings.headroom / each;
+    return std::max({settings.least_vms, hosts, static_cast<std::size_t>(std::ceil(need))});
+}
+
+pool_account account_for(const std::string& name, const pool_demand& demand,
+                         const std::vector<balance_machine>& machines, const balance_settings& settings) {
+    pool_account account;
+    account.name = name;
+    std::int64_t millicores = 0;
+    for (const balance_machine& machine : machines) {
+        if (machine.pool != name || machine.reserved) {
+            continue;
+        }
+        millicores = std::max(millicores, machine.millicores);
+        const auto load = std::ranges::find(demand.vms, machine.vm, &vm_load::vm);
+        if (machine.moving || (machine.up && load == demand.vms.end())) {
+            ++account.have; // On its way, or not yet seen by the pool's owner.
+            continue;
+        }
+        if (!machine.up || load == demand.vms.end() || !load->usable) {
+            continue;
+        }
+        ++account.have;
+        if (load->long_running) {
+            continue;
+        }
+        (load->idle ? account.idle : account.clearable).push_back(&machine);
+    }
+    // Those that are kept empty already can go at once; they are taken first.
+    std::ranges::stable_sort(account.idle, std::greater{}, &balance_machine::cleared);
+    account.wanted = wanted_vms(demand, millicores, settings);
+    return account;
+}
+
+class planner {
+  public:
+    planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares, balance_memory& memory)
+        : m_pools(std::move(pools)), m_spares(std::move(spares)), m_memory(memory) {}
+
+    balance_plan& plan() { return m_plan; }
+    std::vector<pool_account>& pools() { return m_pools; }
+
+    /// Gives the pool that lacks most the next machine, until nobody lacks or nothing is left.
+    void fill() {
+        while (true) {
+            const auto neediest = std::ranges::max_element(m_pools, {}, &pool_account::missing);
+            if (neediest == m_pools.end() || neediest->missing() == 0) {
+                return;
+            }
+            if (!take_spare(*neediest) && !take_from_donor(*neediest)) {
+                neediest->wanted = neediest->have; // Nothing is left for it now.
+            }
+        }
+    }
+
+    void release(pool_account& pool, const std::string& spare_pool) {
+        while (pool.surplus() > 0 && !pool.idle.empty()) {
+            move(*pool.idle.front(), spare_pool);
+            pool.idle.erase(pool.idle.begin());
+            --pool.have;
+        }
+    }
+
+  private:
+    void move(const balance_machine& machine, const std::string& pool) {
+        m_plan.moves.push_back({machine.machine, pool, machine.pool});
+    }
+
+    [[nodiscard]] bool suits(const balance_machine& machine, const pool_account& pool) const {
+        return !m_memory.refused.contains({machine.kind, pool.name});
+    }
+
+    bool take_spare(pool_account& pool) {
+        const auto found =
+            std::ranges::find_if(m_spares, [&](const balance_machine* item) { return suits(*item, pool); });
+        if (found == m_spares.end()) {
+            return false;
+        }
+        move(**found, pool.name);
+        m_spares.erase(found);
+        ++pool.have;
+        return true;
+    }
+
+    bool take_from_donor(pool_account& pool) {
+        const auto donor = std::ranges::max_element(m_pools, {}, &pool_account::surplus);
+        if (donor->surplus() == 0) {
+            return false;
+        }
+        for (auto* list : {&donor->idle, &donor->clearable}) {
+            const auto found =
+                std::ranges::find_if(*list, [&](const balance_machine* item) { return suits(*item, pool); });
+            if (found == list->end()) {
+                continue;
+            }
+            if (list == &donor->idle) {
+                move(**found, pool.name);
+            } else {
+                m_plan.clear.insert((*found)->vm);
+            }
+            list->erase(found);
+            --donor->have;
+            ++pool.have;
+            return true;
+        }
+        donor->wanted = donor->have; // Nothing of its surplus can leave now.
+        return take_from_donor(pool);
+    }
+
+    std::vector<pool_account> m_pools;
+    std::vector<const balance_machine*> m_spares;
+    balance_memory& m_memory;
+    balance_plan m_plan;
+};
+
+} // namespace
+
+balance_plan plan_balance(const std::vector<balance_machine>& machines,
+                          const std::map<std::string, pool_demand>& demands, const std::string& spare_pool,
+                          const balance_settings& settings, balance_memory& memory, timestamp now) {
+    std::vector<pool_account> pools;
+    for (const auto& [name, demand] : demands) {
+        pools.push_back(account_for(name, demand, machines, settings));
+    }
+    std::vector<const balance_machine*> spares;
+    for (const balance_machine& machine : machines) {
+        if (machine.pool == spare_pool && machine.up && !machine.reserved) {
+            spares.push_back(&machine);
+        }
+    }
+    planner work(std::move(pools), std::move(spares), memory);
+    work.fill();
+    for (pool_account& pool : work.pools()) {
+        if (pool.surplus() == 0) {
+            memory.surplus_since.erase(pool.name);
+            continue;
+        }
+        const timestamp since = memory.surplus_since.try_emplace(pool.name, now).first->second;
+        if (!spare_pool.empty() && now - since >= settings.release_after) {
+            work.release(pool, spare_pool);
+        }
+    }
+    return std::move(work.plan());
+}
+
+} // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/balance.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// One VM as its pool's owner sees it.
+struct vm_load {
+    std::string vm;
+    bool usable = false;       ///< It takes work.
+    bool idle = false;         ///< Nothing runs there, or may yet start.
+    bool long_running = false; ///< It has runs that don't end by themselves.
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(vm, usable, idle, long_running);
+    }
+};
+
+/// What a pool's owner tells of its demand.
+struct pool_demand {
+    std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives.
+    std::vector<vm_load> vms;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(need_millicores, vms);
+    }
+};
+
+/// One machine as the platform lists it.
+struct balance_machine {
+    std::string machine;
+    std::string pool;
+    std::string kind;
+    std::string availability_zone;
+    std::string vm;              ///< Empty while it runs none.
+    bool up = false;
+    bool moving = false;
+    bool reserved = false;       ///< An upkeep wants it, or an order about it is under way.
+    bool cleared = false;        ///< Its pool's owner keeps it empty already.
+    std::int64_t millicores = 0;
+};
+
+struct machine_move {
+    std::string machine;
+    std::string pool;
+    std::string from;
+    bool operator==(const machine_move&) const = default;
+};
+
+struct balance_plan {
+    std::vector<machine_move> moves;
+    std::set<std::string> clear; ///< VMs that are to be empty, so that they can be moved next.
+};
+
+/// What one plan leaves for the next.
+struct balance_memory {
+    std::map<std::string, timestamp> surplus_since; ///< Pool -> since when it has more than it needs.
+    std::set<std::pair<std::string, std::string>> refused; ///< Kind of machine and pool that don't go together.
+};
+
+/// Figures of the balancing.
+struct balance_settings {
+    /// VMs that a pool keeps whatever its demand, so that the loss of one leaves it serving.
+    std::size_t least_vms = 2;
+    /// A pool gives machines back only after it had too many for this long. A move costs about as much as one
+    /// machine for a second, and so does the way back; a pause shorter than that is not worth it.
+    milliseconds release_after = 1500ms;
+    /// Beyond the demand, since tasks don't fill a VM to the last core.
+    double headroom = 1.15;
+};
+
+/// Plans which machines go to which pool. Answers demand that moves from pool to pool, several times what one
+/// holds, while the others idle: machines that nobody uses follow it, and wait in the spare pool, where they
+/// cost nothing, when nobody needs them. Only VMs on which nothing runs are moved.
+/// `spare_pool` may be empty: then nothing is given back. Pools without an entry in `demands` are left alone.
+[[nodiscard]] balance_plan plan_balance(const std::vector<balance_machine>& machines,
+                                        const std::map<std::string, pool_demand>& demands,
+                                        const std::string& spare_pool, const balance_settings& settings,
+                                        balance_memory& memory, timestamp now);
+
+} // namespace siskinpaddle::jobs
--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -1,6 +1,7 @@
 #include "jobs/order.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskinpaddle::jobs {
 
@@ -16,6 +17,11 @@
 constexpr milliseconds least_retry_after = 1s;
 constexpr milliseconds longest_retry_after = 5s;
 
+/// Refused work counts as demand for this long; clients come back after a second or more.
+constexpr milliseconds refusal_memory = 1500ms;
+/// The need falls to a third within this time. The demand's turns last several seconds.
+constexpr double need_decay_ms = 2000;
+
 milliseconds allowed_time(std::int64_t chain_ms, const queue_settings& queue) {
     return milliseconds(static_cast<std::int64_t>(queue.stretch_factor * static_cast<double>(chain_ms))) +
            queue.target_latency;
@@ -44,6 +50,31 @@
     return rank;
 }
 
+std::int64_t whole_work(const job_spec& spec) {
+    std::int64_t work = 0;
+    for (const step_spec& step : spec.steps) {
+        work += static_cast<std::int64_t>(step.count) * step.need.cpu_millicores * step.estimate_ms;
+    }
+    return work;
+}
+
+void demand_meter::turned_away(const std::string& job, std::int64_t work, timestamp now) {
+    m_refused[job] = {work, now};
+}
+
+std::int64_t demand_meter::update(std::int64_t wanted, timestamp now) {
+    std::erase_if(m_refused, [&](const auto& item) { return now - item.second.at > refusal_memory; });
+    double refused = 0;
+    for (const auto& [job, item] : m_refused) {
+        refused += static_cast<double>(item.work);
+    }
+    const double present = static_cast<double>(wanted) + refused / static_cast<double>(refusal_memory.count());
+    const double passed = static_cast<double>((now - m_updated_at).count());
+    m_need = std::max(present, present + (m_need - present) * std::exp(-passed / need_decay_ms));
+    m_updated_at = now;
+    return static_cast<std::int64_t>(m_need);
+}
+
 std::int64_t waiting_work(const job_state& job) {
     std::int64_t work = 0;
     job.each_step([&](step_place place) {
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -3,6 +3,7 @@
 #include "jobs/job_state.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace siskinpaddle::jobs {
 
@@ -25,6 +26,9 @@
 /// its objective makes way for those that can still reach theirs.
 [[nodiscard]] job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp now);
 
+/// Estimated work of a whole job, millicore-milliseconds. Long-running tasks count as none.
+[[nodiscard]] std::int64_t whole_work(const job_spec& spec);
+
 /// Estimated work left in tasks that have no run yet, millicore-milliseconds.
 [[nodiscard]] std::int64_t waiting_work(const job_state& job);
 
@@ -35,12 +39,37 @@
     std::int64_t used_millicores = 0;   ///< ... and what runs there takes.
     std::size_t usable_vms = 0;
 
+    std::int64_t arriving_millicores = 0; ///< Of VMs that are on their way to the pool.
+
+    /// Capacity that running and waiting work would use if the latter were to be done within a second, well
+    /// within objectives of two seconds and more.
+    [[nodiscard]] std::int64_t wanted_millicores() const noexcept { return used_millicores + waiting_work / 1000; }
     /// How long the pool takes for the work that waits.
     [[nodiscard]] milliseconds wait() const noexcept {
-        return milliseconds(waiting_work / std::max<std::int64_t>(1, usable_millicores));
+        return milliseconds(waiting_work / std::max<std::int64_t>(1, usable_millicores + arriving_millicores));
     }
 };
 
+/// Follows the capacity that a pool needs: at once upwards, slowly downwards, so that the gaps between two
+/// bursts don't send machines away that are needed again a second later.
+class demand_meter {
+  public:
+    /// Work of a job that was turned away; it stands for demand that the pool did not see.
+    void turned_away(const std::string& job, std::int64_t work, timestamp now);
+    /// `wanted`: what running and waiting work would use now, millicores. Returns what is needed, millicores.
+    std::int64_t update(std::int64_t wanted, timestamp now);
+
+  private:
+    struct refusal {
+        std::int64_t work = 0;
+        timestamp at{0};
+    };
+
+    std::map<std::string, refusal> m_refused; ///< By job: a client's retries count once.
+    double m_need = 0;
+    timestamp m_updated_at{0};
+};
+
 /// What to do with a job that a client wants to submit.
 struct admission_verdict {
     bool accepted = true;
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -57,14 +57,14 @@
     const resources need = counted_need(step);
     const std::vector<std::string>& failed_on = job.task(task).failed_on;
     vm_state* best = nullptr;
-    std::tuple<bool, bool, int, double> best_cost;
+    std::tuple<bool, bool, int, bool, double> best_cost;
     for (auto& [incarnation, vm] : vms) {
         if (!may_take(vm, step, need, task, settings, now)) {
             continue;
         }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
         const bool far = !step.data_rack.empty() && step.data_rack != vm.info().rack;
-        const std::tuple cost{failed_here, far, vm.strikes(), fullness(vm, need)};
+        const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_long_running(), -fullness(vm, need)};
         if (best == nullptr || cost < best_cost) {
             best = &vm;
             best_cost = cost;
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -22,8 +22,10 @@
     milliseconds drain_notice{0};
 };
 
-/// Chooses the VM for one task: one that may take it, the emptiest first, so that the rough sizes of tasks
-/// hurt least; VMs on which the task failed last. Returns null when none has room.
+/// Chooses the VM for one task: one that may take it, VMs on which the task failed last. VMs that host
+/// long-running tasks are filled first, then the fullest that has room: what runs is kept together, so that
+/// whole VMs stay idle and can follow the demand to other pools; a VM's loss also hits fewer jobs that way.
+/// Returns null when none has room.
 [[nodiscard]] vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
                                   const placement_settings& settings, timestamp now);
 
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -47,17 +47,38 @@
 
 pool_load scheduler::load() const {
     pool_load load;
+    std::int64_t largest = 0;
     load.waiting_work = m_waiting_work;
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
             load.used_millicores += vm.used().cpu_millicores;
             ++load.usable_vms;
+            largest = std::max(largest, vm.info().capacity.cpu_millicores);
         }
     }
+    load.arriving_millicores = largest * static_cast<std::int64_t>(m_arriving_vms);
     return load;
 }
 
+pool_demand scheduler::demand(timestamp now) {
+    pool_demand result;
+    result.need_millicores = m_demand.update(load().wanted_millicores(), now);
+    for (const auto& [name, vm] : m_vms) {
+        vm_load item;
+        item.vm = name;
+        item.usable = vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
+        item.idle = vm.tasks().empty();
+        item.long_running = vm.hosts_long_running();
+        result.vms.push_back(std::move(item));
+    }
+    return result;
+}
+
+void scheduler::turned_away(const job_spec& spec, timestamp now) {
+    m_demand.turned_away(spec.id, whole_work(spec), now);
+}
+
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
     const auto [place, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
     if (added) {
@@ -136,7 +157,8 @@
                          timestamp now) {
     job.remove_run(id, attempt, vm, now);
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
-        found->second.remove_task(id, counted_need(job.spec().steps[id.step]));
+        const step_spec& step = job.spec().steps[id.step];
+        found->second.remove_task(id, counted_need(step), step.long_running);
     }
 }
 
@@ -266,7 +288,8 @@
         const bool unwanted = task.done || is_final(job.phase()) ||
                               (!task.runs.empty() && !job.spec().steps[item.task.step].speculative);
         run& added = job.add_run(item.task, std::move(adopted));
-        vm.add_task(item.task, counted_need(job.spec().steps[item.task.step]));
+        const step_spec& step = job.spec().steps[item.task.step];
+        vm.add_task(item.task, counted_need(step), step.long_running);
         note(unwanted ? "stop-surplus-run" : "run-adopted", incarnation, &item.task, item.attempt);
         if (unwanted) {
             stop_run(item.task, added, now);
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/balance.hpp"
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 
@@ -133,6 +134,12 @@
     /// then does silence of a VM prove anything, since a successor that reaches it would renew its lease.
     [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms, bool certain);
     [[nodiscard]] pool_load load() const;
+    /// What the pool needs, and its VMs.
+    [[nodiscard]] pool_demand demand(timestamp now);
+    /// A job was turned away for want of room; it counts as demand for a while.
+    void turned_away(const job_spec& spec, timestamp now);
+    /// VMs that were promised to the pool and are not here yet.
+    void expect_vms(std::size_t count) { m_arriving_vms = count; }
 
     // --- Storing ---
 
@@ -193,6 +200,8 @@
     bool m_urgent = false;
     bool m_ends_to_store = false;
     std::int64_t m_waiting_work = 0;
+    demand_meter m_demand;
+    std::size_t m_arriving_vms = 0;
     decisions m_out;
 };
 
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -225,7 +225,8 @@
     item.progress_at = now;
     item.start_deadline = vm->deadline(now, m_settings.start_patience);
     vm->granted(item.start_deadline);
-    vm->add_task(id, counted_need(job.spec().steps[id.step]));
+    const step_spec& step = job.spec().steps[id.step];
+    vm->add_task(id, counted_need(step), step.long_running);
     m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, {}});
     job.add_run(id, std::move(item));
     return true;
--- a/jobs/upkeep.cpp
+++ b/jobs/upkeep.cpp
@@ -42,7 +42,9 @@
     }
     step.completed = left.empty() && wave.waiting.empty();
     const std::size_t free = down < wave.at_once ? wave.at_once - down : 0;
-    std::ranges::stable_sort(left, [](const upkeep_machine* a, const upkeep_machine* b) { return a->idle > b->idle; });
+    std::ranges::stable_sort(left, [](const upkeep_machine* a, const upkeep_machine* b) {
+        return std::pair(a->idle, a->quiet) > std::pair(b->idle, b->quiet);
+    });
     for (const upkeep_machine* machine : left) {
         if (machine->up && machine->idle && step.order.size() < free) {
             step.order.push_back(machine->machine);
--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -16,7 +16,8 @@
     std::string pool;
     std::string vm;     ///< Incarnation that it runs; empty while it runs none.
     bool up = true;     ///< It runs, and is not being moved or kept up.
-    bool idle = false;  ///< Its pool's owner says that nothing runs there.
+    bool idle = false;  ///< Nothing runs there, and its pool's owner keeps it so.
+    bool quiet = false; ///< Nothing runs there just now.
 };
 
 /// An upkeep that was ordered and is not known to be over.
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -35,8 +35,9 @@
     [[nodiscard]] timestamp lapses_at() const;
 
     [[nodiscard]] bool has_run(const task_id& task) const { return m_tasks.contains(task); }
-    void add_task(const task_id& task, const resources& need);
-    void remove_task(const task_id& task, const resources& need);
+    void add_task(const task_id& task, const resources& need, bool long_running);
+    void remove_task(const task_id& task, const resources& need, bool long_running);
+    [[nodiscard]] bool hosts_long_running() const noexcept { return m_long_running > 0; }
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
     [[nodiscard]] resources room() const;
     [[nodiscard]] const resources& used() const noexcept { return m_used; }
@@ -64,6 +65,7 @@
     std::int64_t m_granted = 0;
     std::multiset<task_id> m_tasks;
     resources m_used;
+    int m_long_running = 0; ///< Runs that don't end by themselves.
     int m_strikes = 0;
     timestamp m_aside_until{0};
 };
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -9,25 +9,30 @@
 
 namespace {
 
-/// While a wave is under way. A machine is down for about two seconds; looking twice a second keeps the
-/// next one from waiting, and each look is paid for.
-constexpr milliseconds busy_interval = 400ms;
-constexpr milliseconds idle_interval = 500ms;
-
-std::string wave_record_key(std::int64_t number) {
-    return "sp/wave/" + std::to_string(number);
-}
+/// Between two rounds. Demand rises to several times a pool's room within a second and lasts several; each
+/// round costs one call of the platform and one of each owner.
+constexpr milliseconds round_interval = 250ms;
+/// A round goes on without the owners that have not answered by then.
+constexpr milliseconds answers_bound = 150ms;
+/// A VM that was asked for is ordered away in a round of its own, right after its owner could answer.
+constexpr milliseconds at_once = 10ms;
+/// An order that has shown no effect for this long beyond the move's own time is forgotten; the list tells where
+/// the machine is.
+constexpr milliseconds move_patience = 2500ms;
+/// Orders of one round; the platform accepts a few dozen a second.
+constexpr std::size_t moves_at_once = 12;
 
 } // namespace
 
 fleet_task::fleet_task(context parts, const ownership& held)
     : m_parts(std::move(parts)), m_held(held), m_machines_client(m_parts.loop, m_parts.settings.machines),
-      m_timer(m_parts.loop.make_timer([this] { tick(); })),
+      m_timer(m_parts.loop.make_timer([this] { round(); })),
+      m_answers_bound(m_parts.loop.make_timer([this] { list_machines(); })),
       // An earlier holder's last order may be younger than this.
       m_quiet_until(event_loop::now() + (held.epoch == 0 ? 0ms : m_parts.settings.order_quiet)) {}
 
 void fleet_task::start() {
-    tick();
+    round();
 }
 
 bool fleet_task::may_order() const {
@@ -36,104 +41,181 @@
     return !m_stopped && now >= m_quiet_until && now < m_parts.membership.certain_until(m_held.duty);
 }
 
-void fleet_task::tick() {
+std::string fleet_task::spare_pool() const {
+    for (const jobs::pool_settings& pool : m_parts.configuration.current().pools) {
+        if (pool.spare) {
+            return pool.name;
+        }
+    }
+    return {};
+}
+
+// --- A round ---
+
+void fleet_task::round() {
     if (m_stopped) {
         return;
     }
-    bool busy = false;
+    m_timer->start(round_interval);
+    if (!may_order()) {
+        return;
+    }
     for (const auto& [number, wanted] : m_parts.configuration.waves()) {
         wave& item = m_waves[number];
         item.state.number = number;
         item.state.machines = wanted.machines;
         item.state.at_once = wanted.at_once;
-        if (item.record_revision < 0) {
+        if (!item.loaded) {
             load(number);
         }
-        busy = busy || !item.completed;
-    }
-    if (busy) {
-        look();
     }
-    m_timer->start(busy ? busy_interval : idle_interval);
+    ask_pools();
 }
 
-void fleet_task::load(std::int64_t number) {
-    wave& item = m_waves[number];
-    if (item.reading) {
-        return;
-    }
-    item.reading = true;
-    m_parts.store.get(wave_record_key(number),
-                      [this, number, alive = m_lifetime.watch()](const platform::store_answer& answer) {
-                          if (!alive.expired()) {
-                              loaded(number, answer);
-                          }
-                      });
+std::size_t fleet_task::arriving(const std::string& pool) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_moves, [&](const auto& item) { return item.second.pool == pool; }));
 }
 
-void fleet_task::loaded(std::int64_t number, const platform::store_answer& answer) {
-    wave& item = m_waves[number];
-    item.reading = false;
-    if (answer.status == platform::store_status::absent) {
-        item.record_revision = 0;
-    } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
-        item.record_revision = answer.items.front().revision;
-        if (const auto begun = decode_archive<std::set<std::string>>(answer.items.front().value)) {
-            item.state.begun = begun.value();
-        }
+void fleet_task::ask_pools() {
+    ++m_round;
+    m_demands.clear();
+    m_empty_vms.clear();
+    const std::vector<std::string> pools = m_parts.configuration.current().working_pools();
+    m_unanswered = {pools.begin(), pools.end()};
+    m_answers_bound->start(answers_bound);
+    for (const std::string& pool : pools) {
+        peer_request request;
+        request.kind = static_cast<std::uint8_t>(peer_request_kind::fleet_look);
+        request.pool = pool;
+        request.configuration = m_parts.configuration.current().version;
+        request.arriving = arriving(pool);
+        const std::set<std::string> kept_empty = m_clear[pool];
+        request.vms.assign(kept_empty.begin(), kept_empty.end());
+        m_parts.ask_pool(request, [this, pool, kept_empty, round = m_round,
+                                   alive = m_lifetime.watch()](const peer_answer& answer) {
+            if (!alive.expired()) {
+                pool_answered(pool, kept_empty, round, answer);
+            }
+        });
     }
 }
 
-void fleet_task::look() {
-    if (m_looking || !may_order()) {
+void fleet_task::pool_answered(const std::string& pool, const std::set<std::string>& kept_empty,
+                               std::uint64_t round, const peer_answer& answer) {
+    if (round != m_round || outcome_of(answer) != peer_outcome::ok) {
         return;
     }
-    m_looking = true;
-    m_machines_client.list([this, alive = m_lifetime.watch()](const platform::machine_list& list) {
-        if (alive.expired()) {
+    m_demands[pool] = answer.demand;
+    for (const jobs::vm_load& vm : answer.demand.vms) {
+        if (vm.idle && kept_empty.contains(vm.vm)) {
+            m_empty_vms.insert(vm.vm);
+        }
+    }
+    if (m_unanswered.erase(pool) > 0 && m_unanswered.empty()) {
+        m_answers_bound->cancel();
+        list_machines();
+    }
+}
+
+void fleet_task::list_machines() {
+    m_machines_client.list([this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
+        if (alive.expired() || round != m_round) {
             return;
         }
-        m_looking = false;
-        if (list.good) {
-            take_machines(list);
-            plan();
-        } else {
-            log_event(event_id::machines_unknown);
+        if (!list.good) {
+            log_event(event_id::machines_unknown, {{"round", round}});
+            return;
         }
+        take_machines(list);
+        plan();
     });
 }
 
 void fleet_task::take_machines(const platform::machine_list& list) {
     m_machines.clear();
     for (const platform::machine_info& info : list.machines) {
+        m_machines[info.machine] = info;
+    }
+    settle_moves();
+}
+
+void fleet_task::settle_moves() {
+    const timestamp now = event_loop::now();
+    std::erase_if(m_moves, [&](const auto& item) {
+        const auto found = m_machines.find(item.first);
+        if (found == m_machines.end()) {
+            return true;
+        }
+        const platform::machine_info& info = found->second;
+        const bool arrived = info.pool == item.second.pool && info.phase == platform::machine_phase::up &&
+                             (info.incarnation != item.second.vm_before || info.incarnation.empty());
+        return arrived || now - item.second.ordered_at > m_parts.settings.move_time + move_patience;
+    });
+}
+
+void fleet_task::plan() {
+    m_clear.clear();
+    m_again_at_once = false;
+    for (const auto& [machine, move] : m_moves) {
+        if (const auto found = m_machines.find(machine); found != m_machines.end()) {
+            m_clear[found->second.pool].insert(move.vm_before); // The order may not have been carried out yet.
+        }
+    }
+    if (!may_order()) {
+        return;
+    }
+    plan_waves();
+    plan_moves();
+    if (m_again_at_once) {
+        m_timer->start(at_once);
+    }
+}
+
+// --- Upkeep ---
+
+std::map<std::string, jobs::upkeep_machine> fleet_task::upkeep_view() const {
+    std::map<std::string, jobs::upkeep_machine> view;
+    std::set<std::string> quiet;
+    for (const auto& [pool, demand] : m_demands) {
+        for (const jobs::vm_load& vm : demand.vms) {
+            if (vm.idle) {
+                quiet.insert(vm.vm);
+            }
+        }
+    }
+    for (const auto& [name, info] : m_machines) {
         jobs::upkeep_machine item;
-        item.machine = info.machine;
+        item.machine = name;
         item.pool = info.pool;
         item.vm = info.incarnation;
-        item.up = info.phase == platform::machine_phase::up;
-        const jobs::pool_settings* pool = m_parts.configuration.current().pool(info.pool);
-        item.idle = m_idle_vms.contains(info.incarnation) || (pool != nullptr && pool->spare);
-        m_machines[info.machine] = std::move(item);
+        item.up = info.phase == platform::machine_phase::up && !m_moves.contains(name);
+        const bool off = info.pool == spare_pool();
+        item.idle = off || m_empty_vms.contains(info.incarnation);
+        item.quiet = off || quiet.contains(info.incarnation);
+        view[name] = std::move(item);
     }
+    return view;
 }
 
-void fleet_task::plan() {
-    std::map<std::string, std::set<std::string>> to_clear;
+void fleet_task::plan_waves() {
+    const std::map<std::string, jobs::upkeep_machine> view = upkeep_view();
     for (auto& [number, item] : m_waves) {
-        if (item.completed || item.record_revision < 0 || item.writing) {
+        if (item.completed || !item.loaded) {
             continue;
         }
         if (!item.told_running) {
             item.told_running = true;
             tell(number, false);
         }
-        const jobs::wave_step step = jobs::plan_wave(item.state, m_machines, m_parts.settings.upkeep_time, event_loop::now());
+        const jobs::wave_step step =
+            jobs::plan_wave(item.state, view, m_parts.settings.upkeep_time, event_loop::now());
         for (const std::string& machine : step.clear) {
-            const jobs::upkeep_machine& info = m_machines[machine];
-            to_clear[info.pool].insert(info.vm);
+            const platform::machine_info& info = m_machines[machine];
+            m_clear[info.pool].insert(info.incarnation);
         }
         for (const std::string& machine : step.order) {
-            order(item, machine);
+            order_upkeep(item, machine);
         }
         if (step.completed) {
             item.completed = true;
@@ -141,44 +223,40 @@
             tell(number, true);
         }
     }
-    clear(to_clear);
 }
 
-void fleet_task::clear(const std::map<std::string, std::set<std::string>>& by_pool) {
-    std::set<std::string> pools = m_asked_pools;
-    for (const auto& [pool, vms] : by_pool) {
-        pools.insert(pool);
+void fleet_task::load(std::int64_t number) {
+    wave& item = m_waves[number];
+    if (item.reading) {
+        return;
     }
-    m_asked_pools.clear();
-    for (const std::string& pool : pools) {
-        const auto wanted = by_pool.find(pool);
-        peer_request request;
-        request.kind = static_cast<std::uint8_t>(peer_request_kind::clear_vms);
-        request.pool = pool;
-        request.configuration = m_parts.configuration.current().version;
-        if (wanted != by_pool.end()) {
-            request.vms.assign(wanted->second.begin(), wanted->second.end());
-            m_asked_pools.insert(pool);
+    item.reading = true;
+    m_parts.store.get(wave_record_key(number),
+                      [this, number, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                          if (!alive.expired()) {
+                              loaded(number, answer);
+                          }
+                      });
+}
+
+void fleet_task::loaded(std::int64_t number, const platform::store_answer& answer) {
+    wave& item = m_waves[number];
+    item.reading = false;
+    if (answer.status == platform::store_status::absent) {
+        item.loaded = true;
+    } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
+        item.loaded = true;
+        if (const auto begun = decode_archive<std::set<std::string>>(answer.items.front().value)) {
+            item.state.begun = begun.value();
         }
-        m_parts.ask_pool(request, [this, request, alive = m_lifetime.watch()](const peer_answer& answer) {
-            if (alive.expired()) {
-                return;
-            }
-            for (const std::string& vm : request.vms) {
-                m_idle_vms.erase(vm);
-            }
-            if (outcome_of(answer) == peer_outcome::ok) {
-                m_idle_vms.insert(answer.vms.begin(), answer.vms.end());
-            }
-        });
     }
 }
 
 /// The record says that an upkeep has begun before it is ordered: a successor then never counts it as still to
 /// do, and never lets too many be down at once.
-void fleet_task::order(wave& item, const std::string& machine) {
+void fleet_task::order_upkeep(wave& item, const std::string& machine) {
     item.state.begun.insert(machine);
-    item.state.waiting[machine] = {m_machines[machine].vm, event_loop::now()};
+    item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
     platform::store_transaction change;
     change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
     change.writes.push_back({wave_record_key(item.state.number), encode_archive(item.state.begun), 0});
@@ -188,20 +266,22 @@
             return;
         }
         if (answer.status != platform::store_status::ok || !may_order()) {
-            ordered(number, machine, platform::machine_outcome::refused);
+            upkeep_ordered(number, machine, platform::machine_outcome::refused);
             return;
         }
         m_machines_client.upkeep({m_parts.membership.self().id, m_held.token}, machine, number,
                                  [this, number, machine, alive](platform::machine_outcome outcome) {
                                      if (!alive.expired()) {
-                                         ordered(number, machine, outcome);
+                                         upkeep_ordered(number, machine, outcome);
                                      }
                                  });
     });
 }
 
-void fleet_task::ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome) {
-    log_event(event_id::machine_ordered, {{"wave", number},
+void fleet_task::upkeep_ordered(std::int64_t number, const std::string& machine,
+                                platform::machine_outcome outcome) {
+    log_event(event_id::machine_ordered, {{"order", "upkeep"},
+                                          {"wave", number},
                                           {"machine", machine},
                                           {"outcome", name_of(outcome)},
                                           {"token", m_held.token}});
@@ -222,11 +302,97 @@
             return;
         }
         if (completed) {
-            m_waves[number].completed = false; // Told again with the next look.
+            m_waves[number].completed = false; // Told again with the next round.
         } else {
             m_waves[number].told_running = false;
         }
     });
 }
 
+// --- Moves ---
+
+std::vector<jobs::balance_machine> fleet_task::balance_view() const {
+    std::set<std::string> in_upkeep;
+    for (const auto& [number, item] : m_waves) {
+        for (const auto& [machine, pending] : item.state.waiting) {
+            in_upkeep.insert(machine);
+        }
+    }
+    std::vector<jobs::balance_machine> view;
+    for (const auto& [name, info] : m_machines) {
+        jobs::balance_machine item;
+        item.machine = name;
+        item.pool = info.pool;
+        item.kind = info.kind;
+        item.availability_zone = info.availability_zone;
+        item.vm = info.incarnation;
+        item.up = info.phase == platform::machine_phase::up;
+        item.moving = info.phase == platform::machine_phase::moving;
+        item.millicores = info.capacity.cpu_millicores;
+        item.cleared = m_empty_vms.contains(info.incarnation);
+        const auto cleared = m_clear.find(info.pool);
+        item.reserved = in_upkeep.contains(name) ||
+                        (cleared != m_clear.end() && cleared->second.contains(info.incarnation));
+        if (const auto move = m_moves.find(name); move != m_moves.end()) {
+            item.pool = move->second.pool;
+            item.moving = true;
+            item.up = false;
+            item.reserved = false;
+        }
+        view.push_back(std::move(item));
+    }
+    return view;
+}
+
+void fleet_task::plan_moves() {
+    const std::string spare = spare_pool();
+    const jobs::balance_plan wanted =
+        jobs::plan_balance(balance_view(), m_demands, spare, {}, m_memory, event_loop::now());
+    std::size_t ordered = 0;
+    for (const jobs::machine_move& move : wanted.moves) {
+        const platform::machine_info& info = m_machines[move.machine];
+        if (info.pool != spare && !m_empty_vms.contains(info.incarnation)) {
+            m_clear[info.pool].insert(info.incarnation);
+            m_again_at_once = true;
+        } else if (ordered < moves_at_once) {
+            ++ordered;
+            order_move(move);
+        }
+    }
+    for (const auto& [name, info] : m_machines) {
+        if (wanted.clear.contains(info.incarnation)) {
+            m_clear[info.pool].insert(info.incarnation);
+        }
+    }
+}
+
+void fleet_task::order_move(const jobs::machine_move& move) {
+    const platform::machine_info& info = m_machines[move.machine];
+    m_moves[move.machine] = {move.pool, info.incarnation, event_loop::now()};
+    m_clear[info.pool].insert(info.incarnation);
+    m_machines_client.move({m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
+                           [this, move, kind = info.kind,
+                            alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+                               if (!alive.expired()) {
+                                   move_ordered(move, kind, outcome);
+                               }
+                           });
+}
+
+void fleet_task::move_ordered(const jobs::machine_move& move, const std::string& kind,
+                              platform::machine_outcome outcome) {
+    log_event(event_id::machine_ordered, {{"order", "move"},
+                                          {"machine", move.machine},
+                                          {"from", move.from},
+                                          {"pool", move.pool},
+                                          {"outcome", name_of(outcome)},
+                                          {"token", m_held.token}});
+    if (outcome == platform::machine_outcome::invalid) {
+        m_memory.refused.emplace(kind, move.pool);
+    }
+    if (outcome != platform::machine_outcome::done && outcome != platform::machine_outcome::unknown) {
+        m_moves.erase(move.machine);
+    }
+}
+
 } // namespace siskinpaddle::node
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -12,8 +12,12 @@
 
 namespace siskinpaddle::node {
 
-/// Owns the orders about machines: walks the operator's waves of upkeep. One holder at a time, since one
-/// machine must never hear two holders in turn. Lives from gaining the duty until losing it. Not thread-safe.
+/// Owns the orders about machines: walks the operator's waves of upkeep, and lets machines follow the demand
+/// from pool to pool. One holder at a time, since one machine must never hear two holders in turn. Lives from
+/// gaining the duty until losing it. Not thread-safe.
+///
+/// A round asks every pool's owner for its demand and tells it which VMs to keep empty, lists the machines, and
+/// plans. A VM is only ordered away when its owner has answered that it keeps it empty and nothing runs there.
 class fleet_task {
   public:
     /// What the task works with; all outlive it.
@@ -36,22 +40,39 @@
   private:
     struct wave {
         jobs::wave_state state;
-        std::int64_t record_revision = -1; ///< -1: not read yet.
+        bool loaded = false;
         bool reading = false;
-        bool writing = false;
         bool told_running = false;
         bool completed = false;
     };
+    /// A machine that was ordered into another pool and is not known to work there.
+    struct pending_move {
+        std::string pool;
+        std::string vm_before;
+        timestamp ordered_at{0};
+    };
 
-    void tick();
-    void load(std::int64_t number);
-    void loaded(std::int64_t number, const platform::store_answer& answer);
-    void look();
+    void round();
+    void ask_pools();
+    void pool_answered(const std::string& pool, const std::set<std::string>& kept_empty, std::uint64_t round,
+                       const peer_answer& answer);
+    void list_machines();
     void take_machines(const platform::machine_list& list);
+    void settle_moves();
     void plan();
-    void clear(const std::map<std::string, std::set<std::string>>& by_pool);
-    void order(wave& item, const std::string& machine);
-    void ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
+    void plan_waves();
+    void plan_moves();
+    [[nodiscard]] std::vector<jobs::balance_machine> balance_view() const;
+    [[nodiscard]] std::map<std::string, jobs::upkeep_machine> upkeep_view() const;
+    [[nodiscard]] std::string spare_pool() const;
+    [[nodiscard]] std::size_t arriving(const std::string& pool) const;
+
+    void load(std::int64_t number);
+    void loaded(std::int64_t number, const platform::store_answer& answer);
+    void order_upkeep(wave& item, const std::string& machine);
+    void upkeep_ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
+    void order_move(const jobs::machine_move& move);
+    void move_ordered(const jobs::machine_move& move, const std::string& kind, platform::machine_outcome outcome);
     void tell(std::int64_t number, bool completed);
     [[nodiscard]] bool may_order() const;
 
@@ -59,12 +80,20 @@
     ownership m_held;
     platform::machine_client m_machines_client;
     std::unique_ptr<timer> m_timer;
+    std::unique_ptr<timer> m_answers_bound;
     timestamp m_quiet_until;
+
+    std::uint64_t m_round = 0;
+    std::set<std::string> m_unanswered; ///< Pools whose owners have not answered in this round.
+    std::map<std::string, jobs::pool_demand> m_demands; ///< As answered in this round.
+    std::set<std::string> m_empty_vms; ///< Kept empty by their owners as of this round.
+    std::map<std::string, platform::machine_info> m_machines;
+    bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
+
     std::map<std::int64_t, wave> m_waves;
-    std::map<std::string, jobs::upkeep_machine> m_machines;
-    std::set<std::string> m_idle_vms;
-    std::set<std::string> m_asked_pools; ///< Pools that were last asked to clear something.
-    bool m_looking = false;
+    std::map<std::string, std::set<std::string>> m_clear; ///< Pool -> VMs that its owner is to keep empty.
+    std::map<std::string, pending_move> m_moves;          ///< By machine.
+    jobs::balance_memory m_memory;
     bool m_stopped = false;
     lifetime m_lifetime;
 };
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace siskinpaddle::node {
@@ -14,6 +15,7 @@
 /// | `sp/job/POOL/JOB` | an accepted job | the pool's owner | until the job ends |
 /// | `sp/progress/POOL/JOB` | tasks done, final phase | the pool's owner | a while past the end |
 /// | `sp/inbox/POOL/submit/JOB`, `.../cancel/JOB` | a request that did not reach the owner | any node | until the owner takes it |
+/// | `sp/wave/NUMBER` | machines whose upkeep has begun | the fleet's owner | for good |
 /// | `sp/vms/POOL` | VMs that may hold runs | the pool's owner | for good |
 
 inline const std::string control_prefix = "sp/ctl/";
@@ -40,6 +42,10 @@
     return "sp/vms/" + pool;
 }
 
+[[nodiscard]] inline std::string wave_record_key(std::int64_t number) {
+    return "sp/wave/" + std::to_string(number);
+}
+
 /// Duties that have one owner at a time.
 [[nodiscard]] inline std::string pool_duty(const std::string& pool) {
     return "pool/" + pool;
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -14,7 +14,7 @@
     status,    ///< Tell a job's phase.
     cancel,    ///< Cancel a job.
     count,     ///< Tell how many jobs of a queue have not begun.
-    clear_vms, ///< Empty these VMs and keep them empty; tell which of them are.
+    fleet_look, ///< Keep these VMs empty; tell the pool's demand and its VMs.
 };
 
 /// How a peer answered.
@@ -33,12 +33,13 @@
     std::string job;
     std::string queue;
     jobs::job_spec spec;          ///< With `submit`.
-    std::vector<std::string> vms; ///< With `clear_vms`: all VMs that are to be empty; others may work again.
+    std::vector<std::string> vms; ///< With `fleet_look`: all VMs that are to be empty; others may work again.
+    std::uint64_t arriving = 0;   ///< With `fleet_look`: VMs that are on their way to the pool.
     std::int64_t configuration = 0; ///< Version in force at the sender.
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(kind, pool, job, queue, spec, vms, configuration);
+        archive(kind, pool, job, queue, spec, vms, arriving, configuration);
     }
 };
 
@@ -47,12 +48,12 @@
     std::uint8_t phase = 0;
     std::uint64_t count = 0;
     std::int64_t retry_after_ms = 0;
-    std::vector<std::string> vms;   ///< With `clear_vms`: those that are empty.
+    jobs::pool_demand demand; ///< With `fleet_look`.
     std::int64_t configuration = 0; ///< Version in force at the answering node.
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(outcome, phase, count, retry_after_ms, vms, configuration);
+        archive(outcome, phase, count, retry_after_ms, demand, configuration);
     }
 };
 
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -38,8 +38,8 @@
         done(answer);
         return;
     }
-    case peer_request_kind::clear_vms:
-        clear_vms(request, done);
+    case peer_request_kind::fleet_look:
+        fleet_look(request, done);
         return;
     }
     done(answer_of(peer_outcome::unavailable));
@@ -79,6 +79,7 @@
     const jobs::admission_verdict verdict = m_scheduler.judge(request.spec);
     const std::int64_t waiting_ms = load.wait().count();
     if (!verdict.accepted) {
+        m_scheduler.turned_away(request.spec, event_loop::now());
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
         log_event(event_id::submit_refused, {{"pool", m_pool},
@@ -223,23 +224,25 @@
     });
 }
 
-void pool_task::clear_vms(const peer_request& request, const reply& done) {
+void pool_task::fleet_look(const peer_request& request, const reply& done) {
     const std::set<std::string> wanted(request.vms.begin(), request.vms.end());
     for (const std::string& vm : m_cleared_vms) {
         if (!wanted.contains(vm)) {
             m_scheduler.cordon(vm, false);
         }
     }
+    for (const std::string& vm : wanted) {
+        m_scheduler.cordon(vm, true);
+    }
+    const bool changed = wanted != m_cleared_vms;
     m_cleared_vms = wanted;
     m_cleared_at = event_loop::now();
+    m_scheduler.expect_vms(request.arriving);
     peer_answer answer = answer_of(peer_outcome::ok);
-    for (const std::string& vm : wanted) {
-        m_scheduler.cordon(vm, true);
-        if (m_scheduler.is_empty(vm)) {
-            answer.vms.push_back(vm);
-        }
+    answer.demand = m_scheduler.demand(event_loop::now());
+    if (changed) {
+        decide_soon();
     }
-    decide_soon();
     done(answer);
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -95,7 +95,7 @@
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
     void status(const peer_request& request, const reply& done) const;
-    void clear_vms(const peer_request& request, const reply& done);
+    void fleet_look(const peer_request& request, const reply& done);
     void settle_cancels();
     void settle_submit(const std::string& job, const reply& done, peer_outcome outcome);
     void write_submits();
