--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -12,7 +12,9 @@
 struct pool_account {
     std::string name;
     std::size_t have = 0;   ///< VMs that work for it, or are about to.
-    std::size_t wanted = 0;
+    std::size_t least = 0;  ///< It keeps these whatever others need.
+    std::size_t wanted = 0; ///< Its share of what there is, by its need now.
+    std::size_t keep = 0;   ///< Above this it gives machines back.
     std::vector<const balance_machine*> idle;      ///< May leave at once.
     std::vector<const balance_machine*> clearable; ///< May leave when their short runs have ended.
 
@@ -20,44 +22,85 @@
     [[nodiscard]] std::size_t surplus() const noexcept { return have > wanted ? have - wanted : 0; }
 };
 
-std::size_t wanted_vms(const pool_demand& demand, std::int64_t millicores_each, const balance_settings& settings) {
-    const auto hosts = static_cast<std::size_t>(
-        std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.long_running; }));
+std::size_t vms_for(std::int64_t need_millicores, std::int64_t millicores_each, const balance_settings& settings) {
     const double each = static_cast<double>(std::max<std::int64_t>(1, millicores_each));
-    const double need = static_cast<double>(demand.need_millicores) * settings.headroom / each;
-    return std::max({settings.least_vms, hosts, static_cast<std::size_t>(std::ceil(need))});
+    return static_cast<std::size_t>(std::ceil(static_cast<double>(need_millicores) * settings.headroom / each));
 }
 
-pool_account account_for(const std::string& name, const pool_demand& demand,
-                         const std::vector<balance_machine>& machines, const balance_settings& settings) {
-    pool_account account;
-    account.name = name;
-    std::int64_t millicores = 0;
+const vm_load* load_of(const pool_demand& demand, const std::string& vm) {
+    const auto found = std::ranges::find(demand.vms, vm, &vm_load::vm);
+    return found == demand.vms.end() ? nullptr : &*found;
+}
+
+/// Sorts the pool's machines into those that may leave now, may leave soon, and must stay.
+void sort_machines(pool_account& account, const pool_demand& demand, const std::vector<balance_machine>& machines) {
+    std::vector<std::pair<std::int64_t, const balance_machine*>> clearable;
     for (const balance_machine& machine : machines) {
-        if (machine.pool != name || machine.reserved) {
+        if (machine.pool != account.name || machine.reserved) {
             continue;
         }
-        millicores = std::max(millicores, machine.millicores);
-        const auto load = std::ranges::find(demand.vms, machine.vm, &vm_load::vm);
-        if (machine.moving || (machine.up && load == demand.vms.end())) {
+        const vm_load* load = load_of(demand, machine.vm);
+        if (machine.moving || (machine.up && load == nullptr)) {
             ++account.have; // On its way, or not yet seen by the pool's owner.
             continue;
         }
-        if (!machine.up || load == demand.vms.end() || !load->usable) {
+        if (!machine.up || load == nullptr || !load->usable) {
             continue;
         }
         ++account.have;
         if (load->long_running) {
             continue;
         }
-        (load->idle ? account.idle : account.clearable).push_back(&machine);
+        if (load->idle) {
+            account.idle.push_back(&machine);
+        } else {
+            clearable.emplace_back(load->used_millicores, &machine);
+        }
     }
-    // Those that are kept empty already can go at once; they are taken first.
+    // Those that are kept empty already can go at once, and the least busy ones are empty soonest.
     std::ranges::stable_sort(account.idle, std::greater{}, &balance_machine::cleared);
-    account.wanted = wanted_vms(demand, millicores, settings);
+    std::ranges::stable_sort(clearable, {}, [](const auto& item) { return item.first; });
+    for (const auto& [used, machine] : clearable) {
+        account.clearable.push_back(machine);
+    }
+}
+
+pool_account account_for(const std::string& name, const pool_demand& demand,
+                         const std::vector<balance_machine>& machines, const balance_settings& settings) {
+    pool_account account;
+    account.name = name;
+    sort_machines(account, demand, machines);
+    std::int64_t each = 0;
+    for (const balance_machine& machine : machines) {
+        each = std::max(each, machine.pool == name ? machine.millicores : 0);
+    }
+    const auto hosts = static_cast<std::size_t>(
+        std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.long_running; }));
+    account.least = std::max(settings.least_vms, hosts);
+    account.wanted = std::max(account.least, vms_for(demand.need_millicores, each, settings));
+    account.keep = std::max(account.wanted, vms_for(demand.keep_millicores, each, settings));
     return account;
 }
 
+/// Where there are fewer machines than all pools want, each gets the same share of what it wants beyond its least.
+void share_out(std::vector<pool_account>& pools, std::size_t machines) {
+    std::size_t least = 0;
+    std::size_t wanted = 0;
+    for (const pool_account& pool : pools) {
+        least += pool.least;
+        wanted += pool.wanted;
+    }
+    if (wanted <= machines || wanted == least) {
+        return;
+    }
+    const double beyond = machines > least ? static_cast<double>(machines - least) : 0;
+    const double share = beyond / static_cast<double>(wanted - least);
+    for (pool_account& pool : pools) {
+        const double part = share * static_cast<double>(pool.wanted - pool.least);
+        pool.wanted = pool.least + static_cast<std::size_t>(part);
+    }
+}
+
 class planner {
   public:
     planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares, balance_memory& memory)
@@ -80,7 +123,7 @@
     }
 
     void release(pool_account& pool, const std::string& spare_pool) {
-        while (pool.surplus() > 0 && !pool.idle.empty()) {
+        while (pool.have > pool.keep && !pool.idle.empty()) {
             move(*pool.idle.front(), spare_pool);
             pool.idle.erase(pool.idle.begin());
             --pool.have;
@@ -154,10 +197,15 @@
             spares.push_back(&machine);
         }
     }
+    std::size_t available = spares.size();
+    for (const pool_account& pool : pools) {
+        available += pool.have;
+    }
+    share_out(pools, available);
     planner work(std::move(pools), std::move(spares), memory);
     work.fill();
     for (pool_account& pool : work.pools()) {
-        if (pool.surplus() == 0) {
+        if (pool.have <= pool.keep) {
             memory.surplus_since.erase(pool.name);
             continue;
         }
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -16,21 +16,23 @@
     bool usable = false;       ///< It takes work.
     bool idle = false;         ///< Nothing runs there, or may yet start.
     bool long_running = false; ///< It has runs that don't end by themselves.
+    std::int64_t used_millicores = 0;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(vm, usable, idle, long_running);
+        archive(vm, usable, idle, long_running, used_millicores);
     }
 };
 
 /// What a pool's owner tells of its demand.
 struct pool_demand {
-    std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives.
+    std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives now.
+    std::int64_t keep_millicores = 0; ///< The same, falling only slowly: what is worth keeping for what may come.
     std::vector<vm_load> vms;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(need_millicores, vms);
+        archive(need_millicores, keep_millicores, vms);
     }
 };
 
@@ -72,14 +74,16 @@
     std::size_t least_vms = 2;
     /// A pool gives machines back only after it had too many for this long. A move costs about as much as one
     /// machine for a second, and so does the way back; a pause shorter than that is not worth it.
-    milliseconds release_after = 1500ms;
+    milliseconds release_after = 500ms;
     /// Beyond the demand, since tasks don't fill a VM to the last core.
     double headroom = 1.15;
 };
 
 /// Plans which machines go to which pool. Answers demand that moves from pool to pool, several times what one
 /// holds, while the others idle: machines that nobody uses follow it, and wait in the spare pool, where they
-/// cost nothing, when nobody needs them. Only VMs on which nothing runs are moved.
+/// cost nothing, when nobody needs them. Where all together need more than there is, each gets the same share of
+/// its need, so that a pool whose turn ends gives way to the one whose turn begins. Only VMs on which nothing
+/// runs are moved.
 /// `spare_pool` may be empty: then nothing is given back. Pools without an entry in `demands` are left alone.
 [[nodiscard]] balance_plan plan_balance(const std::vector<balance_machine>& machines,
                                         const std::map<std::string, pool_demand>& demands,
--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -20,7 +20,7 @@
 /// Refused work counts as demand for this long; clients come back after a second or more.
 constexpr milliseconds refusal_memory = 1500ms;
 /// The need falls to a third within this time. The demand's turns last several seconds.
-constexpr double need_decay_ms = 2000;
+constexpr double need_decay_ms = 1200;
 
 milliseconds allowed_time(std::int64_t chain_ms, const queue_settings& queue) {
     return milliseconds(static_cast<std::int64_t>(queue.stretch_factor * static_cast<double>(chain_ms))) +
@@ -62,17 +62,27 @@
     m_refused[job] = {work, now};
 }
 
-std::int64_t demand_meter::update(std::int64_t wanted, timestamp now) {
+void demand_meter::update(std::int64_t wanted, timestamp now) {
     std::erase_if(m_refused, [&](const auto& item) { return now - item.second.at > refusal_memory; });
     double refused = 0;
     for (const auto& [job, item] : m_refused) {
         refused += static_cast<double>(item.work);
     }
-    const double present = static_cast<double>(wanted) + refused / static_cast<double>(refusal_memory.count());
+    m_present = static_cast<double>(wanted) + refused / static_cast<double>(refusal_memory.count());
     const double passed = static_cast<double>((now - m_updated_at).count());
-    m_need = std::max(present, present + (m_need - present) * std::exp(-passed / need_decay_ms));
+    m_kept = std::max(m_present, m_present + (m_kept - m_present) * std::exp(-passed / need_decay_ms));
     m_updated_at = now;
-    return static_cast<std::int64_t>(m_need);
+}
+
+std::int64_t runnable_work(const job_state& job) {
+    std::int64_t work = 0;
+    job.each_step([&](step_place place) {
+        if (job.idle(place) > 0 && job.unlocked(place)) {
+            const step_spec& step = job.spec().steps[place.step];
+            work += static_cast<std::int64_t>(job.idle(place)) * step.need.cpu_millicores * step.estimate_ms;
+        }
+    });
+    return work;
 }
 
 std::int64_t waiting_work(const job_state& job) {
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -31,10 +31,13 @@
 
 /// Estimated work left in tasks that have no run yet, millicore-milliseconds.
 [[nodiscard]] std::int64_t waiting_work(const job_state& job);
+/// The part of it whose earlier steps are done.
+[[nodiscard]] std::int64_t runnable_work(const job_state& job);
 
 /// Load of a pool, as admission sees it.
 struct pool_load {
     std::int64_t waiting_work = 0;    ///< Millicore-milliseconds that go before a new job.
+    std::int64_t runnable_work = 0;   ///< The part of it that could run now; the rest waits for earlier steps.
     std::int64_t usable_millicores = 0; ///< Capacity of the VMs that take work ...
     std::int64_t used_millicores = 0;   ///< ... and what runs there takes.
     std::size_t usable_vms = 0;
@@ -43,7 +46,7 @@
 
     /// Capacity that running and waiting work would use if the latter were to be done within a second, well
     /// within objectives of two seconds and more.
-    [[nodiscard]] std::int64_t wanted_millicores() const noexcept { return used_millicores + waiting_work / 1000; }
+    [[nodiscard]] std::int64_t wanted_millicores() const noexcept { return used_millicores + runnable_work / 1000; }
     /// How long the pool takes for the work that waits.
     [[nodiscard]] milliseconds wait() const noexcept {
         return milliseconds(waiting_work / std::max<std::int64_t>(1, usable_millicores + arriving_millicores));
@@ -56,8 +59,12 @@
   public:
     /// Work of a job that was turned away; it stands for demand that the pool did not see.
     void turned_away(const std::string& job, std::int64_t work, timestamp now);
-    /// `wanted`: what running and waiting work would use now, millicores. Returns what is needed, millicores.
-    std::int64_t update(std::int64_t wanted, timestamp now);
+    /// `wanted`: what running and waiting work would use now, millicores.
+    void update(std::int64_t wanted, timestamp now);
+    /// What is needed now, with what was turned away lately; millicores.
+    [[nodiscard]] std::int64_t present() const noexcept { return static_cast<std::int64_t>(m_present); }
+    /// The same, falling slowly.
+    [[nodiscard]] std::int64_t kept() const noexcept { return static_cast<std::int64_t>(m_kept); }
 
   private:
     struct refusal {
@@ -66,7 +73,8 @@
     };
 
     std::map<std::string, refusal> m_refused; ///< By job: a client's retries count once.
-    double m_need = 0;
+    double m_present = 0;
+    double m_kept = 0;
     timestamp m_updated_at{0};
 };
 
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -49,6 +49,7 @@
     pool_load load;
     std::int64_t largest = 0;
     load.waiting_work = m_waiting_work;
+    load.runnable_work = m_runnable_work;
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
@@ -63,13 +64,16 @@
 
 pool_demand scheduler::demand(timestamp now) {
     pool_demand result;
-    result.need_millicores = m_demand.update(load().wanted_millicores(), now);
+    m_demand.update(load().wanted_millicores(), now);
+    result.need_millicores = m_demand.present();
+    result.keep_millicores = m_demand.kept();
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
         item.vm = name;
         item.usable = vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
         item.idle = vm.tasks().empty();
         item.long_running = vm.hosts_long_running();
+        item.used_millicores = vm.used().cpu_millicores;
         result.vms.push_back(std::move(item));
     }
     return result;
@@ -83,6 +87,7 @@
     const auto [place, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
     if (added) {
         m_waiting_work += waiting_work(place->second);
+        m_runnable_work += runnable_work(place->second);
     }
 }
 
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -184,6 +184,7 @@
     [[nodiscard]] bool at_work(const run& item, timestamp now) const;
     void pace(vm_state& vm);
     void place_waiting(timestamp now, std::int64_t wall_ms);
+    void measure_waiting(timestamp now);
     void place_step(job_state& job, step_place place, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now);
     void place_gang(job_state& job, step_place place, timestamp now);
@@ -200,6 +201,7 @@
     bool m_urgent = false;
     bool m_ends_to_store = false;
     std::int64_t m_waiting_work = 0;
+    std::int64_t m_runnable_work = 0;
     demand_meter m_demand;
     std::size_t m_arriving_vms = 0;
     decisions m_out;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -27,6 +27,7 @@
     }
     tend_runs(now);
     place_waiting(now, wall_ms);
+    measure_waiting(now);
     return std::exchange(m_out, {});
 }
 
@@ -171,16 +172,10 @@
 
 void scheduler::place_waiting(timestamp now, std::int64_t wall_ms) {
     std::vector<candidate> waiting;
-    m_waiting_work = 0;
     for (auto& [id, job] : m_jobs) {
-        if (is_final(job.phase()) || job.idle_total() == 0) {
-            continue;
-        }
-        const job_rank rank = rank_of(job, *queue_of(job), now);
-        if (rank.group == 1) {
-            m_waiting_work += waiting_work(job);
+        if (!is_final(job.phase()) && job.idle_total() > 0) {
+            waiting.push_back({rank_of(job, *queue_of(job), now), &job});
         }
-        waiting.push_back({rank, &job});
     }
     std::ranges::sort(waiting, {}, &candidate::rank);
     for (const candidate& item : waiting) {
@@ -195,6 +190,19 @@
     }
 }
 
+/// What is still waiting after placing: work that is late already doesn't stand before anybody.
+void scheduler::measure_waiting(timestamp now) {
+    m_waiting_work = 0;
+    m_runnable_work = 0;
+    for (const auto& [id, job] : m_jobs) {
+        if (is_final(job.phase()) || job.idle_total() == 0 || rank_of(job, *queue_of(job), now).group > 1) {
+            continue;
+        }
+        m_waiting_work += waiting_work(job);
+        m_runnable_work += runnable_work(job);
+    }
+}
+
 void scheduler::place_step(job_state& job, step_place place, timestamp now) {
     const step_spec& step = job.spec().steps[place.step];
     if (step.gang) {
