--- a/jobs/upkeep.cpp
+++ b/jobs/upkeep.cpp
@@ -8,13 +8,19 @@
 
 /// The list of machines may be this much older than the moment it is read.
 constexpr milliseconds list_lag = 1000ms;
+/// An order that was not confirmed within this is given again. Above the time that a call may take.
+constexpr milliseconds order_patience = 2500ms;
 
-/// A machine that began its upkeep is back when it runs another VM than before. One that was off runs none
-/// before and after; it is back when it is up although the upkeep's time has passed.
-bool is_back(const upkeep_machine& machine, const pending_upkeep& upkeep, milliseconds upkeep_time, timestamp now) {
+/// Whether an ordered upkeep is over: the machine runs another VM than before. One that was off runs none before
+/// and after; it is back when it is up although the upkeep's time has passed. An order that was not confirmed
+/// proves nothing by the passing of time: it may never have been carried out.
+bool is_over(const upkeep_machine& machine, const pending_upkeep& upkeep, milliseconds upkeep_time, timestamp now) {
+    const milliseconds age = now - upkeep.ordered_at;
+    if (!upkeep.confirmed) {
+        return age > order_patience;
+    }
     const bool another_vm = !machine.vm.empty() && machine.vm != upkeep.vm_before;
-    const bool time_passed = machine.vm == upkeep.vm_before && now - upkeep.ordered_at > upkeep_time + list_lag;
-    return machine.up && (another_vm || time_passed);
+    return machine.up && (another_vm || age > upkeep_time + list_lag);
 }
 
 } // namespace
@@ -24,7 +30,7 @@
     wave_step step;
     std::erase_if(wave.waiting, [&](const auto& item) {
         const auto found = machines.find(item.first);
-        return found == machines.end() || is_back(found->second, item.second, upkeep_time, now);
+        return found == machines.end() || is_over(found->second, item.second, upkeep_time, now);
     });
     std::vector<const upkeep_machine*> left;
     std::size_t down = wave.waiting.size();
@@ -33,12 +39,13 @@
         if (found == machines.end()) {
             continue; // It is gone for good.
         }
-        if (wave.begun.contains(name)) {
-            // An earlier owner's order may be at work without our waiting for it.
-            down += !wave.waiting.contains(name) && !found->second.up ? 1 : 0;
+        if (wave.waiting.contains(name)) {
             continue;
         }
-        left.push_back(&found->second);
+        down += found->second.up ? 0 : 1; // An order of an earlier owner may be at work.
+        if (!wave.confirmed.contains(name)) {
+            left.push_back(&found->second);
+        }
     }
     step.completed = left.empty() && wave.waiting.empty();
     const std::size_t free = down < wave.at_once ? wave.at_once - down : 0;
--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -24,6 +24,7 @@
 struct pending_upkeep {
     std::string vm_before; ///< The VM that the machine ran then; empty for one that was off.
     timestamp ordered_at{0};
+    bool confirmed = false; ///< The platform has answered that it is carried out.
 };
 
 /// A wave as its owner follows it.
@@ -31,8 +32,8 @@
     std::int64_t number = 0;
     std::vector<std::string> machines;
     std::size_t at_once = 1;
-    std::set<std::string> begun;                ///< Their upkeep has begun, or has been and gone.
-    std::map<std::string, pending_upkeep> waiting; ///< Begun and not back yet.
+    std::set<std::string> confirmed;               ///< The platform has answered that their upkeep is carried out.
+    std::map<std::string, pending_upkeep> waiting; ///< Ordered, and not known to be back.
 };
 
 /// What to do next.
@@ -46,7 +47,8 @@
 /// and no more of the pool's room is given up than that.
 inline constexpr std::size_t clear_ahead = 1;
 
-/// Plans a wave's next step. Never more than `at_once` machines are down for it, counting every machine whose
+/// Plans a wave's next step. An order without an answer is given again, which the platform takes for the same
+/// one; only confirmed ones count for the wave's end. Never more than `at_once` machines are down for it, counting every machine whose
 /// order may have been carried out; machines that are idle go first, since they cost nobody anything.
 /// `upkeep_time`: how long a machine is down.
 [[nodiscard]] wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines,
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -246,36 +246,21 @@
         item.loaded = true;
     } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
         item.loaded = true;
-        if (const auto begun = decode_archive<std::set<std::string>>(answer.items.front().value)) {
-            item.state.begun = begun.value();
+        if (const auto confirmed = decode_archive<std::set<std::string>>(answer.items.front().value)) {
+            item.state.confirmed = confirmed.value();
         }
     }
 }
 
-/// The record says that an upkeep has begun before it is ordered: a successor then never counts it as still to
-/// do, and never lets too many be down at once.
 void fleet_task::order_upkeep(wave& item, const std::string& machine) {
-    item.state.begun.insert(machine);
     item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
-    platform::store_transaction change;
-    change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
-    change.writes.push_back({wave_record_key(item.state.number), encode_archive(item.state.begun), 0});
-    m_parts.store.commit(change, [this, number = item.state.number, machine,
-                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
-        if (alive.expired()) {
-            return;
-        }
-        if (answer.status != platform::store_status::ok || !may_order()) {
-            upkeep_ordered(number, machine, platform::machine_outcome::refused);
-            return;
-        }
-        m_machines_client.upkeep({m_parts.membership.self().id, m_held.token}, machine, number,
-                                 [this, number, machine, alive](platform::machine_outcome outcome) {
-                                     if (!alive.expired()) {
-                                         upkeep_ordered(number, machine, outcome);
-                                     }
-                                 });
-    });
+    m_machines_client.upkeep({m_parts.membership.self().id, m_held.token}, machine, item.state.number,
+                             [this, number = item.state.number, machine,
+                              alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+                                 if (!alive.expired()) {
+                                     upkeep_ordered(number, machine, outcome);
+                                 }
+                             });
 }
 
 void fleet_task::upkeep_ordered(std::int64_t number, const std::string& machine,
@@ -286,12 +271,31 @@
                                           {"outcome", name_of(outcome)},
                                           {"token", m_held.token}});
     jobs::wave_state& state = m_waves[number].state;
-    if (outcome == platform::machine_outcome::refused || outcome == platform::machine_outcome::busy) {
-        state.begun.erase(machine); // Not carried out: it is still to do.
-        state.waiting.erase(machine);
+    if (outcome == platform::machine_outcome::done) {
+        if (const auto waiting = state.waiting.find(machine); waiting != state.waiting.end()) {
+            waiting->second.confirmed = true;
+        }
+        state.confirmed.insert(machine);
+        record_wave(state);
+    } else if (outcome != platform::machine_outcome::unknown) {
+        state.waiting.erase(machine); // Not carried out: it is still to do.
     }
 }
 
+/// A successor goes on where this owner stopped. If the record is lost it orders again what is done already,
+/// which changes nothing but costs the clearing of a VM.
+void fleet_task::record_wave(const jobs::wave_state& state) {
+    platform::store_transaction change;
+    change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
+    change.writes.push_back({wave_record_key(state.number), encode_archive(state.confirmed), 0});
+    m_parts.store.commit(change, [number = state.number](const platform::store_answer& answer) {
+        if (answer.status != platform::store_status::ok) {
+            log_event(event_id::machine_ordered,
+                      {{"order", "record"}, {"wave", number}, {"outcome", "not-stored"}});
+        }
+    });
+}
+
 void fleet_task::tell(std::int64_t number, bool completed) {
     platform::store_transaction change;
     change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -71,6 +71,7 @@
     void loaded(std::int64_t number, const platform::store_answer& answer);
     void order_upkeep(wave& item, const std::string& machine);
     void upkeep_ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
+    void record_wave(const jobs::wave_state& state);
     void order_move(const jobs::machine_move& move);
     void move_ordered(const jobs::machine_move& move, const std::string& kind, platform::machine_outcome outcome);
     void tell(std::int64_t number, bool completed);
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -15,7 +15,7 @@
 /// | `sp/job/POOL/JOB` | an accepted job | the pool's owner | until the job ends |
 /// | `sp/progress/POOL/JOB` | tasks done, final phase | the pool's owner | a while past the end |
 /// | `sp/inbox/POOL/submit/JOB`, `.../cancel/JOB` | a request that did not reach the owner | any node | until the owner takes it |
-/// | `sp/wave/NUMBER` | machines whose upkeep has begun | the fleet's owner | for good |
+/// | `sp/wave/NUMBER` | machines whose upkeep is confirmed | the fleet's owner | for good |
 /// | `sp/vms/POOL` | VMs that may hold runs | the pool's owner | for good |
 
 inline const std::string control_prefix = "sp/ctl/";
