Hand duties over at once; read watches anew after an outage

A stopping node now leaves the list of candidates first, those with the fewest duties claim first, a conflict reads anew.

--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -14,6 +14,8 @@
     configuration_task(event_loop& loop, platform::store_client& store, std::function<void()> on_change);
 
     void start() { m_watch.start(); }
+    /// Reads anew at once.
+    void refresh() { m_watch.refresh(); }
     /// A peer has this version in force; reads anew if it is newer than ours.
     void heard_of(std::int64_t version);
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -28,8 +28,9 @@
     : m_parts(std::move(parts)), m_held(held), m_machines_client(m_parts.loop, m_parts.settings.machines),
       m_timer(m_parts.loop.make_timer([this] { round(); })),
       m_answers_bound(m_parts.loop.make_timer([this] { list_machines(); })),
-      // An earlier holder's last order may be younger than this.
-      m_quiet_until(event_loop::now() + (held.epoch == 0 ? 0ms : m_parts.settings.order_quiet)) {}
+      // Another holder's last order may be younger than this.
+      m_quiet_until(event_loop::now() +
+                    (held.epoch == 0 || held.own_before ? 0ms : m_parts.settings.order_quiet)) {}
 
 void fleet_task::start() {
     round();
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -19,12 +19,13 @@
 constexpr milliseconds certainty_margin = 200ms;
 /// Between two looks at vacant duties.
 constexpr milliseconds claim_interval = 100ms;
-/// After the first start nodes appear within this of each other; whoever claims earlier takes everything.
+/// After the first start nodes appear within this of each other; whoever claims earlier takes everything. Duties
+/// that had an owner before are claimed without it.
 constexpr milliseconds settle_time = 900ms;
 /// Between a node's turns to claim, so that the first choice wins without a race.
-constexpr milliseconds turn = 120ms;
+constexpr milliseconds turn = 100ms;
 /// The last owner of a duty, if it lives, takes it up again without a takeover.
-constexpr milliseconds last_owner_advantage = 800ms;
+constexpr milliseconds last_owner_advantage = 500ms;
 
 constexpr milliseconds watch_wait = 5s;
 
@@ -80,6 +81,10 @@
         m_renew_timer->start(retry_interval);
         return;
     }
+    if (std::exchange(m_renewal_failed, false)) {
+        m_watch.refresh();
+        m_handlers.store_back();
+    }
     m_lease = answer.lease;
     m_renewed_at = asked_at;
     m_lease_certain_until = asked_at + answer.ttl - certainty_margin;
@@ -123,7 +128,10 @@
     if (m_leaving) {
         return;
     }
-    if (answer.status == platform::store_status::ok) {
+    const bool good = answer.status == platform::store_status::ok;
+    const bool back = good && m_renewal_failed;
+    m_renewal_failed = !good;
+    if (good) {
         m_renewed_at = asked_at;
         m_lease_certain_until = asked_at + answer.ttl - certainty_margin;
         for (auto& [duty, held] : m_owned) {
@@ -133,6 +141,10 @@
             }
         }
         m_renew_timer->start(renew_interval);
+        if (back) {
+            m_watch.refresh();
+            m_handlers.store_back();
+        }
         return;
     }
     if (answer.status == platform::store_status::no_lease) {
@@ -179,7 +191,7 @@
     if (item.deleted || !record || m_owner_revisions[duty] >= item.revision) {
         return;
     }
-    m_owners[duty] = record.value();
+    note_owner(duty, record.value());
     m_owner_revisions[duty] = item.revision;
     log_event(event_id::duty_owner, {{"duty", duty},
                                      {"owner", record.value().owner.id},
@@ -192,12 +204,22 @@
     }
 }
 
+void membership_task::note_owner(const std::string& duty, const owner_record& record) {
+    const auto known = m_owners.find(duty);
+    if (known != m_owners.end()) {
+        m_last_owners[duty] = known->second.owner.id;
+    }
+    m_owners[duty] = record;
+}
+
 void membership_task::gain(const std::string& duty, const owner_record& record, std::int64_t revision) {
     const auto owned = m_owned.find(duty);
     if (owned != m_owned.end() && owned->second.item.token >= revision) {
         return;
     }
-    const holding held{{duty, record.epoch, revision}, m_lease, m_lease_certain_until};
+    const auto last = m_last_owners.find(duty);
+    const bool own_before = last != m_last_owners.end() && last->second == m_self.id;
+    const holding held{{duty, record.epoch, revision, own_before}, m_lease, m_lease_certain_until};
     m_owned[duty] = held;
     m_handlers.gained(held.item);
 }
@@ -207,25 +229,28 @@
     if (owner != m_owners.end() && owner->second.owner.incarnation == m_self.incarnation) {
         return milliseconds(0);
     }
-    std::size_t rank = 0;
-    const std::uint64_t own = hash64(duty + "/" + m_self.id);
-    for (const auto& [id, record] : m_nodes) {
-        rank += hash64(duty + "/" + id) < own ? 1 : 0;
-    }
-    // A node that already owns something lets the others go first, so that the work spreads.
-    const std::size_t turns = std::min<std::size_t>(rank, 6) + 4 * m_owned.size();
-    milliseconds delay = turn * turns;
+    // Those that own least come first, so that the work spreads; the hash decides between equals.
+    const std::pair own{duties_of(m_self.id), hash64(duty + "/" + m_self.id)};
+    const auto before = std::ranges::count_if(m_nodes, [&](const auto& item) {
+        return std::pair{duties_of(item.first), hash64(duty + "/" + item.first)} < own;
+    });
+    milliseconds delay = turn * before;
     if (owner != m_owners.end() && owner->second.owner.id != m_self.id && m_nodes.contains(owner->second.owner.id)) {
         delay += last_owner_advantage;
     }
     return delay;
 }
 
+std::size_t membership_task::duties_of(const std::string& node) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_alive, [&](const auto& item) { return item.second.value == node; }));
+}
+
 void membership_task::consider_claims() {
     m_claim_timer->start(claim_interval);
     const timestamp now = event_loop::now();
-    const bool ready = m_claiming && m_listed && m_lease != 0 && m_registered_at != timestamp(0) &&
-                       now - m_started_at >= settle_time;
+    const bool ready = m_claiming && m_listed && m_lease != 0 && m_registered_at != timestamp(0);
+    const bool settled = now - m_started_at >= settle_time;
     for (const std::string& duty : m_duties) {
         const auto alive = m_alive.find(duty);
         const auto owner = m_owners.find(duty);
@@ -237,7 +262,8 @@
             continue;
         }
         const timestamp since = m_vacant_since.try_emplace(duty, now).first->second;
-        if (ready && !m_claims.contains(duty) && now - since >= claim_delay(duty)) {
+        const bool in_time = settled || owner != m_owners.end();
+        if (ready && in_time && !m_claims.contains(duty) && now - since >= claim_delay(duty)) {
             claim(duty);
         }
     }
@@ -276,14 +302,24 @@
         m_renew_timer->start(milliseconds(0));
         return;
     }
+    if (answer.status == platform::store_status::conflict) {
+        m_watch.refresh(); // What we know is old: the watch may hang on a connection that went silent.
+    }
     if (answer.status != platform::store_status::ok) {
         return; // If it was carried out after all, the watch tells.
     }
-    m_owners[duty] = record;
+    note_owner(duty, record);
     m_owner_revisions[duty] = std::max(m_owner_revisions[duty], answer.revision);
     gain(duty, record, answer.revision);
 }
 
+void membership_task::stop_claiming() {
+    m_claiming = false;
+    platform::store_transaction change;
+    change.removals.push_back(node_prefix + m_self.id);
+    m_store.commit(change, [](const platform::store_answer&) {});
+}
+
 void membership_task::release(const std::string& duty) {
     m_owned.erase(duty);
     platform::store_transaction change;
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -42,6 +42,7 @@
     std::string duty;
     std::uint32_t epoch = 0;
     std::int64_t token = 0; ///< Fencing token: the store's revision of the claim, so it only rises.
+    bool own_before = false; ///< This node, perhaps an earlier process of it, was the last owner as well.
 };
 
 /// Keeps this node registered under a lease, knows the other nodes, and claims duties that nobody owns.
@@ -55,6 +56,7 @@
     struct handlers {
         std::function<void(const ownership&)> gained;    ///< Owned from now on, or again under a new token.
         std::function<void(const std::string&)> lost;    ///< Somebody else owns the duty.
+        std::function<void()> store_back;                ///< The store answers again after a failure.
     };
 
     membership_task(event_loop& loop, const node_settings& settings, platform::store_client& store,
@@ -65,8 +67,8 @@
     void set_duties(std::set<std::string> duties);
     /// Gives up one duty at once, so that another node can claim it.
     void release(const std::string& duty);
-    /// Takes no more duties.
-    void stop_claiming() { m_claiming = false; }
+    /// Takes no more duties, and lets the others know that this node is no candidate any more.
+    void stop_claiming();
     /// Ends the registration and all ownership; `done` is called once, answered or not.
     void leave(std::function<void()> done);
 
@@ -101,8 +103,10 @@
     void take_owner(const std::string& duty, const platform::store_item& item);
     void consider_claims();
     [[nodiscard]] milliseconds claim_delay(const std::string& duty) const;
+    [[nodiscard]] std::size_t duties_of(const std::string& node) const;
     void claim(const std::string& duty);
     void claimed(const std::string& duty, const owner_record& record, const platform::store_answer& answer);
+    void note_owner(const std::string& duty, const owner_record& record);
     void gain(const std::string& duty, const owner_record& record, std::int64_t revision);
 
     event_loop& m_loop;
@@ -120,6 +124,7 @@
     timestamp m_registered_at{0};
     std::map<std::string, node_record> m_nodes;
     std::map<std::string, owner_record> m_owners;
+    std::map<std::string, std::string> m_last_owners; ///< Duty -> the owner before the present one.
     std::map<std::string, std::int64_t> m_owner_revisions;
     std::map<std::string, platform::store_item> m_alive; ///< Duty -> its key under the owner's lease.
     std::map<std::string, timestamp> m_vacant_since;
@@ -127,6 +132,7 @@
     std::set<std::string> m_duties;
     std::set<std::string> m_claims; ///< Claims on their way.
     bool m_claiming = true;
+    bool m_renewal_failed = false;
     bool m_listed = false;
     bool m_leaving = false;
     lifetime m_lifetime;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -24,7 +24,7 @@
       m_configuration(loop, m_store, [this] { configuration_changed(); }),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
-                    [this](const std::string& duty) { duty_lost(duty); }}),
+                    [this](const std::string& duty) { duty_lost(duty); }, [this] { store_back(); }}),
       m_ingress({loop, m_store, m_membership, m_configuration, m_peers, m_counters},
                 [this](const peer_request& request, peer_server::reply done) {
                     return handle_local(request, std::move(done));
@@ -126,6 +126,14 @@
     });
 }
 
+/// Watches that were waiting when the store went away may hang on silent connections for seconds.
+void node::store_back() {
+    m_configuration.refresh();
+    for (const auto& [duty, task] : m_pools) {
+        task->refresh();
+    }
+}
+
 // --- Requests ---
 
 bool node::handle_local(const peer_request& request, peer_server::reply done) {
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -27,6 +27,7 @@
     void configuration_changed();
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
+    void store_back();
     bool handle_local(const peer_request& request, peer_server::reply done);
     void handle_peer(const peer_request& request, peer_server::reply done);
     void ask_pool(const peer_request& request, peer_server::reply done);
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -52,6 +52,13 @@
     decide_soon();
 }
 
+void pool_task::refresh() {
+    if (m_ready) {
+        m_directory.refresh();
+        m_inbox.refresh();
+    }
+}
+
 void pool_task::configure(const jobs::fleet_configuration& configuration) {
     std::vector<jobs::queue_settings> queues;
     std::ranges::copy_if(configuration.queues, std::back_inserter(queues),
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -39,6 +39,8 @@
     void configure(const jobs::fleet_configuration& configuration);
     /// Answers a request about the pool, at once or once what it needs is stored.
     void handle(const peer_request& request, reply done);
+    /// Reads anew what the task watches; for after an outage of the store.
+    void refresh();
     /// Orders nothing more; what is changed is still stored. `done` is called once all is stored.
     void wind_down(std::function<void()> done);
 
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -14,6 +14,9 @@
 
     void start(std::function<void()> on_ready);
 
+    /// Reads anew at once.
+    void refresh() { m_watch.refresh(); }
+
     [[nodiscard]] const std::map<std::string, jobs::vm_info>& vms() const noexcept { return m_vms; }
 
   private:
