--- a/jobs/upkeep.cpp
+++ b/jobs/upkeep.cpp
@@ -1,6 +1,7 @@
 #include "jobs/upkeep.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace siskinpaddle::jobs {
 
@@ -49,8 +50,10 @@
     }
     step.completed = left.empty() && wave.waiting.empty();
     const std::size_t free = down < wave.at_once ? wave.at_once - down : 0;
+    // One that is half empty keeps its turn: were it to make way for each machine that is quiet for a moment, a
+    // busy one would be begun again and again and the wave would end late.
     std::ranges::stable_sort(left, [](const upkeep_machine* a, const upkeep_machine* b) {
-        return std::pair(a->idle, a->quiet) > std::pair(b->idle, b->quiet);
+        return std::tuple(a->idle, a->clearing, a->quiet) > std::tuple(b->idle, b->clearing, b->quiet);
     });
     for (const upkeep_machine* machine : left) {
         if (machine->up && machine->idle && step.order.size() < free) {
--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -18,6 +18,7 @@
     bool up = true;     ///< It runs, and is not being moved or kept up.
     bool idle = false;  ///< Nothing runs there, and its pool's owner keeps it so.
     bool quiet = false; ///< Nothing runs there just now.
+    bool clearing = false; ///< Its pool's owner is emptying it already.
 };
 
 /// An upkeep that was ordered and is not known to be over.
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -156,6 +156,10 @@
 }
 
 void fleet_task::plan() {
+    m_asked_empty.clear();
+    for (const auto& [pool, vms] : m_clear) {
+        m_asked_empty.insert(vms.begin(), vms.end());
+    }
     m_clear.clear();
     m_again_at_once = false;
     for (const auto& [machine, move] : m_moves) {
@@ -194,6 +198,7 @@
         const bool off = info.pool == spare_pool();
         item.idle = off || m_empty_vms.contains(info.incarnation);
         item.quiet = off || quiet.contains(info.incarnation);
+        item.clearing = m_asked_empty.contains(info.incarnation);
         view[name] = std::move(item);
     }
     return view;
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -92,6 +92,7 @@
     bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
 
     std::map<std::int64_t, wave> m_waves;
+    std::set<std::string> m_asked_empty; ///< VMs that their owners were asked to empty in the last round.
     std::map<std::string, std::set<std::string>> m_clear; ///< Pool -> VMs that its owner is to keep empty.
     std::map<std::string, pending_move> m_moves;          ///< By machine.
     jobs::balance_memory m_memory;
--- a/tests/jobs/upkeep_test.cpp
+++ b/tests/jobs/upkeep_test.cpp
@@ -1,5 +1,6 @@
 #include "jobs/jobs.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace siskinpaddle;
@@ -15,7 +16,7 @@
     explicit wave_bench(std::size_t at_once) { wave.at_once = at_once; }
 
     void machine(const std::string& name, bool idle, const std::string& vm) {
-        machines[name] = {name, "p", vm, true, idle, idle};
+        machines[name] = {name, "p", vm, true, idle, idle, false};
         wave.machines.push_back(name);
     }
 
@@ -89,3 +90,17 @@
     b.machines.clear();
     CHECK(b.step().completed);
 }
+
+TEST_CASE("a machine that is being emptied keeps its turn") {
+    // A wave ends seven seconds late. Its last machine was busy; whenever another one was quiet for a moment, that
+    // one was emptied instead and the busy one went back to work half empty.
+    wave_bench b(1);
+    b.machine("quiet", false, "v1");
+    b.machine("busy", false, "v2");
+    b.machine("other", false, "v3");
+    b.machines["busy"].clearing = true;
+    b.machines["quiet"].quiet = true;
+    b.machines["other"].quiet = true;
+    const wave_step step = b.step();
+    CHECK(std::ranges::find(step.clear, "busy") != step.clear.end());
+}
