--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -104,7 +104,6 @@
         --m_idle;
     }
     state.attempts = std::max(state.attempts, item.attempt);
-    state.unaccounted = false;
     ++m_runs;
     state.runs.push_back(std::move(item));
     return state.runs.back();
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -41,7 +41,8 @@
     /// see an end again that its predecessor counted and stored.
     std::vector<std::uint32_t> failed_attempts;
     std::uint32_t attempts = 0; ///< Runs ordered by this owner.
-    /// A run that an earlier owner ordered may be alive on a VM that has not answered yet.
+    /// An earlier owner may have ordered, or may yet order, a run on a VM that has not heard of this one. Runs
+    /// that are found elsewhere don't change that.
     bool unaccounted = false;
     std::string checkpoint;
     std::vector<run> runs;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -100,10 +100,16 @@
         m_fleet->start();
         return;
     }
-    if (const auto known = m_pools.find(held.duty); known != m_pools.end()) {
+    const auto known = m_pools.find(held.duty);
+    if (known != m_pools.end() && known->second->epoch() == held.epoch) {
         known->second->renew_token(held);
         return;
     }
+    if (known != m_pools.end()) {
+        // Another owner had it in between: what this task knows is old. Not deleted from inside its own callback.
+        m_loop.post([old = std::shared_ptr<pool_task>(std::move(known->second))] {});
+        m_pools.erase(known);
+    }
     const std::string pool = held.duty.substr(pool_duty("").size());
     auto task = std::make_unique<pool_task>(
         pool_task::context{m_loop, m_settings, m_store, m_vms, m_membership, m_counters}, pool, held);
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t jobs_at_once = (platform::max_transaction_entries - 1) / 2;
 /// An ended job stays with the scheduler this long, for late reports on its runs.
 constexpr milliseconds ended_in_scheduler = 3s;
+/// Requests in the inbox that could not be taken are tried again after this; a cancelling must work within three
+/// seconds.
+constexpr milliseconds inbox_retry = 300ms;
 /// Between two looks for ended jobs to forget.
 constexpr milliseconds forget_interval = 2s;
 /// VMs that are kept empty for an upkeep go back to work if whoever asked for it is silent for this long.
@@ -145,6 +148,12 @@
 
 void pool_task::forget_old() {
     const timestamp now = event_loop::now();
+    if (now - m_inbox_tried_at >= inbox_retry) {
+        m_inbox_tried_at = now;
+        for (const platform::store_item& item : std::exchange(m_inbox_again, {})) {
+            take_inbox(item);
+        }
+    }
     if (now - m_forgot_at < forget_interval) {
         return;
     }
@@ -155,9 +164,6 @@
         }
         m_cleared_vms.clear();
     }
-    for (const platform::store_item& item : std::exchange(m_inbox_again, {})) {
-        take_inbox(item);
-    }
     for (const auto& [id, phase] : m_scheduler.forget_final(now, ended_in_scheduler)) {
         m_ended[id] = phase;
         m_ended_at[id] = now;
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -155,7 +155,8 @@
                 m_recorded = recorded.value();
             }
         }
-        finish_loading();
+        // Cancellings that did not reach an owner lie in the inbox: none of their tasks may be started first.
+        m_inbox.start([this] { finish_loading(); });
     });
 }
 
@@ -179,7 +180,6 @@
     for (const auto& [vm, info] : m_directory.vms()) {
         vm_changed(vm, info);
     }
-    m_inbox.start();
     decide_soon();
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -45,6 +45,7 @@
     void wind_down(std::function<void()> done);
 
     [[nodiscard]] const std::string& pool() const noexcept { return m_pool; }
+    [[nodiscard]] std::uint32_t epoch() const noexcept { return m_held.epoch; }
     [[nodiscard]] bool ready() const noexcept { return m_ready; }
     [[nodiscard]] const jobs::scheduler& scheduler() const noexcept { return m_scheduler; }
 
@@ -168,6 +169,7 @@
     std::set<std::string> m_cleared_vms; ///< VMs that are to be empty ...
     timestamp m_cleared_at{0};           ///< ... as was last asked for then.
     timestamp m_forgot_at{0};
+    timestamp m_inbox_tried_at{0};
     timestamp m_load_logged_at{0};
     lifetime m_lifetime;
 };
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -253,3 +253,25 @@
     const pool_demand demand = b.pool().demand(b.now());
     CHECK(std::ranges::count_if(demand.vms, &vm_load::idle) == 3);
 }
+
+TEST_CASE("an adopted run that ends does not free its task while the old owner may still act elsewhere") {
+    // A task runs twice for a second. A new owner adopts a run; it fails at once and both owners hear of it. The
+    // old one, not yet aware of its successor, starts the task on a VM that the new one has not reached; the new
+    // one starts it as well, since it had found the task's only run.
+    pool_bench b(1);
+    b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
+    b.pool().expect_vm(b.info("v1"));
+    b.pool().expect_vm(b.info("v2"));
+    b.pool().list_vm(b.info("v1"));
+    b.pool().list_vm(b.info("v2"));
+    const task_id task{"j", 0, 0, 0};
+    b.report("v1", {{task, 1, "", 50, 0}});
+    b.pass(10ms);
+    b.report("v1", {}, {{1, task, 1, run_end::failed, ""}});
+    CHECK(b.decide().starts.empty());
+    b.report("v2", {{task, 2, "", 0, 0}});
+    CHECK(b.decide().starts.empty());
+    b.pass(10ms);
+    b.report("v2", {}, {{1, task, 2, run_end::failed, ""}});
+    CHECK(b.decide().starts.size() == 1);
+}
