--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -14,7 +14,7 @@
 struct vm_load {
     std::string vm;
     bool usable = false;       ///< It takes work.
-    bool idle = false;         ///< Nothing runs there, or may yet start.
+    bool idle = false;         ///< Nothing runs there, or may yet start, and what ended there is stored.
     bool long_running = false; ///< It has runs that don't end by themselves.
     std::int64_t used_millicores = 0;
 
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -71,7 +71,7 @@
         vm_load item;
         item.vm = name;
         item.usable = vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
-        item.idle = vm.tasks().empty();
+        item.idle = is_settled(name);
         item.long_running = vm.hosts_long_running();
         item.used_millicores = vm.used().cpu_millicores;
         result.vms.push_back(std::move(item));
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -111,6 +111,8 @@
     void delist_vm(const std::string& vm);
     /// A VM that an earlier owner may have used; its runs are unknown until it reports or is gone.
     void expect_vm(const vm_info& info);
+    /// VMs that may run tasks of an earlier owner and have not answered yet; while there are any, those tasks wait.
+    [[nodiscard]] const std::set<std::string>& unheard() const noexcept { return m_unheard; }
     /// This life of the VM has certainly ended.
     void vm_gone(const std::string& vm, timestamp now);
     void take_report(const std::string& vm, const vm_report& report, timestamp now);
@@ -118,8 +120,9 @@
     void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
     void stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
     void cordon(const std::string& vm, bool on);
-    /// Nothing runs on the VM, or may yet start there.
-    [[nodiscard]] bool is_empty(const std::string& vm) const;
+    /// Nothing runs on the VM, or may yet start there, and all ends that it has listed are stored. Only then may it
+    /// go: the ends of a VM that is gone can't be read again, and what had ended there would be started once more.
+    [[nodiscard]] bool is_settled(const std::string& vm) const;
     /// Deadline for the next renewal of the VM's lease; books it as granted. 0: only look, since its clock is
     /// not known yet or it does not answer.
     [[nodiscard]] std::int64_t renewal_deadline(const std::string& vm, timestamp now);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -156,9 +156,9 @@
     }
 }
 
-bool scheduler::is_empty(const std::string& vm) const {
+bool scheduler::is_settled(const std::string& vm) const {
     const auto found = m_vms.find(vm);
-    return found == m_vms.end() || found->second.tasks().empty();
+    return !m_unheard.contains(vm) && (found == m_vms.end() || found->second.settled());
 }
 
 std::int64_t scheduler::renewal_deadline(const std::string& vm, timestamp now) {
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -39,6 +39,8 @@
     void remove_task(const task_id& task, const resources& need, bool long_running);
     [[nodiscard]] bool hosts_long_running() const noexcept { return m_long_running > 0; }
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
+    /// Nothing runs there, and what has ended there is stored.
+    [[nodiscard]] bool settled() const noexcept { return m_tasks.empty() && seen <= acknowledged; }
     [[nodiscard]] resources room() const;
     [[nodiscard]] const resources& used() const noexcept { return m_used; }
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 fleet_task::fleet_task(context parts, const ownership& held)
-    : m_parts(std::move(parts)), m_held(held), m_machines_client(m_parts.loop, m_parts.settings.machines),
+    : m_parts(std::move(parts)), m_held(held),
       m_timer(m_parts.loop.make_timer([this] { round(); })),
       m_answers_bound(m_parts.loop.make_timer([this] { list_machines(); })),
       // Another holder's last order may be younger than this.
@@ -120,7 +120,7 @@
 }
 
 void fleet_task::list_machines() {
-    m_machines_client.list([this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
+    m_parts.machines.list([this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
         if (alive.expired() || round != m_round) {
             return;
         }
@@ -260,7 +260,7 @@
 
 void fleet_task::order_upkeep(wave& item, const std::string& machine) {
     item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
-    m_machines_client.upkeep({m_parts.membership.self().id, m_held.token}, machine, item.state.number,
+    m_parts.machines.upkeep({m_parts.membership.self().id, m_held.token}, machine, item.state.number,
                              [this, number = item.state.number, machine,
                               alive = m_lifetime.watch()](platform::machine_outcome outcome) {
                                  if (!alive.expired()) {
@@ -380,7 +380,7 @@
     const platform::machine_info& info = m_machines[move.machine];
     m_moves[move.machine] = {move.pool, info.incarnation, event_loop::now()};
     m_clear[info.pool].insert(info.incarnation);
-    m_machines_client.move({m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
+    m_parts.machines.move({m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
                            [this, move, kind = info.kind,
                             alive = m_lifetime.watch()](platform::machine_outcome outcome) {
                                if (!alive.expired()) {
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -25,6 +25,7 @@
         event_loop& loop;
         const node_settings& settings;
         platform::store_client& store;
+        platform::machine_client& machines;
         membership_task& membership;
         configuration_task& configuration;
         /// Asks a pool's owner, here or elsewhere.
@@ -79,7 +80,6 @@
 
     context m_parts;
     ownership m_held;
-    platform::machine_client m_machines_client;
     std::unique_ptr<timer> m_timer;
     std::unique_ptr<timer> m_answers_bound;
     timestamp m_quiet_until;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -3,6 +3,7 @@
 #include "node/keys.hpp"
 
 #include "node/job_lookup.hpp"
+#include "node/store_health.hpp"
 
 #include <algorithm>
 
@@ -14,8 +15,10 @@
 /// through the store must still fit into the client's deadline of about three seconds.
 constexpr milliseconds owner_timeout = 900ms;
 /// While nobody can take the job: an owner is replaced in about three seconds.
-constexpr milliseconds retry_after_gap = 2s;
+constexpr milliseconds retry_after_gap = 1s;
 constexpr milliseconds retry_after_start = 1s;
+/// An owner that did not answer is not asked again for this long; the store is, at once.
+constexpr milliseconds silent_owner_pause = 1s;
 /// A queue's count may be this old.
 constexpr milliseconds count_age = 1500ms;
 /// Above the largest body that a configuration allows so far; the configured bound is checked per call.
@@ -105,10 +108,6 @@
         if (alive.expired()) {
             return;
         }
-        const peer_outcome outcome = outcome_of(answer);
-        if (outcome != peer_outcome::unknown && outcome != peer_outcome::unavailable) {
-            m_owner_answered_at = event_loop::now();
-        }
         m_parts.configuration.heard_of(answer.configuration);
         (this->*next)(client, answer);
     };
@@ -120,8 +119,32 @@
         take_answer(answer_of(peer_outcome::not_owner));
         return;
     }
+    const auto silent = m_silent_owners.find(owner->incarnation);
+    if (silent != m_silent_owners.end() && event_loop::now() < silent->second) {
+        take_answer(answer_of(peer_outcome::not_owner));
+        return;
+    }
     const milliseconds timeout = std::min(owner_timeout, client.call.deadline / 2);
-    m_parts.peers.call({owner->address, owner->port}, message, timeout, take_answer);
+    m_parts.peers.call({owner->address, owner->port}, message, timeout,
+                       [this, take_answer, owner = owner->incarnation,
+                        alive = m_lifetime.watch()](const peer_answer& answer) {
+                           if (!alive.expired()) {
+                               note_owner(owner, outcome_of(answer));
+                               take_answer(answer);
+                           }
+                       });
+}
+
+/// Remembers whether an owner on another node answers: a frozen or cut off one would hold each client for the whole
+/// timeout, one after the other.
+void ingress_task::note_owner(const std::string& owner, peer_outcome outcome) {
+    const timestamp now = event_loop::now();
+    if (outcome == peer_outcome::unknown || outcome == peer_outcome::unreachable) {
+        m_silent_owners[owner] = now + silent_owner_pause;
+        return;
+    }
+    m_silent_owners.erase(owner);
+    m_owner_answered_at = now;
 }
 
 void ingress_task::observe(const client_context& client, std::string_view outcome) {
@@ -170,6 +193,10 @@
 /// Leaves the job where the pool's next owner finds it. `may_be_stored`: the owner may have accepted it, so a
 /// refusal would not be true any more.
 void ingress_task::submit_by_store(const client_context& client, bool may_be_stored) {
+    if (store_is_failing(m_parts.store, event_loop::now())) {
+        may_be_stored ? give_up(client, "store") : refuse(client, "store", retry_after_gap);
+        return;
+    }
     const jobs::job_record record{client.spec, wall_clock_ms()};
     const std::string& id = client.call.job;
     platform::store_transaction change;
@@ -205,6 +232,10 @@
 }
 
 void ingress_task::status_by_store(const client_context& client) {
+    if (store_is_failing(m_parts.store, event_loop::now())) {
+        refuse(client, "store", retry_after_gap);
+        return;
+    }
     look_up_job(m_parts.store, client.call.pool, client.call.job,
                 [this, client, alive = m_lifetime.watch()](const lookup_answer& answer) {
                     if (alive.expired()) {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -36,7 +36,7 @@
     /// Takes no new connections.
     void close() { m_server.drain(); }
     [[nodiscard]] bool idle() const noexcept { return m_server.in_progress() == 0; }
-    /// When an owner last answered.
+    /// When an owner on another node last answered.
     [[nodiscard]] timestamp owner_answered_at() const noexcept { return m_owner_answered_at; }
 
   private:
@@ -51,6 +51,7 @@
 
     void take(request_handle request);
     void ask_owner(const client_context& client, peer_request message, handler next);
+    void note_owner(const std::string& owner, peer_outcome outcome);
     void submit_answered(const client_context& client, const peer_answer& answer);
     void status_answered(const client_context& client, const peer_answer& answer);
     void cancel_answered(const client_context& client, const peer_answer& answer);
@@ -66,6 +67,7 @@
     local_handler m_local;
     http_server m_server;
     timestamp m_owner_answered_at{0};
+    std::map<std::string, timestamp> m_silent_owners; ///< Incarnation -> until when it is not asked.
     struct cached_count {
         std::uint64_t jobs = 0;
         timestamp at{0};
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -14,7 +14,10 @@
 /// seconds. Renewed three times within it, so that one lost renewal costs nothing.
 constexpr milliseconds lease_ttl = 3s;
 constexpr milliseconds renew_interval = 900ms;
-constexpr milliseconds retry_interval = 300ms;
+constexpr milliseconds retry_interval = 200ms;
+/// Above the answers of a store that is a hundred times slower than its usual four milliseconds; short, so that the
+/// end of an outage is seen soon.
+constexpr milliseconds renew_timeout = 700ms;
 /// Our clock and the store's run apart, and the answer may be late.
 constexpr milliseconds certainty_margin = 200ms;
 /// Between two looks at vacant duties.
@@ -116,7 +119,7 @@
         return;
     }
     const timestamp asked_at = event_loop::now();
-    m_store.renew_lease(m_lease,
+    m_store.renew_lease(m_lease, renew_timeout,
                         [this, asked_at, alive = m_lifetime.watch()](const platform::lease_answer& answer) {
                             if (!alive.expired()) {
                                 renewed(answer, asked_at);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr milliseconds tick_interval = 200ms;
-/// Neither the store nor an owner has answered for this long: what is asked here can't be served.
-constexpr milliseconds reach_bound = 3s;
+/// Neither the store nor an owner elsewhere has answered for this long: what is asked here can't be served, and the
+/// platform should send clients to other nodes. Above the interval of lease renewals, with one that got lost.
+constexpr milliseconds reach_bound = 2s;
 constexpr milliseconds peer_timeout = 800ms;
 /// After SIGTERM the platform needs two misses of its readiness check, one a second, to send no more.
 constexpr milliseconds shed_time = 2500ms;
@@ -20,7 +21,8 @@
 } // namespace
 
 node::node(event_loop& loop, const node_settings& settings)
-    : m_loop(loop), m_settings(settings), m_store(loop, settings.store), m_vms(loop), m_peers(loop),
+    : m_loop(loop), m_settings(settings), m_store(loop, settings.store), m_vms(loop),
+      m_machines(loop, settings.machines), m_peers(loop),
       m_configuration(loop, m_store, [this] { configuration_changed(); }),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
@@ -92,7 +94,7 @@
             return;
         }
         m_fleet = std::make_unique<fleet_task>(
-            fleet_task::context{m_loop, m_settings, m_store, m_membership, m_configuration,
+            fleet_task::context{m_loop, m_settings, m_store, m_machines, m_membership, m_configuration,
                                 [this](const peer_request& request, peer_server::reply done) {
                                     ask_pool(request, std::move(done));
                                 }},
@@ -112,7 +114,7 @@
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
     auto task = std::make_unique<pool_task>(
-        pool_task::context{m_loop, m_settings, m_store, m_vms, m_membership, m_counters}, pool, held);
+        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_membership, m_counters}, pool, held);
     task->configure(m_configuration.current());
     task->start();
     m_pools[held.duty] = std::move(task);
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -41,6 +41,7 @@
     metrics m_counters;
     platform::store_client m_store;
     platform::vm_client m_vms;
+    platform::machine_client m_machines;
     peer_client m_peers;
     configuration_task m_configuration;
     membership_task m_membership;
--- a/node/peer_client.cpp
+++ b/node/peer_client.cpp
@@ -26,7 +26,7 @@
     m_client.send(std::move(call), [done = std::move(done)](const http_answer& answer) {
         if (answer.status != exchange_status::answered || answer.code != 200) {
             const bool unsent = answer.status == exchange_status::connect_failed;
-            done(answer_of(unsent ? peer_outcome::unavailable : peer_outcome::unknown));
+            done(answer_of(unsent ? peer_outcome::unreachable : peer_outcome::unknown));
             return;
         }
         const auto decoded = decode_archive<peer_answer>(answer.body);
--- a/node/peer_client.hpp
+++ b/node/peer_client.hpp
@@ -7,7 +7,7 @@
 
 namespace siskinpaddle::node {
 
-/// Calls other nodes: HTTP with cereal bodies. A connection that can't be made answers `unavailable`, one
+/// Calls other nodes: HTTP with cereal bodies. A connection that can't be made answers `unreachable`, one
 /// that ends without an answer `unknown`.
 class peer_client {
   public:
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -24,6 +24,7 @@
     unknown_job,
     overloaded,  ///< Not accepted; never runs.
     unavailable, ///< Not carried out.
+    unreachable, ///< Not sent.
     unknown      ///< It may have been carried out.
 };
 
@@ -76,4 +77,5 @@
     std::pair{siskinpaddle::node::peer_outcome::unknown_job, std::string_view("unknown-job")},
     std::pair{siskinpaddle::node::peer_outcome::overloaded, std::string_view("overloaded")},
     std::pair{siskinpaddle::node::peer_outcome::unavailable, std::string_view("unavailable")},
+    std::pair{siskinpaddle::node::peer_outcome::unreachable, std::string_view("unreachable")},
     std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")}};
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -1,6 +1,7 @@
 #include "node/pool_task.hpp"
 
 #include "node/keys.hpp"
+#include "node/store_health.hpp"
 
 #include <algorithm>
 
@@ -11,9 +12,9 @@
 /// Most jobs accepted by one transaction, beside its condition.
 constexpr std::size_t submits_at_once = platform::max_transaction_entries - 1;
 constexpr milliseconds submit_retry = 120ms;
-/// Refuse at once while the store has failed for this long: the job can't be stored in time.
-constexpr milliseconds store_failing_bound = 400ms;
-constexpr milliseconds retry_after_outage = 2s;
+/// Short: whoever comes back right after an outage can still be served within an objective of two seconds, and
+/// how long it lasts is not known.
+constexpr milliseconds retry_after_outage = 1s;
 
 } // namespace
 
@@ -45,19 +46,6 @@
     done(answer_of(peer_outcome::unavailable));
 }
 
-bool pool_task::store_is_failing() const {
-    return m_store_failing_since != timestamp(0) &&
-           event_loop::now() - m_store_failing_since >= store_failing_bound;
-}
-
-void pool_task::note_store(bool good) {
-    if (good) {
-        m_store_failing_since = timestamp(0);
-    } else if (m_store_failing_since == timestamp(0)) {
-        m_store_failing_since = event_loop::now();
-    }
-}
-
 void pool_task::submit(const peer_request& request, const reply& done) {
     const std::string& id = request.spec.id;
     if (m_scheduler.knows(id) || m_ended.contains(id)) {
@@ -68,7 +56,7 @@
         m_submits_again.emplace(id, done);
         return;
     }
-    if (store_is_failing()) {
+    if (store_is_failing(m_parts.store, event_loop::now())) {
         peer_answer answer = answer_of(peer_outcome::unavailable);
         answer.retry_after_ms = retry_after_outage.count();
         log_event(event_id::submit_refused, {{"pool", m_pool}, {"job", id}, {"why", "store"}});
@@ -140,7 +128,6 @@
                                 std::int64_t token) {
     m_writing_submits = false;
     const bool stored = answer.status == platform::store_status::ok;
-    note_store(stored || answer.status == platform::store_status::conflict);
     if (answer.status == platform::store_status::conflict) {
         ownership_lost("submit", token);
     }
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -85,7 +85,6 @@
 void pool_task::chunk_written(const std::vector<std::pair<std::string, std::uint64_t>>& written,
                               const platform::store_answer& answer, std::int64_t token) {
     const bool stored = answer.status == platform::store_status::ok;
-    note_store(stored || answer.status == platform::store_status::conflict);
     if (stored) {
         for (const auto& [id, change] : written) {
             m_scheduler.job_stored(id, change, event_loop::now());
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -13,6 +13,10 @@
 /// How often decisions are looked at without an event: leases that ran out, stops to repeat.
 constexpr milliseconds decide_interval = 200ms;
 constexpr milliseconds load_interval = 1s;
+/// VMs that left the pool are taken out of the record together.
+constexpr milliseconds record_pause = 300ms;
+/// Between two looks at the platform's machines for VMs that an earlier owner used and that don't answer.
+constexpr milliseconds unheard_interval = 400ms;
 /// A watch is begun anew this often; a connection that went silent is found within this time.
 constexpr milliseconds inbox_wait = 3s;
 
@@ -38,6 +42,8 @@
                   }),
       m_inbox(parts.loop, parts.store, inbox_prefix(m_pool), inbox_wait,
               [this](const platform::store_item& item) { take_inbox(item); }),
+      m_record_timer(parts.loop.make_timer([this] { record_vms(); })),
+      m_unheard_timer(parts.loop.make_timer([this] { look_for_unheard(); })),
       m_decide_timer(parts.loop.make_timer([this] { decide(); })),
       m_submit_timer(parts.loop.make_timer([this] {
           m_writing_submits = false;
@@ -180,7 +186,7 @@
     for (const auto& [vm, info] : m_directory.vms()) {
         vm_changed(vm, info);
     }
-    decide_soon();
+    look_for_unheard();
 }
 
 // --- VMs ---
@@ -190,6 +196,7 @@
         if (m_scheduler.vms().contains(vm)) {
             log_event(event_id::vm_delisted, {{"pool", m_pool}, {"vm", vm}});
             m_scheduler.delist_vm(vm);
+            m_record_timer->start(record_pause);
             decide_soon();
         }
         return;
@@ -199,8 +206,7 @@
                                     {"machine", info->machine},
                                     {"zone", info->availability_zone},
                                     {"draining", static_cast<int>(info->draining)}});
-    const auto recorded = std::ranges::find(m_recorded, vm, &jobs::vm_info::incarnation);
-    if (recorded != m_recorded.end() && m_scheduler.vms().contains(vm)) {
+    if (is_recorded(vm) && m_scheduler.vms().contains(vm)) {
         m_scheduler.list_vm(*info);
         renew(vm);
         decide_soon();
@@ -209,45 +215,65 @@
     record_vms();
 }
 
-/// A VM gets its first run only once it is stored that it may hold some, so that a successor knows whom to ask.
-void pool_task::record_vms() {
-    if (m_recording || m_lost) {
-        return;
-    }
+/// Whether the VM stands in the record, and in the one that may be stored any moment.
+bool pool_task::is_recorded(const std::string& vm) const {
+    const auto holds = [&](const std::vector<jobs::vm_info>& list) {
+        return std::ranges::find(list, vm, &jobs::vm_info::incarnation) != list.end();
+    };
+    return holds(m_recorded) && (!m_recording || holds(m_record_on_its_way));
+}
+
+/// VMs that may hold runs, now or after the next decision: those that the platform lists, and those that it does
+/// not list any more while something may run there.
+std::vector<jobs::vm_info> pool_task::vms_to_record() const {
     std::vector<jobs::vm_info> wanted;
-    for (const jobs::vm_info& info : m_recorded) {
-        if (m_scheduler.vms().contains(info.incarnation)) {
+    for (const auto& [vm, info] : m_directory.vms()) {
+        if (info.pool == m_pool) {
             wanted.push_back(info);
         }
     }
-    bool more = false;
-    for (const auto& [vm, info] : m_directory.vms()) {
-        if (info.pool == m_pool && std::ranges::find(wanted, vm, &jobs::vm_info::incarnation) == wanted.end()) {
+    for (const jobs::vm_info& info : m_recorded) {
+        const auto listed = m_directory.vms().find(info.incarnation);
+        const bool here = listed != m_directory.vms().end() && listed->second.pool == m_pool;
+        if (!here && !m_scheduler.is_settled(info.incarnation)) {
             wanted.push_back(info);
-            more = true;
         }
     }
-    if (!more) {
+    return wanted;
+}
+
+/// A VM gets its first run only once it is stored that it may hold some, so that a successor knows whom to ask; and
+/// it leaves the record when it is gone and empty, since a successor waits for every VM of the record.
+void pool_task::record_vms() {
+    if (m_recording || m_lost) {
+        return;
+    }
+    const std::vector<jobs::vm_info> wanted = vms_to_record();
+    if (wanted == m_recorded) {
+        use_recorded();
         return;
     }
     m_recording = true;
+    m_record_on_its_way = wanted;
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
     change.writes.push_back({vms_key(m_pool), encode_archive(wanted), 0});
-    m_parts.store.commit(
-        change, [this, wanted, token = m_held.token, alive = m_lifetime.watch()](const platform::store_answer& answer) {
-            if (alive.expired()) {
-                return;
-            }
-            m_recording = false;
-            m_record_again = answer.status != platform::store_status::ok;
-            if (answer.status == platform::store_status::conflict) {
-                ownership_lost("vm record", token);
-            } else if (answer.status == platform::store_status::ok) {
-                m_recorded = wanted;
-                use_recorded();
-            }
-        });
+    m_parts.store.commit(change, [this, wanted, token = m_held.token,
+                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        m_recording = false;
+        if (answer.status == platform::store_status::ok) {
+            m_recorded = wanted;
+            use_recorded();
+        } else if (answer.status == platform::store_status::conflict) {
+            ownership_lost("vm record", token);
+        }
+        if (vms_to_record() != m_recorded) {
+            m_record_timer->start(record_pause);
+        }
+    });
 }
 
 void pool_task::use_recorded() {
@@ -260,7 +286,45 @@
         }
     }
     decide_soon();
-    record_vms(); // More may have appeared meanwhile.
+}
+
+/// Lives of VMs that an earlier owner may have used and that have ended meanwhile, by the platform's word: another
+/// life of the same machine is listed, or the machine is off. Without this the earlier owner's tasks wait for VMs
+/// that were moved to other pools, until the longest lease has run out.
+void pool_task::look_for_unheard() {
+    for (const jobs::vm_info& info : m_recorded) {
+        if (m_scheduler.unheard().contains(info.incarnation) && m_directory.has_later_life(info)) {
+            m_scheduler.vm_gone(info.incarnation, event_loop::now());
+        }
+    }
+    decide_soon();
+    if (m_scheduler.unheard().empty()) {
+        return;
+    }
+    m_unheard_timer->start(unheard_interval);
+    m_parts.machines.list([this, alive = m_lifetime.watch()](const platform::machine_list& list) {
+        if (!alive.expired()) {
+            take_machines(list);
+        }
+    });
+}
+
+void pool_task::take_machines(const platform::machine_list& list) {
+    for (const jobs::vm_info& info : m_recorded) {
+        const auto found = std::ranges::find(list.machines, info.machine, &platform::machine_info::machine);
+        // The list may be a second old: what the platform still registers as a VM may be newer than the list.
+        const bool registered = m_directory.vms().contains(info.incarnation);
+        if (registered || found == list.machines.end() || !m_scheduler.unheard().contains(info.incarnation)) {
+            continue;
+        }
+        const bool taken_down =
+            found->phase == platform::machine_phase::moving || found->phase == platform::machine_phase::upkeep;
+        const bool elsewhere = found->incarnation.empty() && found->pool != m_pool;
+        if (taken_down || elsewhere) {
+            m_scheduler.vm_gone(info.incarnation, event_loop::now());
+        }
+    }
+    decide_soon();
 }
 
 // --- Deciding ---
@@ -292,9 +356,6 @@
     if (!acting) {
         return;
     }
-    if (m_record_again) {
-        record_vms();
-    }
     const timestamp now = event_loop::now();
     const bool certain = now < m_parts.membership.certain_until(m_held.duty);
     const jobs::decisions wanted = m_scheduler.decide(now, wall_clock_ms(), certain);
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -26,6 +26,7 @@
         const node_settings& settings;
         platform::store_client& store;
         platform::vm_client& vms;
+        platform::machine_client& machines;
         membership_task& membership;
         metrics& counters;
     };
@@ -77,6 +78,10 @@
     // VMs.
     void vm_changed(const std::string& vm, const std::optional<jobs::vm_info>& info);
     void record_vms();
+    [[nodiscard]] std::vector<jobs::vm_info> vms_to_record() const;
+    [[nodiscard]] bool is_recorded(const std::string& vm) const;
+    void look_for_unheard();
+    void take_machines(const platform::machine_list& list);
     void use_recorded();
     void renew(const std::string& vm);
     void renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
@@ -117,8 +122,6 @@
                        const platform::store_answer& answer, std::int64_t token);
     void log_if_ended(const std::string& id) const;
     void round_done();
-    [[nodiscard]] bool store_is_failing() const;
-    void note_store(bool good);
     /// An answer to what was sent under `token` says that somebody else owns the pool.
     void ownership_lost(const char* found_by, std::int64_t token);
     [[nodiscard]] platform::store_condition owner_condition() const;
@@ -140,9 +143,11 @@
     std::map<std::string, timestamp> m_ended_at;
     std::vector<jobs::vm_info> m_recorded; ///< VMs that may hold runs, as stored.
     bool m_recording = false;
-    bool m_record_again = false;
+    std::vector<jobs::vm_info> m_record_on_its_way;
 
     std::map<std::string, vm_link> m_links;
+    std::unique_ptr<timer> m_record_timer;
+    std::unique_ptr<timer> m_unheard_timer;
     std::unique_ptr<timer> m_decide_timer;
     bool m_deciding = false;
     bool m_acting = true; ///< As last logged.
@@ -165,7 +170,6 @@
     jobs::store_round m_round;
     std::size_t m_chunks_open = 0;
     bool m_round_good = true;
-    timestamp m_store_failing_since{0}; ///< 0: the last write was answered.
     std::set<std::string> m_cleared_vms; ///< VMs that are to be empty ...
     timestamp m_cleared_at{0};           ///< ... as was last asked for then.
     timestamp m_forgot_at{0};
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -275,3 +275,32 @@
     b.report("v2", {}, {{1, task, 2, run_end::failed, ""}});
     CHECK(b.decide().starts.size() == 1);
 }
+
+TEST_CASE("a VM whose ends are not stored yet is not free to go") {
+    // A passenger is billed again after a restart of all nodes. A VM was moved to another pool as soon as nothing
+    // ran there, while the ends that it had listed were not stored; with the VM they were gone, and the next
+    // owner started the tasks once more.
+    pool_bench b;
+    b.vm("v1");
+    b.job("j", {pool_bench::step(1)});
+    const start_order order = b.start_all().at(0);
+    CHECK_FALSE(b.pool().is_settled("v1"));
+    b.report("v1", {}, {b.end(1, order, run_end::done)});
+    CHECK_FALSE(b.pool().is_settled("v1"));
+    CHECK_FALSE(b.pool().demand(b.now()).vms.at(0).idle);
+    b.store();
+    CHECK(b.pool().is_settled("v1"));
+    CHECK(b.pool().demand(b.now()).vms.at(0).idle);
+}
+
+TEST_CASE("a VM that a new owner has not heard of is not free to go") {
+    // A quote runs again after a restart of all nodes. Its zone was cut off; a new owner outside could not reach the
+    // VMs there, knew of no runs on them, and took them out of the record of VMs in use. The owner after it then
+    // did not ask them, and started what had ended there.
+    pool_bench b(1);
+    b.pool().expect_vm(b.info("v1"));
+    CHECK_FALSE(b.pool().is_settled("v1"));
+    CHECK_FALSE(b.pool().demand(b.now()).vms.at(0).idle);
+    b.report("v1", {});
+    CHECK(b.pool().is_settled("v1"));
+}
