--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -288,15 +288,9 @@
     decide_soon();
 }
 
-/// Lives of VMs that an earlier owner may have used and that have ended meanwhile, by the platform's word: another
-/// life of the same machine is listed, or the machine is off. Without this the earlier owner's tasks wait for VMs
-/// that were moved to other pools, until the longest lease has run out.
+/// Looks for VMs that an earlier owner may have used and that are gone, by the platform's list of machines. Without
+/// this the earlier owner's tasks wait for VMs that were moved to other pools, until the longest lease has run out.
 void pool_task::look_for_unheard() {
-    for (const jobs::vm_info& info : m_recorded) {
-        if (m_scheduler.unheard().contains(info.incarnation) && m_directory.has_later_life(info)) {
-            m_scheduler.vm_gone(info.incarnation, event_loop::now());
-        }
-    }
     decide_soon();
     if (m_scheduler.unheard().empty()) {
         return;
@@ -312,14 +306,15 @@
 void pool_task::take_machines(const platform::machine_list& list) {
     for (const jobs::vm_info& info : m_recorded) {
         const auto found = std::ranges::find(list.machines, info.machine, &platform::machine_info::machine);
-        // The list may be a second old: what the platform still registers as a VM may be newer than the list.
+        // The list may be a second old, so what is still registered as a VM may be newer than the list. That another
+        // life of the machine is registered proves nothing: an ended life's last heartbeat can bring its entry back.
         const bool registered = m_directory.vms().contains(info.incarnation);
         if (registered || found == list.machines.end() || !m_scheduler.unheard().contains(info.incarnation)) {
             continue;
         }
         const bool taken_down =
             found->phase == platform::machine_phase::moving || found->phase == platform::machine_phase::upkeep;
-        const bool elsewhere = found->incarnation.empty() && found->pool != m_pool;
+        const bool elsewhere = found->pool != m_pool;
         if (taken_down || elsewhere) {
             m_scheduler.vm_gone(info.incarnation, event_loop::now());
         }
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -2,8 +2,6 @@
 
 #include "telemetry/telemetry.hpp"
 
-#include <algorithm>
-
 namespace siskinpaddle::node {
 
 namespace {
@@ -25,19 +23,9 @@
     m_watch.start(std::move(on_ready));
 }
 
-bool vm_directory::has_later_life(const jobs::vm_info& vm) const {
-    const auto own = m_created.find(vm.incarnation);
-    const std::int64_t created = own == m_created.end() ? 0 : own->second;
-    return !vm.machine.empty() && std::ranges::any_of(m_vms, [&](const auto& item) {
-        return item.second.machine == vm.machine && item.first != vm.incarnation &&
-               m_created.at(item.first) > created;
-    });
-}
-
 void vm_directory::take(const platform::store_item& item) {
     const std::string incarnation = item.key.substr(platform::vm_prefix.size());
     if (item.deleted) {
-        m_created.erase(incarnation);
         if (m_vms.erase(incarnation) > 0) {
             m_on_change(incarnation, std::nullopt);
         }
@@ -48,7 +36,6 @@
         log_event(event_id::vm_damaged, {{"vm", incarnation}, {"revision", item.revision}});
         return;
     }
-    m_created[incarnation] = item.created;
     const auto known = m_vms.find(incarnation);
     if (known != m_vms.end() && known->second == *info) {
         return;
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -17,10 +17,6 @@
     /// Reads anew at once.
     void refresh() { m_watch.refresh(); }
 
-    /// Whether the platform lists a later life of the VM's machine. The entry of an ended life stays listed for some
-    /// heartbeats, so the order of the registrations decides which one is the later.
-    [[nodiscard]] bool has_later_life(const jobs::vm_info& vm) const;
-
     [[nodiscard]] const std::map<std::string, jobs::vm_info>& vms() const noexcept { return m_vms; }
 
   private:
@@ -28,7 +24,6 @@
 
     change_handler m_on_change;
     std::map<std::string, jobs::vm_info> m_vms;
-    std::map<std::string, std::int64_t> m_created; ///< Revision of each registration.
     watch_task m_watch;
 };
 
