--- a/control/state_task.cpp
+++ b/control/state_task.cpp
@@ -11,12 +11,6 @@
 constexpr milliseconds first_backoff = 200ms;
 constexpr milliseconds longest_backoff = 5s;
 
-std::uint64_t wall_clock_ms() {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
 entry_report to_report(const heartbeat& message, timestamp now) {
     entry_report report;
     report.incarnation = message.incarnation;
@@ -40,7 +34,8 @@
       m_peers(loop, settings.peer_key,
               {[this](const heartbeat& message) { hear(message); },
                [this](const value_request& request) { return m_replica.answer(request); }}),
-      m_random(hash64(settings.id) ^ std::random_device()()), m_incarnation(wall_clock_ms()),
+      m_random(hash64(settings.id) ^ std::random_device()()),
+      m_incarnation(static_cast<std::uint64_t>(wall_clock_ms())),
       m_ticker(loop.make_timer([this] { tick(); })) {}
 
 bool state_task::listen() {
--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -11,10 +11,10 @@
 /// A pool while a plan is made.
 struct pool_account {
     std::string name;
-    std::size_t have = 0;   ///< VMs that work for it, or are about to.
-    std::size_t least = 0;  ///< It keeps these whatever others need.
-    std::size_t wanted = 0; ///< Its share of what there is, by its need now.
-    std::size_t keep = 0;   ///< Above this it gives machines back.
+    std::size_t have = 0;                          ///< VMs that work for it, or are about to.
+    std::size_t least = 0;                         ///< It keeps these whatever others need.
+    std::size_t wanted = 0;                        ///< Its share of what there is, by its need now.
+    std::size_t keep = 0;                          ///< Above this it gives machines back.
     std::vector<const balance_machine*> idle;      ///< May leave at once.
     std::vector<const balance_machine*> clearable; ///< May leave when their short runs have ended.
 
@@ -22,9 +22,11 @@
     [[nodiscard]] std::size_t surplus() const noexcept { return have > wanted ? have - wanted : 0; }
 };
 
-std::size_t vms_for(std::int64_t need_millicores, std::int64_t millicores_each, const balance_settings& settings) {
+std::size_t vms_for(std::int64_t need_millicores, std::int64_t millicores_each,
+                    const balance_settings& settings) {
     const double each = static_cast<double>(std::max<std::int64_t>(1, millicores_each));
-    return static_cast<std::size_t>(std::ceil(static_cast<double>(need_millicores) * settings.headroom / each));
+    return static_cast<std::size_t>(
+        std::ceil(static_cast<double>(need_millicores) * settings.headroom / each));
 }
 
 const vm_load* load_of(const pool_demand& demand, const std::string& vm) {
@@ -33,7 +35,8 @@
 }
 
 /// Sorts the pool's machines into those that may leave now, may leave soon, and must stay.
-void sort_machines(pool_account& account, const pool_demand& demand, const std::vector<balance_machine>& machines) {
+void sort_machines(pool_account& account, const pool_demand& demand,
+                   const std::vector<balance_machine>& machines) {
     std::vector<std::pair<std::int64_t, const balance_machine*>> clearable;
     for (const balance_machine& machine : machines) {
         if (machine.pool != account.name || machine.reserved) {
@@ -82,7 +85,8 @@
     return account;
 }
 
-/// Where there are fewer machines than all pools want, each gets the same share of what it wants beyond its least.
+/// Where there are fewer machines than all pools want, each gets the same share of what it wants beyond its
+/// least.
 void share_out(std::vector<pool_account>& pools, std::size_t machines) {
     std::size_t least = 0;
     std::size_t wanted = 0;
@@ -103,7 +107,8 @@
 
 class planner {
   public:
-    planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares, balance_memory& memory)
+    planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares,
+            balance_memory& memory)
         : m_pools(std::move(pools)), m_spares(std::move(spares)), m_memory(memory) {}
 
     balance_plan& plan() { return m_plan; }
@@ -188,6 +193,7 @@
                           const std::map<std::string, pool_demand>& demands, const std::string& spare_pool,
                           const balance_settings& settings, balance_memory& memory, timestamp now) {
     std::vector<pool_account> pools;
+    pools.reserve(demands.size());
     for (const auto& [name, demand] : demands) {
         pools.push_back(account_for(name, demand, machines, settings));
     }
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -27,7 +27,8 @@
 /// What a pool's owner tells of its demand.
 struct pool_demand {
     std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives now.
-    std::int64_t keep_millicores = 0; ///< The same, falling only slowly: what is worth keeping for what may come.
+    std::int64_t keep_millicores =
+        0; ///< The same, falling only slowly: what is worth keeping for what may come.
     std::vector<vm_load> vms;
 
     template <typename Archive>
@@ -42,11 +43,11 @@
     std::string pool;
     std::string kind;
     std::string availability_zone;
-    std::string vm;              ///< Empty while it runs none.
+    std::string vm; ///< Empty while it runs none.
     bool up = false;
     bool moving = false;
-    bool reserved = false;       ///< An upkeep wants it, or an order about it is under way.
-    bool cleared = false;        ///< Its pool's owner keeps it empty already.
+    bool reserved = false; ///< An upkeep wants it, or an order about it is under way.
+    bool cleared = false;  ///< Its pool's owner keeps it empty already.
     std::int64_t millicores = 0;
 };
 
@@ -65,7 +66,8 @@
 /// What one plan leaves for the next.
 struct balance_memory {
     std::map<std::string, timestamp> surplus_since; ///< Pool -> since when it has more than it needs.
-    std::set<std::pair<std::string, std::string>> refused; ///< Kind of machine and pool that don't go together.
+    std::set<std::pair<std::string, std::string>>
+        refused; ///< Kind of machine and pool that don't go together.
 };
 
 /// Figures of the balancing.
@@ -81,10 +83,10 @@
 
 /// Plans which machines go to which pool. Answers demand that moves from pool to pool, several times what one
 /// holds, while the others idle: machines that nobody uses follow it, and wait in the spare pool, where they
-/// cost nothing, when nobody needs them. Where all together need more than there is, each gets the same share of
-/// its need, so that a pool whose turn ends gives way to the one whose turn begins. Only VMs on which nothing
-/// runs are moved.
-/// `spare_pool` may be empty: then nothing is given back. Pools without an entry in `demands` are left alone.
+/// cost nothing, when nobody needs them. Where all together need more than there is, each gets the same share
+/// of its need, so that a pool whose turn ends gives way to the one whose turn begins. Only VMs on which
+/// nothing runs are moved. `spare_pool` may be empty: then nothing is given back. Pools without an entry in
+/// `demands` are left alone.
 [[nodiscard]] balance_plan plan_balance(const std::vector<balance_machine>& machines,
                                         const std::map<std::string, pool_demand>& demands,
                                         const std::string& spare_pool, const balance_settings& settings,
--- a/jobs/fleet_configuration.hpp
+++ b/jobs/fleet_configuration.hpp
@@ -25,7 +25,7 @@
     std::string pool;
     int priority = 0; ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1;
-    double stretch_factor = 1; ///< The objective is this many times the job's longest chain of work ...
+    double stretch_factor = 1;      ///< The objective is this many times the job's longest chain of work ...
     milliseconds target_latency{0}; ///< ... plus this.
     std::optional<advice_settings> advice;
 };
--- a/jobs/job.hpp
+++ b/jobs/job.hpp
@@ -55,8 +55,8 @@
     bool speculative = false;     ///< Two runs of one task may overlap.
     bool long_running = false;    ///< Runs until the job is cancelled and is restarted however it ends.
     std::string image;
-    std::int64_t target_tail_ms = 0;    ///< Bound on the tail of a serving task's response times; 0: none.
-    bool uses_leftover = false;         ///< Takes what other tasks leave unused; counts against no capacity.
+    std::int64_t target_tail_ms = 0;     ///< Bound on the tail of a serving task's response times; 0: none.
+    bool uses_leftover = false;          ///< Takes what other tasks leave unused; counts against no capacity.
     std::uint32_t disruption_budget = 0; ///< Most tasks of a long-running step that we may keep away at once.
 
     template <typename Archive>
@@ -74,7 +74,7 @@
     std::string payload;
     std::vector<step_spec> steps;
     std::uint32_t occurrences = 1;
-    bool timed = false;        ///< Occurrences have due times.
+    bool timed = false;           ///< Occurrences have due times.
     std::int64_t start_at_ms = 0; ///< Time of day of the first occurrence, ms since 1970.
     std::int64_t period_ms = 0;
 
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -37,12 +37,12 @@
 /// One task.
 struct task_state {
     bool done = false;
-    /// Attempts that ended as failed. By number: a VM lists an end until it is acknowledged, so a successor can
-    /// see an end again that its predecessor counted and stored.
+    /// Attempts that ended as failed. By number: a VM lists an end until it is acknowledged, so a successor
+    /// can see an end again that its predecessor counted and stored.
     std::vector<std::uint32_t> failed_attempts;
     std::uint32_t attempts = 0; ///< Runs ordered by this owner.
-    /// An earlier owner may have ordered, or may yet order, a run on a VM that has not heard of this one. Runs
-    /// that are found elsewhere don't change that.
+    /// An earlier owner may have ordered, or may yet order, a run on a VM that has not heard of this one.
+    /// Runs that are found elsewhere don't change that.
     bool unaccounted = false;
     std::string checkpoint;
     std::vector<run> runs;
@@ -138,9 +138,9 @@
     }
 
     // Bookkeeping of the owner.
-    std::uint64_t changed = 0;   ///< Counts changes that must be stored.
-    std::uint64_t stored = 0;    ///< The value of `changed` that the store holds.
-    bool durable_final = false;  ///< The final phase is stored and may be told.
+    std::uint64_t changed = 0;  ///< Counts changes that must be stored.
+    std::uint64_t stored = 0;   ///< The value of `changed` that the store holds.
+    bool durable_final = false; ///< The final phase is stored and may be told.
     timestamp final_at{0};
 
   private:
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -36,8 +36,8 @@
 
 /// Load of a pool, as admission sees it.
 struct pool_load {
-    std::int64_t waiting_work = 0;    ///< Millicore-milliseconds that go before a new job.
-    std::int64_t runnable_work = 0;   ///< The part of it that could run now; the rest waits for earlier steps.
+    std::int64_t waiting_work = 0;  ///< Millicore-milliseconds that go before a new job.
+    std::int64_t runnable_work = 0; ///< The part of it that could run now; the rest waits for earlier steps.
     std::int64_t usable_millicores = 0; ///< Capacity of the VMs that take work ...
     std::int64_t used_millicores = 0;   ///< ... and what runs there takes.
     std::size_t usable_vms = 0;
@@ -46,10 +46,13 @@
 
     /// Capacity that running and waiting work would use if the latter were to be done within a second, well
     /// within objectives of two seconds and more.
-    [[nodiscard]] std::int64_t wanted_millicores() const noexcept { return used_millicores + runnable_work / 1000; }
+    [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
+        return used_millicores + runnable_work / 1000;
+    }
     /// How long the pool takes for the work that waits.
     [[nodiscard]] milliseconds wait() const noexcept {
-        return milliseconds(waiting_work / std::max<std::int64_t>(1, usable_millicores + arriving_millicores));
+        return milliseconds(waiting_work /
+                            std::max<std::int64_t>(1, usable_millicores + arriving_millicores));
     }
 };
 
@@ -85,8 +88,9 @@
 };
 
 /// Accepts a job if it can reach its objective behind the work that waits, so that accepted work is finished
-/// in time and the rest is told at once to come back later. Answers bursts and turns above the pool's room: with
-/// everything accepted, all jobs end late. Long-running jobs are always accepted; they need room, not turns.
+/// in time and the rest is told at once to come back later. Answers bursts and turns above the pool's room:
+/// with everything accepted, all jobs end late. Long-running jobs are always accepted; they need room, not
+/// turns.
 [[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
                                       std::int64_t longest_chain_ms, const pool_load& load);
 
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -70,7 +70,8 @@
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
         item.vm = name;
-        item.usable = vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
+        item.usable =
+            vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
         item.idle = is_settled(name);
         item.long_running = vm.hosts_long_running();
         item.used_millicores = vm.used().cpu_millicores;
@@ -250,9 +251,8 @@
         task.checkpoint = end.checkpoint;
     }
     const std::string& incarnation = vm.info().incarnation;
-    const bool known = std::ranges::any_of(task.runs, [&](const run& item) {
-        return item.attempt == end.attempt && item.vm == incarnation;
-    });
+    const bool known = std::ranges::any_of(
+        task.runs, [&](const run& item) { return item.attempt == end.attempt && item.vm == incarnation; });
     if (known) {
         drop_run(job, end.task, end.attempt, incarnation, now);
     }
@@ -271,7 +271,8 @@
     }
 }
 
-void scheduler::take_running(vm_state& vm, const running_report& item, const vm_report& report, timestamp now) {
+void scheduler::take_running(vm_state& vm, const running_report& item, const vm_report& report,
+                             timestamp now) {
     const std::string& incarnation = vm.info().incarnation;
     const auto found = m_jobs.find(item.task.job);
     if (found == m_jobs.end() || !found->second.contains(item.task)) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -21,7 +21,7 @@
     milliseconds start_patience = 1500ms;
     /// How long after a takeover runs of the earlier owner may live on VMs that don't answer.
     milliseconds unaccounted_window = 12s;
-    milliseconds stop_repeat = 600ms; ///< A stop without an answer is sent again after this.
+    milliseconds stop_repeat = 600ms;        ///< A stop without an answer is sent again after this.
     std::uint32_t attempts_per_epoch = 1000; ///< Attempt numbers of one owner; its successor's are higher.
     placement_settings placement;
 };
@@ -68,8 +68,8 @@
 
 /// What has to be stored next, and what may be told once it is.
 struct store_round {
-    std::vector<std::string> jobs;              ///< Jobs with changes.
-    std::map<std::string, std::int64_t> ends;   ///< VM -> ends that the VM may forget afterwards.
+    std::vector<std::string> jobs;            ///< Jobs with changes.
+    std::map<std::string, std::int64_t> ends; ///< VM -> ends that the VM may forget afterwards.
 
     [[nodiscard]] bool empty() const noexcept { return jobs.empty() && ends.empty(); }
 };
@@ -111,17 +111,20 @@
     void delist_vm(const std::string& vm);
     /// A VM that an earlier owner may have used; its runs are unknown until it reports or is gone.
     void expect_vm(const vm_info& info);
-    /// VMs that may run tasks of an earlier owner and have not answered yet; while there are any, those tasks wait.
+    /// VMs that may run tasks of an earlier owner and have not answered yet; while there are any, those tasks
+    /// wait.
     [[nodiscard]] const std::set<std::string>& unheard() const noexcept { return m_unheard; }
     /// This life of the VM has certainly ended.
     void vm_gone(const std::string& vm, timestamp now);
     void take_report(const std::string& vm, const vm_report& report, timestamp now);
     void vm_unreachable(const std::string& vm);
-    void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
+    void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
+                        timestamp now);
     void stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
     void cordon(const std::string& vm, bool on);
-    /// Nothing runs on the VM, or may yet start there, and all ends that it has listed are stored. Only then may it
-    /// go: the ends of a VM that is gone can't be read again, and what had ended there would be started once more.
+    /// Nothing runs on the VM, or may yet start there, and all ends that it has listed are stored. Only then
+    /// may it go: the ends of a VM that is gone can't be read again, and what had ended there would be
+    /// started once more.
     [[nodiscard]] bool is_settled(const std::string& vm) const;
     /// Deadline for the next renewal of the VM's lease; books it as granted. 0: only look, since its clock is
     /// not known yet or it does not answer.
@@ -133,8 +136,9 @@
 
     // --- Deciding ---
 
-    /// `wall_ms`: time of day for jobs with due times. `certain`: nobody else can have owned the pool since; only
-    /// then does silence of a VM prove anything, since a successor that reaches it would renew its lease.
+    /// `wall_ms`: time of day for jobs with due times. `certain`: nobody else can have owned the pool since;
+    /// only then does silence of a VM prove anything, since a successor that reaches it would renew its
+    /// lease.
     [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms, bool certain);
     [[nodiscard]] pool_load load() const;
     /// What the pool needs, and its VMs.
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -67,7 +67,8 @@
     std::uint32_t count = 0;
     for (std::uint32_t index = 0; index < job.spec().steps[place.step].count; ++index) {
         const task_state& task = job.task(job.id_of(place, index));
-        const bool working = std::ranges::any_of(task.runs, [&](const run& item) { return at_work(item, now); });
+        const bool working =
+            std::ranges::any_of(task.runs, [&](const run& item) { return at_work(item, now); });
         count += working ? 0 : 1;
     }
     return count;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -62,8 +62,8 @@
     }
     vm_state& vm = found->second;
     if (!vm.ever_heard()) {
-        // An earlier owner may have granted a whole lease just before: without this, runs that are adopted here
-        // look lapsed until our first renewal is answered, and are started a second time.
+        // An earlier owner may have granted a whole lease just before: without this, runs that are adopted
+        // here look lapsed until our first renewal is answered, and are started a second time.
         vm.granted(report.clock_ms + m_settings.lease.count());
     }
     vm.heard(report.clock_ms, now);
@@ -96,9 +96,8 @@
         return;
     }
     task_state& task = job->second.task(order.task);
-    const auto item = std::ranges::find_if(task.runs, [&](const run& one) {
-        return one.attempt == order.attempt && one.vm == order.vm;
-    });
+    const auto item = std::ranges::find_if(
+        task.runs, [&](const run& one) { return one.attempt == order.attempt && one.vm == order.vm; });
     if (item == task.runs.end()) {
         return; // Its end was reported before this answer, or its VM is gone.
     }
@@ -164,8 +163,9 @@
 std::int64_t scheduler::renewal_deadline(const std::string& vm, timestamp now) {
     const auto found = m_vms.find(vm);
     if (found == m_vms.end() || !found->second.reachable) {
-        // A renewal that is not answered may still arrive. Were it to carry a new deadline, the lease of a VM that
-        // is silent would never have run out for certain, and its runs would never start again elsewhere.
+        // A renewal that is not answered may still arrive. Were it to carry a new deadline, the lease of a VM
+        // that is silent would never have run out for certain, and its runs would never start again
+        // elsewhere.
         return 0;
     }
     const std::int64_t deadline = found->second.deadline(now, m_settings.lease);
--- a/jobs/upkeep.cpp
+++ b/jobs/upkeep.cpp
@@ -12,10 +12,11 @@
 /// An order that was not confirmed within this is given again. Above the time that a call may take.
 constexpr milliseconds order_patience = 2500ms;
 
-/// Whether an ordered upkeep is over: the machine runs another VM than before. One that was off runs none before
-/// and after; it is back when it is up although the upkeep's time has passed. An order that was not confirmed
-/// proves nothing by the passing of time: it may never have been carried out.
-bool is_over(const upkeep_machine& machine, const pending_upkeep& upkeep, milliseconds upkeep_time, timestamp now) {
+/// Whether an ordered upkeep is over: the machine runs another VM than before. One that was off runs none
+/// before and after; it is back when it is up although the upkeep's time has passed. An order that was not
+/// confirmed proves nothing by the passing of time: it may never have been carried out.
+bool is_over(const upkeep_machine& machine, const pending_upkeep& upkeep, milliseconds upkeep_time,
+             timestamp now) {
     const milliseconds age = now - upkeep.ordered_at;
     if (!upkeep.confirmed) {
         return age > order_patience;
@@ -50,8 +51,8 @@
     }
     step.completed = left.empty() && wave.waiting.empty();
     const std::size_t free = down < wave.at_once ? wave.at_once - down : 0;
-    // One that is half empty keeps its turn: were it to make way for each machine that is quiet for a moment, a
-    // busy one would be begun again and again and the wave would end late.
+    // One that is half empty keeps its turn: were it to make way for each machine that is quiet for a moment,
+    // a busy one would be begun again and again and the wave would end late.
     std::ranges::stable_sort(left, [](const upkeep_machine* a, const upkeep_machine* b) {
         return std::tuple(a->idle, a->clearing, a->quiet) > std::tuple(b->idle, b->clearing, b->quiet);
     });
--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -14,10 +14,10 @@
 struct upkeep_machine {
     std::string machine;
     std::string pool;
-    std::string vm;     ///< Incarnation that it runs; empty while it runs none.
-    bool up = true;     ///< It runs, and is not being moved or kept up.
-    bool idle = false;  ///< Nothing runs there, and its pool's owner keeps it so.
-    bool quiet = false; ///< Nothing runs there just now.
+    std::string vm;        ///< Incarnation that it runs; empty while it runs none.
+    bool up = true;        ///< It runs, and is not being moved or kept up.
+    bool idle = false;     ///< Nothing runs there, and its pool's owner keeps it so.
+    bool quiet = false;    ///< Nothing runs there just now.
     bool clearing = false; ///< Its pool's owner is emptying it already.
 };
 
@@ -33,14 +33,14 @@
     std::int64_t number = 0;
     std::vector<std::string> machines;
     std::size_t at_once = 1;
-    std::set<std::string> confirmed;               ///< The platform has answered that their upkeep is carried out.
+    std::set<std::string> confirmed; ///< The platform has answered that their upkeep is carried out.
     std::map<std::string, pending_upkeep> waiting; ///< Ordered, and not known to be back.
 };
 
 /// What to do next.
 struct wave_step {
-    std::vector<std::string> clear;  ///< Machines whose VMs are to be empty.
-    std::vector<std::string> order;  ///< Machines whose upkeep may begin now.
+    std::vector<std::string> clear; ///< Machines whose VMs are to be empty.
+    std::vector<std::string> order; ///< Machines whose upkeep may begin now.
     bool completed = false;
 };
 
@@ -49,9 +49,9 @@
 inline constexpr std::size_t clear_ahead = 1;
 
 /// Plans a wave's next step. An order without an answer is given again, which the platform takes for the same
-/// one; only confirmed ones count for the wave's end. Never more than `at_once` machines are down for it, counting every machine whose
-/// order may have been carried out; machines that are idle go first, since they cost nobody anything.
-/// `upkeep_time`: how long a machine is down.
+/// one; only confirmed ones count for the wave's end. Never more than `at_once` machines are down for it,
+/// counting every machine whose order may have been carried out; machines that are idle go first, since they
+/// cost nobody anything. `upkeep_time`: how long a machine is down.
 [[nodiscard]] wave_step plan_wave(wave_state& wave, const std::map<std::string, upkeep_machine>& machines,
                                   milliseconds upkeep_time, timestamp now);
 
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -21,7 +21,9 @@
 
     [[nodiscard]] const jobs::fleet_configuration& current() const noexcept { return m_current; }
     [[nodiscard]] bool known() const noexcept { return m_current.version > 0; }
-    [[nodiscard]] const std::map<std::int64_t, platform::upkeep_wave>& waves() const noexcept { return m_waves; }
+    [[nodiscard]] const std::map<std::int64_t, platform::upkeep_wave>& waves() const noexcept {
+        return m_waves;
+    }
     /// When the store last confirmed what we have.
     [[nodiscard]] timestamp confirmed_at() const noexcept { return m_watch.answered_at(); }
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -16,8 +16,8 @@
 constexpr milliseconds answers_bound = 150ms;
 /// A VM that was asked for is ordered away in a round of its own, right after its owner could answer.
 constexpr milliseconds at_once = 10ms;
-/// An order that has shown no effect for this long beyond the move's own time is forgotten; the list tells where
-/// the machine is.
+/// An order that has shown no effect for this long beyond the move's own time is forgotten; the list tells
+/// where the machine is.
 constexpr milliseconds move_patience = 2500ms;
 /// Orders of one round; the platform accepts a few dozen a second.
 constexpr std::size_t moves_at_once = 12;
@@ -25,8 +25,7 @@
 } // namespace
 
 fleet_task::fleet_task(context parts, const ownership& held)
-    : m_parts(std::move(parts)), m_held(held),
-      m_timer(m_parts.loop.make_timer([this] { round(); })),
+    : m_parts(std::move(parts)), m_held(held), m_timer(m_parts.loop.make_timer([this] { round(); })),
       m_answers_bound(m_parts.loop.make_timer([this] { list_machines(); })),
       // Another holder's last order may be younger than this.
       m_quiet_until(event_loop::now() +
@@ -120,17 +119,18 @@
 }
 
 void fleet_task::list_machines() {
-    m_parts.machines.list([this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
-        if (alive.expired() || round != m_round) {
-            return;
-        }
-        if (!list.good) {
-            log_event(event_id::machines_unknown, {{"round", round}});
-            return;
-        }
-        take_machines(list);
-        plan();
-    });
+    m_parts.machines.list(
+        [this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
+            if (alive.expired() || round != m_round) {
+                return;
+            }
+            if (!list.good) {
+                log_event(event_id::machines_unknown, {{"round", round}});
+                return;
+            }
+            take_machines(list);
+            plan();
+        });
 }
 
 void fleet_task::take_machines(const platform::machine_list& list) {
@@ -164,7 +164,8 @@
     m_again_at_once = false;
     for (const auto& [machine, move] : m_moves) {
         if (const auto found = m_machines.find(machine); found != m_machines.end()) {
-            m_clear[found->second.pool].insert(move.vm_before); // The order may not have been carried out yet.
+            m_clear[found->second.pool].insert(
+                move.vm_before); // The order may not have been carried out yet.
         }
     }
     if (!may_order()) {
@@ -261,12 +262,12 @@
 void fleet_task::order_upkeep(wave& item, const std::string& machine) {
     item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
     m_parts.machines.upkeep({m_parts.membership.self().id, m_held.token}, machine, item.state.number,
-                             [this, number = item.state.number, machine,
-                              alive = m_lifetime.watch()](platform::machine_outcome outcome) {
-                                 if (!alive.expired()) {
-                                     upkeep_ordered(number, machine, outcome);
-                                 }
-                             });
+                            [this, number = item.state.number, machine,
+                             alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+                                if (!alive.expired()) {
+                                    upkeep_ordered(number, machine, outcome);
+                                }
+                            });
 }
 
 void fleet_task::upkeep_ordered(std::int64_t number, const std::string& machine,
@@ -306,17 +307,17 @@
     platform::store_transaction change;
     change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
     change.writes.push_back({platform::wave_status_key(number), platform::encode_wave_status(completed), 0});
-    m_parts.store.commit(change, [this, number, completed,
-                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
-        if (alive.expired() || answer.status == platform::store_status::ok) {
-            return;
-        }
-        if (completed) {
-            m_waves[number].completed = false; // Told again with the next round.
-        } else {
-            m_waves[number].told_running = false;
-        }
-    });
+    m_parts.store.commit(
+        change, [this, number, completed, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+            if (alive.expired() || answer.status == platform::store_status::ok) {
+                return;
+            }
+            if (completed) {
+                m_waves[number].completed = false; // Told again with the next round.
+            } else {
+                m_waves[number].told_running = false;
+            }
+        });
 }
 
 // --- Moves ---
@@ -380,13 +381,13 @@
     const platform::machine_info& info = m_machines[move.machine];
     m_moves[move.machine] = {move.pool, info.incarnation, event_loop::now()};
     m_clear[info.pool].insert(info.incarnation);
-    m_parts.machines.move({m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
-                           [this, move, kind = info.kind,
-                            alive = m_lifetime.watch()](platform::machine_outcome outcome) {
-                               if (!alive.expired()) {
-                                   move_ordered(move, kind, outcome);
-                               }
-                           });
+    m_parts.machines.move(
+        {m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
+        [this, move, kind = info.kind, alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+            if (!alive.expired()) {
+                move_ordered(move, kind, outcome);
+            }
+        });
 }
 
 void fleet_task::move_ordered(const jobs::machine_move& move, const std::string& kind,
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -16,8 +16,9 @@
 /// from pool to pool. One holder at a time, since one machine must never hear two holders in turn. Lives from
 /// gaining the duty until losing it. Not thread-safe.
 ///
-/// A round asks every pool's owner for its demand and tells it which VMs to keep empty, lists the machines, and
-/// plans. A VM is only ordered away when its owner has answered that it keeps it empty and nothing runs there.
+/// A round asks every pool's owner for its demand and tells it which VMs to keep empty, lists the machines,
+/// and plans. A VM is only ordered away when its owner has answered that it keeps it empty and nothing runs
+/// there.
 class fleet_task {
   public:
     /// What the task works with; all outlive it.
@@ -74,7 +75,8 @@
     void upkeep_ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
     void record_wave(const jobs::wave_state& state);
     void order_move(const jobs::machine_move& move);
-    void move_ordered(const jobs::machine_move& move, const std::string& kind, platform::machine_outcome outcome);
+    void move_ordered(const jobs::machine_move& move, const std::string& kind,
+                      platform::machine_outcome outcome);
     void tell(std::int64_t number, bool completed);
     [[nodiscard]] bool may_order() const;
 
@@ -87,7 +89,7 @@
     std::uint64_t m_round = 0;
     std::set<std::string> m_unanswered; ///< Pools whose owners have not answered in this round.
     std::map<std::string, jobs::pool_demand> m_demands; ///< As answered in this round.
-    std::set<std::string> m_empty_vms; ///< Kept empty by their owners as of this round.
+    std::set<std::string> m_empty_vms;                  ///< Kept empty by their owners as of this round.
     std::map<std::string, platform::machine_info> m_machines;
     bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
 
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -40,9 +40,9 @@
 ingress_task::ingress_task(context parts, local_handler local)
     : m_parts(parts), m_local(std::move(local)),
       m_server(parts.loop, {.max_body = largest_body},
-               [this](request_handle request) { take(std::move(request)); }) {}
+               [this](const request_handle& request) { take(request); }) {}
 
-void ingress_task::take(request_handle request) {
+void ingress_task::take(const request_handle& request) {
     const timestamp now = event_loop::now();
     if (!m_parts.configuration.known()) {
         m_parts.counters.count("clients_without_configuration");
@@ -52,14 +52,13 @@
     const jobs::fleet_configuration& configuration = m_parts.configuration.current();
     client_context client{request, platform::decode_client_call(*request, configuration), {}, now};
     if (client.call.queue.empty()) {
-        log_event(event_id::client_refused, {{"target", request->target()},
-                                             {"why", "no-queue"},
-                                             {"configuration", configuration.version}});
+        log_event(
+            event_id::client_refused,
+            {{"target", request->target()}, {"why", "no-queue"}, {"configuration", configuration.version}});
         platform::answer_no_queue(*request);
         return;
     }
-    peer_request message =
-        message_for(peer_request_kind::submit, client.call, configuration.version);
+    peer_request message = message_for(peer_request_kind::submit, client.call, configuration.version);
     switch (client.call.request) {
     case platform::client_request::submit: {
         findings problems;
@@ -76,16 +75,16 @@
             return;
         }
         message.spec = client.spec;
-        ask_owner(client, std::move(message), &ingress_task::submit_answered);
+        ask_owner(client, message, &ingress_task::submit_answered);
         return;
     }
     case platform::client_request::status:
         message.kind = static_cast<std::uint8_t>(peer_request_kind::status);
-        ask_owner(client, std::move(message), &ingress_task::status_answered);
+        ask_owner(client, message, &ingress_task::status_answered);
         return;
     case platform::client_request::cancel:
         message.kind = static_cast<std::uint8_t>(peer_request_kind::cancel);
-        ask_owner(client, std::move(message), &ingress_task::cancel_answered);
+        ask_owner(client, message, &ingress_task::cancel_answered);
         return;
     case platform::client_request::count: {
         message.kind = static_cast<std::uint8_t>(peer_request_kind::count);
@@ -94,7 +93,7 @@
             platform::answer_pending(*request, known->second.jobs);
             return;
         }
-        ask_owner(client, std::move(message), &ingress_task::count_answered);
+        ask_owner(client, message, &ingress_task::count_answered);
         return;
     }
     case platform::client_request::invalid:
@@ -103,7 +102,7 @@
     }
 }
 
-void ingress_task::ask_owner(const client_context& client, peer_request message, handler next) {
+void ingress_task::ask_owner(const client_context& client, const peer_request& message, handler next) {
     const auto take_answer = [this, client, next, alive = m_lifetime.watch()](const peer_answer& answer) {
         if (alive.expired()) {
             return;
@@ -135,8 +134,8 @@
                        });
 }
 
-/// Remembers whether an owner on another node answers: a frozen or cut off one would hold each client for the whole
-/// timeout, one after the other.
+/// Remembers whether an owner on another node answers: a frozen or cut off one would hold each client for the
+/// whole timeout, one after the other.
 void ingress_task::note_owner(const std::string& owner, peer_outcome outcome) {
     const timestamp now = event_loop::now();
     if (outcome == peer_outcome::unknown || outcome == peer_outcome::unreachable) {
@@ -209,7 +208,8 @@
         if (alive.expired()) {
             return;
         }
-        if (answer.status == platform::store_status::ok || answer.status == platform::store_status::conflict) {
+        if (answer.status == platform::store_status::ok ||
+            answer.status == platform::store_status::conflict) {
             observe(client, "ok_by_store");
             platform::answer_accepted(*client.request);
         } else if (answer.status == platform::store_status::refused && !may_be_stored) {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -49,8 +49,8 @@
     };
     using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
 
-    void take(request_handle request);
-    void ask_owner(const client_context& client, peer_request message, handler next);
+    void take(const request_handle& request);
+    void ask_owner(const client_context& client, const peer_request& message, handler next);
     void note_owner(const std::string& owner, peer_outcome outcome);
     void submit_answered(const client_context& client, const peer_answer& answer);
     void status_answered(const client_context& client, const peer_answer& answer);
--- a/node/job_lookup.cpp
+++ b/node/job_lookup.cpp
@@ -11,8 +11,8 @@
 /// Reads `key`; tells what it says, or goes on with `otherwise` if there is no such item.
 void read_phase(platform::store_client& store, const std::string& key, const phase_reader& read,
                 std::function<void(lookup_answer)> done, std::function<void()> otherwise) {
-    store.get(key, [read, done = std::move(done), otherwise = std::move(otherwise)](
-                       const platform::store_answer& answer) {
+    store.get(key, [read, done = std::move(done),
+                    otherwise = std::move(otherwise)](const platform::store_answer& answer) {
         if (answer.status == platform::store_status::absent) {
             otherwise();
         } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
@@ -35,7 +35,7 @@
 } // namespace
 
 void look_up_job(platform::store_client& store, const std::string& pool, const std::string& job,
-                 std::function<void(lookup_answer)> done) {
+                 const std::function<void(lookup_answer)>& done) {
     const auto third = [&store, pool, job, done] {
         read_phase(store, progress_prefix(pool) + job, phase_in_progress, done, [done] { done({true, {}}); });
     };
--- a/node/job_lookup.hpp
+++ b/node/job_lookup.hpp
@@ -10,7 +10,7 @@
 
 /// What the store says of a job.
 struct lookup_answer {
-    bool answered = false; ///< The store was reached.
+    bool answered = false;                ///< The store was reached.
     std::optional<jobs::job_phase> phase; ///< Nothing: there is no such job.
 };
 
@@ -18,6 +18,6 @@
 /// know it yet. Reads the inbox first, then the record, then the progress: a job only moves in that order, so
 /// it can't slip through between the reads.
 void look_up_job(platform::store_client& store, const std::string& pool, const std::string& job,
-                 std::function<void(lookup_answer)> done);
+                 const std::function<void(lookup_answer)>& done);
 
 } // namespace siskinpaddle::node
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -10,13 +10,13 @@
 /// | key | value | written by | lives |
 /// | --- | --- | --- | --- |
 /// | `sp/ctl/node/NODE` | address of a node | that node | with its lease |
-/// | `sp/ctl/own/DUTY` | owner and epoch; its revision is the fencing token | who claims the duty | for good |
-/// | `sp/ctl/live/DUTY` | name of the owner | the owner | with its lease |
-/// | `sp/job/POOL/JOB` | an accepted job | the pool's owner | until the job ends |
-/// | `sp/progress/POOL/JOB` | tasks done, final phase | the pool's owner | a while past the end |
-/// | `sp/inbox/POOL/submit/JOB`, `.../cancel/JOB` | a request that did not reach the owner | any node | until the owner takes it |
-/// | `sp/wave/NUMBER` | machines whose upkeep is confirmed | the fleet's owner | for good |
-/// | `sp/vms/POOL` | VMs that may hold runs | the pool's owner | for good |
+/// | `sp/ctl/own/DUTY` | owner and epoch; its revision is the fencing token | who claims the duty | for good
+/// | | `sp/ctl/live/DUTY` | name of the owner | the owner | with its lease | | `sp/job/POOL/JOB` | an
+/// accepted job | the pool's owner | until the job ends | | `sp/progress/POOL/JOB` | tasks done, final phase
+/// | the pool's owner | a while past the end | | `sp/inbox/POOL/submit/JOB`, `.../cancel/JOB` | a request
+/// that did not reach the owner | any node | until the owner takes it | | `sp/wave/NUMBER` | machines whose
+/// upkeep is confirmed | the fleet's owner | for good | | `sp/vms/POOL` | VMs that may hold runs | the pool's
+/// owner | for good |
 
 inline const std::string control_prefix = "sp/ctl/";
 inline const std::string node_prefix = "sp/ctl/node/";
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -15,15 +15,15 @@
 constexpr milliseconds lease_ttl = 3s;
 constexpr milliseconds renew_interval = 900ms;
 constexpr milliseconds retry_interval = 200ms;
-/// Above the answers of a store that is a hundred times slower than its usual four milliseconds; short, so that the
-/// end of an outage is seen soon.
+/// Above the answers of a store that is a hundred times slower than its usual four milliseconds; short, so
+/// that the end of an outage is seen soon.
 constexpr milliseconds renew_timeout = 700ms;
 /// Our clock and the store's run apart, and the answer may be late.
 constexpr milliseconds certainty_margin = 200ms;
 /// Between two looks at vacant duties.
 constexpr milliseconds claim_interval = 100ms;
-/// After the first start nodes appear within this of each other; whoever claims earlier takes everything. Duties
-/// that had an owner before are claimed without it.
+/// After the first start nodes appear within this of each other; whoever claims earlier takes everything.
+/// Duties that had an owner before are claimed without it.
 constexpr milliseconds settle_time = 900ms;
 /// Between a node's turns to claim, so that the first choice wins without a race.
 constexpr milliseconds turn = 100ms;
@@ -39,11 +39,11 @@
 
 } // namespace
 
-membership_task::membership_task(event_loop& loop, const node_settings& settings, platform::store_client& store,
-                                 handlers on_change)
-    : m_loop(loop), m_settings(settings), m_store(store), m_handlers(std::move(on_change)),
-      m_self{settings.id, draw_incarnation(), settings.peers.address, settings.peers.port,
-             settings.availability_zone},
+membership_task::membership_task(event_loop& loop, const node_settings& settings,
+                                 platform::store_client& store, handlers on_change)
+    : m_loop(loop), m_settings(settings), m_store(store),
+      m_handlers(std::move(on_change)), m_self{settings.id, draw_incarnation(), settings.peers.address,
+                                               settings.peers.port, settings.availability_zone},
       m_watch(loop, store, control_prefix, watch_wait,
               [this](const platform::store_item& item) { take_change(item); }),
       m_renew_timer(loop.make_timer([this] { m_lease == 0 ? grant() : renew(); })),
@@ -238,15 +238,16 @@
         return std::pair{duties_of(item.first), hash64(duty + "/" + item.first)} < own;
     });
     milliseconds delay = turn * before;
-    if (owner != m_owners.end() && owner->second.owner.id != m_self.id && m_nodes.contains(owner->second.owner.id)) {
+    if (owner != m_owners.end() && owner->second.owner.id != m_self.id &&
+        m_nodes.contains(owner->second.owner.id)) {
         delay += last_owner_advantage;
     }
     return delay;
 }
 
 std::size_t membership_task::duties_of(const std::string& node) const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_alive, [&](const auto& item) { return item.second.value == node; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_alive, [&](const auto& item) { return item.second.value == node; }));
 }
 
 void membership_task::consider_claims() {
@@ -282,8 +283,7 @@
     const auto alive = m_alive.find(duty);
     platform::store_transaction change;
     change.conditions.push_back({owner_prefix + duty, m_owner_revisions[duty]});
-    change.conditions.push_back(
-        {alive_prefix + duty, alive == m_alive.end() ? 0 : alive->second.revision});
+    change.conditions.push_back({alive_prefix + duty, alive == m_alive.end() ? 0 : alive->second.revision});
     change.writes.push_back({owner_prefix + duty, encode_archive(record), 0});
     change.writes.push_back({alive_prefix + duty, m_self.id, m_lease});
     m_claims.insert(duty);
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -41,7 +41,7 @@
 struct ownership {
     std::string duty;
     std::uint32_t epoch = 0;
-    std::int64_t token = 0; ///< Fencing token: the store's revision of the claim, so it only rises.
+    std::int64_t token = 0;  ///< Fencing token: the store's revision of the claim, so it only rises.
     bool own_before = false; ///< This node, perhaps an earlier process of it, was the last owner as well.
 };
 
@@ -50,13 +50,14 @@
 ///
 /// A node owns a duty while its claim is the newest; whether others may have claimed it since is known only
 /// while the node's lease is certain by its own clock (`certain_until`). Past that the owner may go on for a
-/// bounded time with what fencing tokens protect; a successor waits out that time for VMs that it can't reach.
+/// bounded time with what fencing tokens protect; a successor waits out that time for VMs that it can't
+/// reach.
 class membership_task {
   public:
     struct handlers {
-        std::function<void(const ownership&)> gained;    ///< Owned from now on, or again under a new token.
-        std::function<void(const std::string&)> lost;    ///< Somebody else owns the duty.
-        std::function<void()> store_back;                ///< The store answers again after a failure.
+        std::function<void(const ownership&)> gained; ///< Owned from now on, or again under a new token.
+        std::function<void(const std::string&)> lost; ///< Somebody else owns the duty.
+        std::function<void()> store_back;             ///< The store answers again after a failure.
     };
 
     membership_task(event_loop& loop, const node_settings& settings, platform::store_client& store,
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr milliseconds tick_interval = 200ms;
-/// Neither the store nor an owner elsewhere has answered for this long: what is asked here can't be served, and the
-/// platform should send clients to other nodes. Above the interval of lease renewals, with one that got lost.
+/// Neither the store nor an owner elsewhere has answered for this long: what is asked here can't be served,
+/// and the platform should send clients to other nodes. Above the interval of lease renewals, with one that
+/// got lost.
 constexpr milliseconds reach_bound = 2s;
 constexpr milliseconds peer_timeout = 800ms;
 /// After SIGTERM the platform needs two misses of its readiness check, one a second, to send no more.
@@ -28,8 +29,8 @@
                    {[this](const ownership& held) { duty_gained(held); },
                     [this](const std::string& duty) { duty_lost(duty); }, [this] { store_back(); }}),
       m_ingress({loop, m_store, m_membership, m_configuration, m_peers, m_counters},
-                [this](const peer_request& request, peer_server::reply done) {
-                    return handle_local(request, std::move(done));
+                [this](const peer_request& request, const peer_server::reply& done) {
+                    return handle_local(request, done);
                 }),
       m_peer_server(loop, [this](const peer_request& request,
                                  peer_server::reply done) { handle_peer(request, std::move(done)); }),
@@ -108,13 +109,15 @@
         return;
     }
     if (known != m_pools.end()) {
-        // Another owner had it in between: what this task knows is old. Not deleted from inside its own callback.
+        // Another owner had it in between: what this task knows is old. Not deleted from inside its own
+        // callback.
         m_loop.post([old = std::shared_ptr<pool_task>(std::move(known->second))] {});
         m_pools.erase(known);
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
     auto task = std::make_unique<pool_task>(
-        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_membership, m_counters}, pool, held);
+        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_membership, m_counters}, pool,
+        held);
     task->configure(m_configuration.current());
     task->start();
     m_pools[held.duty] = std::move(task);
@@ -144,7 +147,7 @@
 
 // --- Requests ---
 
-bool node::handle_local(const peer_request& request, peer_server::reply done) {
+bool node::handle_local(const peer_request& request, const peer_server::reply& done) {
     const auto task = m_pools.find(pool_duty(request.pool));
     if (task == m_pools.end() || !m_membership.owns(task->first)) {
         return false;
@@ -152,7 +155,7 @@
     if (event_loop::now() >= m_membership.act_until(task->first)) {
         return false; // Perhaps no longer ours: the store knows.
     }
-    task->second->handle(request, std::move(done));
+    task->second->handle(request, done);
     return true;
 }
 
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -11,7 +11,8 @@
 
 namespace siskinpaddle::node {
 
-/// One node process put together: its tasks on one loop, their start and their graceful stop. Not thread-safe.
+/// One node process put together: its tasks on one loop, their start and their graceful stop. Not
+/// thread-safe.
 class node {
   public:
     node(event_loop& loop, const node_settings& settings);
@@ -28,7 +29,7 @@
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
     void store_back();
-    bool handle_local(const peer_request& request, peer_server::reply done);
+    bool handle_local(const peer_request& request, const peer_server::reply& done);
     void handle_peer(const peer_request& request, peer_server::reply done);
     void ask_pool(const peer_request& request, peer_server::reply done);
     [[nodiscard]] bool ready() const;
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -29,7 +29,8 @@
 }
 
 /// A duration given as a number that may have a fraction.
-milliseconds read_duration(json_object& root, std::string_view key, double unit_ms, double most, findings& out) {
+milliseconds read_duration(json_object& root, std::string_view key, double unit_ms, double most,
+                           findings& out) {
     const boost::json::value* value = root.child(key);
     if (value == nullptr || !value->is_number()) {
         out.add(root.path_of(key), "must be a number");
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -16,11 +16,11 @@
     endpoint metrics;
     endpoint store;
     endpoint machines;
-    endpoint advice;          ///< Port 0: there is no policy service.
-    milliseconds vm_lease{0}; ///< Longest lease that VMs grant.
+    endpoint advice;             ///< Port 0: there is no policy service.
+    milliseconds vm_lease{0};    ///< Longest lease that VMs grant.
     milliseconds order_quiet{0}; ///< Two holders of a machine may not order within this of each other.
-    milliseconds grace{0};    ///< From SIGTERM to SIGKILL.
-    milliseconds keep_ended{0}; ///< How long clients may ask for an ended job.
+    milliseconds grace{0};       ///< From SIGTERM to SIGKILL.
+    milliseconds keep_ended{0};  ///< How long clients may ask for an ended job.
     milliseconds upkeep_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
--- a/node/peer_client.cpp
+++ b/node/peer_client.cpp
@@ -36,9 +36,9 @@
 
 peer_server::peer_server(event_loop& loop, handler on_request)
     : m_handler(std::move(on_request)),
-      m_server(loop, {}, [this](std::shared_ptr<server_request> request) { take(std::move(request)); }) {}
+      m_server(loop, {}, [this](const std::shared_ptr<server_request>& request) { take(request); }) {}
 
-void peer_server::take(std::shared_ptr<server_request> request) {
+void peer_server::take(const std::shared_ptr<server_request>& request) {
     const auto decoded = decode_archive<peer_request>(request->body());
     if (!decoded) {
         log_event(event_id::peer_message_refused, {{"peer", request->peer()}});
--- a/node/peer_client.hpp
+++ b/node/peer_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "node/peer_protocol.hpp"
 #include "net/net.hpp"
+#include "node/peer_protocol.hpp"
 
 #include <functional>
 
@@ -32,7 +32,7 @@
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
 
   private:
-    void take(std::shared_ptr<server_request> request);
+    void take(const std::shared_ptr<server_request>& request);
 
     handler m_handler;
     http_server m_server;
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -10,10 +10,10 @@
 
 /// What one node asks of another.
 enum class peer_request_kind : std::uint8_t {
-    submit,    ///< Accept a job.
-    status,    ///< Tell a job's phase.
-    cancel,    ///< Cancel a job.
-    count,     ///< Tell how many jobs of a queue have not begun.
+    submit,     ///< Accept a job.
+    status,     ///< Tell a job's phase.
+    cancel,     ///< Cancel a job.
+    count,      ///< Tell how many jobs of a queue have not begun.
     fleet_look, ///< Keep these VMs empty; tell the pool's demand and its VMs.
 };
 
@@ -49,7 +49,7 @@
     std::uint8_t phase = 0;
     std::uint64_t count = 0;
     std::int64_t retry_after_ms = 0;
-    jobs::pool_demand demand; ///< With `fleet_look`.
+    jobs::pool_demand demand;       ///< With `fleet_look`.
     std::int64_t configuration = 0; ///< Version in force at the answering node.
 
     template <typename Archive>
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -59,13 +59,13 @@
         wait = m_scheduler.wants_close_look(vm) ? close_look_wait : renewal_wait;
     }
     const std::int64_t deadline = m_scheduler.renewal_deadline(vm, event_loop::now());
-    m_parts.vms.renew(state.info(), m_held.token, deadline, state.acknowledged, wait,
-                      [this, vm, token = m_held.token,
-                       alive = m_lifetime.watch()](const platform::renewal_answer& answer) {
-                          if (!alive.expired()) {
-                              renewed(vm, answer, token);
-                          }
-                      });
+    m_parts.vms.renew(
+        state.info(), m_held.token, deadline, state.acknowledged, wait,
+        [this, vm, token = m_held.token, alive = m_lifetime.watch()](const platform::renewal_answer& answer) {
+            if (!alive.expired()) {
+                renewed(vm, answer, token);
+            }
+        });
 }
 
 void pool_task::renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token) {
@@ -92,11 +92,10 @@
         ownership_lost("fence", token);
     } else if (link->second.failures++ == 0) {
         const auto known = m_scheduler.vms().find(vm);
-        log_event(event_id::vm_unreachable,
-                  {{"pool", m_pool},
-                   {"vm", vm},
-                   {"outcome", name_of(answer.outcome)},
-                   {"lapses_in_ms", (known->second.lapses_at() - now).count()}});
+        log_event(event_id::vm_unreachable, {{"pool", m_pool},
+                                             {"vm", vm},
+                                             {"outcome", name_of(answer.outcome)},
+                                             {"lapses_in_ms", (known->second.lapses_at() - now).count()}});
     }
     m_scheduler.vm_unreachable(vm);
     decide_soon();
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -12,13 +12,13 @@
 /// Most jobs accepted by one transaction, beside its condition.
 constexpr std::size_t submits_at_once = platform::max_transaction_entries - 1;
 constexpr milliseconds submit_retry = 120ms;
-/// Short: whoever comes back right after an outage can still be served within an objective of two seconds, and
-/// how long it lasts is not known.
+/// Short: whoever comes back right after an outage can still be served within an objective of two seconds,
+/// and how long it lasts is not known.
 constexpr milliseconds retry_after_outage = 1s;
 
 } // namespace
 
-void pool_task::handle(const peer_request& request, reply done) {
+void pool_task::handle(const peer_request& request, const reply& done) {
     if (!m_ready || m_lost || m_winding_down) {
         done(answer_of(peer_outcome::not_owner));
         return;
@@ -100,8 +100,8 @@
         return;
     }
     m_writing_submits = true;
-    m_parts.store.commit(change, [this, batch = std::move(batch), token = m_held.token, alive = m_lifetime.watch()](
-                                     const platform::store_answer& answer) mutable {
+    m_parts.store.commit(change, [this, batch = std::move(batch), token = m_held.token,
+                                  alive = m_lifetime.watch()](const platform::store_answer& answer) mutable {
         if (!alive.expired()) {
             submits_written(std::move(batch), answer, token);
         }
@@ -134,7 +134,8 @@
     const bool open = answer.status == platform::store_status::unknown ||
                       (answer.status == platform::store_status::refused && has_unsettled(batch));
     if (open && !m_lost) {
-        // The write may yet be carried out, so no refusal would be true: repeat it until the outcome is known.
+        // The write may yet be carried out, so no refusal would be true: repeat it until the outcome is
+        // known.
         for (const waiting_submit& item : batch) {
             m_unsettled_submits.insert(item.record.spec.id);
         }
@@ -268,23 +269,22 @@
     change.conditions.push_back(owner_condition());
     change.writes.push_back({job_prefix(m_pool) + job, item.value, 0});
     change.removals.push_back(item.key);
-    m_parts.store.commit(
-        change, [this, item, job, record = record.value(), token = m_held.token,
-                 alive = m_lifetime.watch()](const platform::store_answer& answer) {
-            if (alive.expired()) {
-                return;
-            }
-            if (answer.status == platform::store_status::ok) {
-                if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
-                    m_scheduler.add_job(record, accepted_at(record.accepted_ms));
-                }
-                decide_soon();
-            } else if (answer.status == platform::store_status::conflict) {
-                ownership_lost("inbox", token);
-            } else {
-                m_inbox_again.push_back(item);
+    m_parts.store.commit(change, [this, item, job, record = record.value(), token = m_held.token,
+                                  alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        if (answer.status == platform::store_status::ok) {
+            if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
+                m_scheduler.add_job(record, accepted_at(record.accepted_ms));
             }
-        });
+            decide_soon();
+        } else if (answer.status == platform::store_status::conflict) {
+            ownership_lost("inbox", token);
+        } else {
+            m_inbox_again.push_back(item);
+        }
+    });
 }
 
 void pool_task::remove_inbox(const std::string& key) {
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t jobs_at_once = (platform::max_transaction_entries - 1) / 2;
 /// An ended job stays with the scheduler this long, for late reports on its runs.
 constexpr milliseconds ended_in_scheduler = 3s;
-/// Requests in the inbox that could not be taken are tried again after this; a cancelling must work within three
-/// seconds.
+/// Requests in the inbox that could not be taken are tried again after this; a cancelling must work within
+/// three seconds.
 constexpr milliseconds inbox_retry = 300ms;
 /// Between two looks for ended jobs to forget.
 constexpr milliseconds forget_interval = 2s;
@@ -106,12 +106,11 @@
     if (job == nullptr || !job->durable_final) {
         return;
     }
-    log_event(event_id::job_ended,
-              {{"pool", m_pool},
-               {"job", id},
-               {"phase", name_of(job->phase())},
-               {"age_ms", (event_loop::now() - job->accepted_at()).count()},
-               {"chain_ms", job->longest_chain_ms()}});
+    log_event(event_id::job_ended, {{"pool", m_pool},
+                                    {"job", id},
+                                    {"phase", name_of(job->phase())},
+                                    {"age_ms", (event_loop::now() - job->accepted_at()).count()},
+                                    {"chain_ms", job->longest_chain_ms()}});
 }
 
 void pool_task::round_done() {
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -23,7 +23,8 @@
 jobs::scheduler_settings scheduler_settings_for(const node_settings& settings) {
     jobs::scheduler_settings result;
     result.lease = settings.vm_lease;
-    // An earlier owner acts for a while past its lease and grants whole leases until then; VM clocks are slow.
+    // An earlier owner acts for a while past its lease and grants whole leases until then; VM clocks are
+    // slow.
     result.unaccounted_window = membership_task::grace_after_lease +
                                 std::chrono::duration_cast<milliseconds>(settings.vm_lease * 1.03) + 500ms;
     return result;
@@ -87,28 +88,27 @@
 }
 
 void pool_task::load_progress(const std::string& after) {
-    m_parts.store.range(
-        progress_prefix(m_pool), after,
-        [this, after, alive = m_lifetime.watch()](const platform::store_answer& answer) {
-            if (alive.expired()) {
-                return;
-            }
-            if (answer.status != platform::store_status::ok) {
-                retry_loading([this, after] { load_progress(after); });
-                return;
-            }
-            for (const platform::store_item& item : answer.items) {
-                const std::string id = item.key.substr(progress_prefix(m_pool).size());
-                if (const auto progress = decode_archive<jobs::job_progress>(item.value)) {
-                    m_loaded_progress[id] = progress.value();
-                }
-            }
-            if (answer.more && !answer.items.empty()) {
-                load_progress(answer.items.back().key);
-            } else {
-                load_jobs({});
-            }
-        });
+    m_parts.store.range(progress_prefix(m_pool), after,
+                        [this, after, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                            if (alive.expired()) {
+                                return;
+                            }
+                            if (answer.status != platform::store_status::ok) {
+                                retry_loading([this, after] { load_progress(after); });
+                                return;
+                            }
+                            for (const platform::store_item& item : answer.items) {
+                                const std::string id = item.key.substr(progress_prefix(m_pool).size());
+                                if (const auto progress = decode_archive<jobs::job_progress>(item.value)) {
+                                    m_loaded_progress[id] = progress.value();
+                                }
+                            }
+                            if (answer.more && !answer.items.empty()) {
+                                load_progress(answer.items.back().key);
+                            } else {
+                                load_jobs({});
+                            }
+                        });
 }
 
 timestamp pool_task::accepted_at(std::int64_t wall_ms) const {
@@ -147,7 +147,8 @@
 }
 
 void pool_task::load_vms() {
-    m_parts.store.get(vms_key(m_pool), [this, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+    m_parts.store.get(vms_key(m_pool), [this,
+                                        alive = m_lifetime.watch()](const platform::store_answer& answer) {
         if (alive.expired()) {
             return;
         }
@@ -223,8 +224,8 @@
     return holds(m_recorded) && (!m_recording || holds(m_record_on_its_way));
 }
 
-/// VMs that may hold runs, now or after the next decision: those that the platform lists, and those that it does
-/// not list any more while something may run there.
+/// VMs that may hold runs, now or after the next decision: those that the platform lists, and those that it
+/// does not list any more while something may run there.
 std::vector<jobs::vm_info> pool_task::vms_to_record() const {
     std::vector<jobs::vm_info> wanted;
     for (const auto& [vm, info] : m_directory.vms()) {
@@ -242,8 +243,9 @@
     return wanted;
 }
 
-/// A VM gets its first run only once it is stored that it may hold some, so that a successor knows whom to ask; and
-/// it leaves the record when it is gone and empty, since a successor waits for every VM of the record.
+/// A VM gets its first run only once it is stored that it may hold some, so that a successor knows whom to
+/// ask; and it leaves the record when it is gone and empty, since a successor waits for every VM of the
+/// record.
 void pool_task::record_vms() {
     if (m_recording || m_lost) {
         return;
@@ -288,8 +290,9 @@
     decide_soon();
 }
 
-/// Looks for VMs that an earlier owner may have used and that are gone, by the platform's list of machines. Without
-/// this the earlier owner's tasks wait for VMs that were moved to other pools, until the longest lease has run out.
+/// Looks for VMs that an earlier owner may have used and that are gone, by the platform's list of machines.
+/// Without this the earlier owner's tasks wait for VMs that were moved to other pools, until the longest
+/// lease has run out.
 void pool_task::look_for_unheard() {
     decide_soon();
     if (m_scheduler.unheard().empty()) {
@@ -306,14 +309,15 @@
 void pool_task::take_machines(const platform::machine_list& list) {
     for (const jobs::vm_info& info : m_recorded) {
         const auto found = std::ranges::find(list.machines, info.machine, &platform::machine_info::machine);
-        // The list may be a second old, so what is still registered as a VM may be newer than the list. That another
-        // life of the machine is registered proves nothing: an ended life's last heartbeat can bring its entry back.
+        // The list may be a second old, so what is still registered as a VM may be newer than the list. That
+        // another life of the machine is registered proves nothing: an ended life's last heartbeat can bring
+        // its entry back.
         const bool registered = m_directory.vms().contains(info.incarnation);
         if (registered || found == list.machines.end() || !m_scheduler.unheard().contains(info.incarnation)) {
             continue;
         }
-        const bool taken_down =
-            found->phase == platform::machine_phase::moving || found->phase == platform::machine_phase::upkeep;
+        const bool taken_down = found->phase == platform::machine_phase::moving ||
+                                found->phase == platform::machine_phase::upkeep;
         const bool elsewhere = found->pool != m_pool;
         if (taken_down || elsewhere) {
             m_scheduler.vm_gone(info.incarnation, event_loop::now());
@@ -441,11 +445,13 @@
     const auto vm = m_scheduler.vms().find(order.vm);
     const jobs::job_state* job = m_scheduler.find_job(order.task.job);
     m_parts.vms.start(vm->second.info(), m_held.token, order, job->spec().payload,
-                      [this, order, token = m_held.token, alive = m_lifetime.watch()](const platform::order_answer& answer) {
+                      [this, order, token = m_held.token,
+                       alive = m_lifetime.watch()](const platform::order_answer& answer) {
                           if (alive.expired()) {
                               return;
                           }
-                          m_scheduler.start_answered(order, answer.outcome, answer.clock_ms, event_loop::now());
+                          m_scheduler.start_answered(order, answer.outcome, answer.clock_ms,
+                                                     event_loop::now());
                           check_answer(order.vm, answer.outcome, "start", order.task, order.attempt, token);
                           if (answer.outcome != jobs::order_outcome::accepted) {
                               decide_soon();
@@ -459,9 +465,11 @@
         return;
     }
     m_parts.vms.stop(vm->second.info(), m_held.token, order,
-                     [this, order, token = m_held.token, alive = m_lifetime.watch()](const platform::order_answer& answer) {
+                     [this, order, token = m_held.token,
+                      alive = m_lifetime.watch()](const platform::order_answer& answer) {
                          if (!alive.expired()) {
-                             m_scheduler.stop_answered(order, answer.outcome, answer.clock_ms, event_loop::now());
+                             m_scheduler.stop_answered(order, answer.outcome, answer.clock_ms,
+                                                       event_loop::now());
                              check_answer(order.vm, answer.outcome, "stop", order.task, order.attempt, token);
                          }
                      });
@@ -473,7 +481,8 @@
         return;
     }
     m_parts.vms.pace(vm->second.info(), m_held.token, order,
-                     [this, order, token = m_held.token, alive = m_lifetime.watch()](const platform::order_answer& answer) {
+                     [this, order, token = m_held.token,
+                      alive = m_lifetime.watch()](const platform::order_answer& answer) {
                          if (!alive.expired()) {
                              check_answer(order.vm, answer.outcome, "pace", order.task, order.attempt, token);
                          }
@@ -484,7 +493,8 @@
     // What was sent under an earlier token of ours fails as well; that says nothing about the present one.
     if (!m_lost && token == m_held.token) {
         m_lost = true;
-        log_event(event_id::duty_lost, {{"duty", m_held.duty}, {"token", m_held.token}, {"found_by", found_by}});
+        log_event(event_id::duty_lost,
+                  {{"duty", m_held.duty}, {"token", m_held.token}, {"found_by", found_by}});
     }
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -14,8 +14,8 @@
 
 namespace siskinpaddle::node {
 
-/// Owns one pool: carries out what its scheduler decides, stores what must last before it is told, and answers
-/// for the pool's jobs. Lives from gaining the duty until losing it. Not thread-safe.
+/// Owns one pool: carries out what its scheduler decides, stores what must last before it is told, and
+/// answers for the pool's jobs. Lives from gaining the duty until losing it. Not thread-safe.
 class pool_task {
   public:
     using reply = std::function<void(const peer_answer&)>;
@@ -39,7 +39,7 @@
     void renew_token(const ownership& held);
     void configure(const jobs::fleet_configuration& configuration);
     /// Answers a request about the pool, at once or once what it needs is stored.
-    void handle(const peer_request& request, reply done);
+    void handle(const peer_request& request, const reply& done);
     /// Reads anew what the task watches; for after an outage of the store.
     void refresh();
     /// Orders nothing more; what is changed is still stored. `done` is called once all is stored.
@@ -155,7 +155,7 @@
     std::deque<waiting_submit> m_submits;
     std::set<std::string> m_submitting; ///< Jobs whose record is on its way to the store.
     bool m_writing_submits = false;
-    std::set<std::string> m_unsettled_submits; ///< Written at least once without an answer.
+    std::set<std::string> m_unsettled_submits;         ///< Written at least once without an answer.
     std::multimap<std::string, reply> m_submits_again; ///< Repeats of submits that are on their way.
     std::unique_ptr<timer> m_submit_timer;
     std::vector<waiting_cancel> m_cancels;
--- a/node/siskinpaddle_node.cpp
+++ b/node/siskinpaddle_node.cpp
@@ -56,10 +56,11 @@
 
 int main(int argc, char** argv) {
     try {
-        TCLAP::CmdLine line("Node process of siskinpaddle on the users' platform: takes clients' jobs, and owns "
-                            "pools and the fleet's orders when it holds their duties. Exit codes: 0 good, 1 "
-                            "failed, 2 bad settings.",
-                            ' ', SISKINPADDLE_VERSION);
+        TCLAP::CmdLine line(
+            "Node process of siskinpaddle on the users' platform: takes clients' jobs, and owns "
+            "pools and the fleet's orders when it holds their duties. Exit codes: 0 good, 1 "
+            "failed, 2 bad settings.",
+            ' ', SISKINPADDLE_VERSION);
         TCLAP::ValueArg<std::string> file("s", "settings", "Settings file (JSON).", true, "", "FILE", line);
         TCLAP::ValueArg<std::string> level("l", "log-level", "debug, info, warning or error.", false, "info",
                                            "LEVEL", line);
--- a/node/store_health.hpp
+++ b/node/store_health.hpp
@@ -4,12 +4,13 @@
 
 namespace siskinpaddle::node {
 
-/// The store counts as failing when a call has gone without an answer for this long: above what a slow store takes
-/// (a hundred times its usual four milliseconds), well below a client's patience.
+/// The store counts as failing when a call has gone without an answer for this long: above what a slow store
+/// takes (a hundred times its usual four milliseconds), well below a client's patience.
 inline constexpr milliseconds store_failing_after = 500ms;
 
-/// Whether the store fails just now, so that what needs it can be refused at once instead of waiting for a call's
-/// timeout. Answers outages that swallow calls: each client would wait out its whole deadline and then come again.
+/// Whether the store fails just now, so that what needs it can be refused at once instead of waiting for a
+/// call's timeout. Answers outages that swallow calls: each client would wait out its whole deadline and then
+/// come again.
 [[nodiscard]] inline bool store_is_failing(const platform::store_client& store, timestamp now) {
     const timestamp since = store.unanswered_since();
     return since != timestamp(0) && now - since >= store_failing_after;
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -16,8 +16,9 @@
 
 vm_directory::vm_directory(event_loop& loop, platform::store_client& store, change_handler on_change)
     : m_on_change(std::move(on_change)),
-      m_watch(loop, store, std::string(platform::vm_prefix), watch_wait,
-              [this](const platform::store_item& item) { take(item); }, watch_pause) {}
+      m_watch(
+          loop, store, std::string(platform::vm_prefix), watch_wait,
+          [this](const platform::store_item& item) { take(item); }, watch_pause) {}
 
 void vm_directory::start(std::function<void()> on_ready) {
     m_watch.start(std::move(on_ready));
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -49,11 +49,12 @@
         m_listing.clear();
         m_listing_revision = 0;
     }
-    m_store.range(m_prefix, after, [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
-        if (!alive.expired()) {
-            take_page(answer, round);
-        }
-    });
+    m_store.range(m_prefix, after,
+                  [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                      if (!alive.expired()) {
+                          take_page(answer, round);
+                      }
+                  });
 }
 
 void watch_task::take_page(const platform::store_answer& answer, std::uint64_t round) {
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -29,7 +29,9 @@
     /// When the store last answered here.
     [[nodiscard]] timestamp answered_at() const noexcept { return m_answered_at; }
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
-    [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept { return m_items; }
+    [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept {
+        return m_items;
+    }
 
     /// Lists anew at once, e.g. because a peer knows of something newer.
     void refresh();
--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -1,8 +1,8 @@
 #include "control/entry_settings.hpp"
 #include "net/loop_until.hpp"
 #include "peer/peer.hpp"
-#include "trial/task_protocol.hpp"
 #include "policy/fleet_builder.hpp"
+#include "trial/task_protocol.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/jobs/balance_test.cpp
+++ b/tests/jobs/balance_test.cpp
@@ -49,7 +49,7 @@
     }
 
     balance_plan plan(bool carry_out = true) {
-        const balance_plan result = plan_balance(machines, demands, "spare", {}, memory, now);
+        balance_plan result = plan_balance(machines, demands, "spare", {}, memory, now);
         if (carry_out) {
             for (const machine_move& move : result.moves) {
                 const auto found = std::ranges::find(machines, move.machine, &balance_machine::machine);
@@ -70,8 +70,9 @@
 } // namespace
 
 TEST_CASE("a pool whose turn begins gets the machines of one whose turn ends") {
-    // Recorded from a day of turns: dispatch had held 39 VMs with a third in use for four seconds, while pricing
-    // stood at one VM with eight seconds of work waiting; callers of quotes were turned away all that time.
+    // Recorded from a day of turns: dispatch had held 39 VMs with a third in use for four seconds, while
+    // pricing stood at one VM with eight seconds of work waiting; callers of quotes were turned away all that
+    // time.
     fleet_bench b;
     b.pool("dispatch", 39);
     b.pool("pricing", 2);
--- a/tests/jobs/pool_bench.hpp
+++ b/tests/jobs/pool_bench.hpp
@@ -65,7 +65,8 @@
     /// VMs' clocks run with ours, one second ahead.
     [[nodiscard]] std::int64_t vm_clock() const { return m_now.count() + 1000; }
 
-    void report(const std::string& name, std::vector<running_report> running, std::vector<end_report> ended = {}) {
+    void report(const std::string& name, std::vector<running_report> running,
+                std::vector<end_report> ended = {}) {
         m_scheduler.take_report(name, {vm_clock(), std::move(running), std::move(ended)}, m_now);
     }
 
@@ -81,7 +82,7 @@
 
     /// Decides and has every start accepted.
     std::vector<start_order> start_all(bool certain = true) {
-        const std::vector<start_order> starts = decide(certain).starts;
+        std::vector<start_order> starts = decide(certain).starts;
         for (const start_order& order : starts) {
             m_scheduler.start_answered(order, order_outcome::accepted, vm_clock(), m_now);
         }
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -38,9 +38,9 @@
 }
 
 TEST_CASE("an adopted run is not taken for lapsed before its VM's first renewal") {
-    // A user sees a seat sold twice. A pool's owner dies while tasks run; its successor finds them on a VM with
-    // its first look, has granted that VM nothing itself, and so took their lease for run out. It started each
-    // of them a second time beside the first.
+    // A user sees a seat sold twice. A pool's owner dies while tasks run; its successor finds them on a VM
+    // with its first look, has granted that VM nothing itself, and so took their lease for run out. It
+    // started each of them a second time beside the first.
     pool_bench b(1);
     b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
     b.pool().expect_vm(b.info("v1"));
@@ -53,16 +53,20 @@
 }
 
 TEST_CASE("tasks of an earlier owner wait for every VM that may run them") {
-    // A user is billed twice. The old owner had started a task on a VM that the new owner can't reach; the new
-    // owner found it nowhere else and started it again at once.
+    // A user is billed twice. The old owner had started a task on a VM that the new owner can't reach; the
+    // new owner found it nowhere else and started it again at once.
     pool_bench b(1);
     b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
     b.pool().expect_vm(b.info("lost"));
     b.vm("v1");
     CHECK(b.decide().starts.empty());
 
-    SUBCASE("until it answers") { b.report("lost", {}); }
-    SUBCASE("until its life has certainly ended") { b.pool().vm_gone("lost", b.now()); }
+    SUBCASE("until it answers") {
+        b.report("lost", {});
+    }
+    SUBCASE("until its life has certainly ended") {
+        b.pool().vm_gone("lost", b.now());
+    }
     SUBCASE("until the last lease of the old owner has run out") {
         b.pass(pool_bench::settings().unaccounted_window + 1ms);
         b.report("v1", {});
@@ -96,9 +100,9 @@
 }
 
 TEST_CASE("an owner whose claim is not certain concludes nothing from silence") {
-    // A user's task runs twice. A zone is cut off with its owner inside; a new owner outside renews the leases of
-    // the VMs there. The old owner no longer reached them, took their leases for run out and started their tasks
-    // on VMs of its own zone.
+    // A user's task runs twice. A zone is cut off with its owner inside; a new owner outside renews the
+    // leases of the VMs there. The old owner no longer reached them, took their leases for run out and
+    // started their tasks on VMs of its own zone.
     pool_bench b;
     b.vm("v1");
     b.job("j", {pool_bench::step(1)});
@@ -112,8 +116,8 @@
 }
 
 TEST_CASE("runs on a VM that does not answer count against the disruption budget") {
-    // Two of a booking portal's five instances are away at once, though it allows one. A rack went dark with one
-    // of them; its run still counted as at work until its lease ran out, and an upkeep moved another.
+    // Two of a booking portal's five instances are away at once, though it allows one. A rack went dark with
+    // one of them; its run still counted as at work until its lease ran out, and an upkeep moved another.
     pool_bench b;
     b.vm("v1", 1);
     b.vm("v2", 1);
@@ -132,8 +136,8 @@
 }
 
 TEST_CASE("a failed run counts once, whoever counts it") {
-    // A bill is shown as failed although its task failed once. An owner stored the failure and died before the VM
-    // had forgotten it; its successor saw the same end listed and counted it again.
+    // A bill is shown as failed although its task failed once. An owner stored the failure and died before
+    // the VM had forgotten it; its successor saw the same end listed and counted it again.
     pool_bench old_owner;
     old_owner.vm("v1");
     old_owner.job("j", {pool_bench::step(1)});
@@ -255,9 +259,9 @@
 }
 
 TEST_CASE("an adopted run that ends does not free its task while the old owner may still act elsewhere") {
-    // A task runs twice for a second. A new owner adopts a run; it fails at once and both owners hear of it. The
-    // old one, not yet aware of its successor, starts the task on a VM that the new one has not reached; the new
-    // one starts it as well, since it had found the task's only run.
+    // A task runs twice for a second. A new owner adopts a run; it fails at once and both owners hear of it.
+    // The old one, not yet aware of its successor, starts the task on a VM that the new one has not reached;
+    // the new one starts it as well, since it had found the task's only run.
     pool_bench b(1);
     b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
     b.pool().expect_vm(b.info("v1"));
@@ -277,9 +281,9 @@
 }
 
 TEST_CASE("a VM whose ends are not stored yet is not free to go") {
-    // A passenger is billed again after a restart of all nodes. A VM was moved to another pool as soon as nothing
-    // ran there, while the ends that it had listed were not stored; with the VM they were gone, and the next
-    // owner started the tasks once more.
+    // A passenger is billed again after a restart of all nodes. A VM was moved to another pool as soon as
+    // nothing ran there, while the ends that it had listed were not stored; with the VM they were gone, and
+    // the next owner started the tasks once more.
     pool_bench b;
     b.vm("v1");
     b.job("j", {pool_bench::step(1)});
@@ -294,9 +298,9 @@
 }
 
 TEST_CASE("a VM that a new owner has not heard of is not free to go") {
-    // A quote runs again after a restart of all nodes. Its zone was cut off; a new owner outside could not reach the
-    // VMs there, knew of no runs on them, and took them out of the record of VMs in use. The owner after it then
-    // did not ask them, and started what had ended there.
+    // A quote runs again after a restart of all nodes. Its zone was cut off; a new owner outside could not
+    // reach the VMs there, knew of no runs on them, and took them out of the record of VMs in use. The owner
+    // after it then did not ask them, and started what had ended there.
     pool_bench b(1);
     b.pool().expect_vm(b.info("v1"));
     CHECK_FALSE(b.pool().is_settled("v1"));
--- a/tests/jobs/upkeep_test.cpp
+++ b/tests/jobs/upkeep_test.cpp
@@ -52,8 +52,9 @@
 }
 
 TEST_CASE("an order without an answer is given again and does not count as done") {
-    // An operator reads that a wave is completed, and eight machines of it never had their upkeep: the platform
-    // did not carry out orders that it did not answer either, and the passing of time was taken for their end.
+    // An operator reads that a wave is completed, and eight machines of it never had their upkeep: the
+    // platform did not carry out orders that it did not answer either, and the passing of time was taken for
+    // their end.
     wave_bench b(1);
     b.machine("m", true, "v");
     CHECK(b.step().order.size() == 1);
@@ -65,8 +66,8 @@
 }
 
 TEST_CASE("a wave over machines that are off ends") {
-    // A wave is never told to be completed. Machines of the spare pool run no VM before or after their upkeep,
-    // and its end was only seen by another VM.
+    // A wave is never told to be completed. Machines of the spare pool run no VM before or after their
+    // upkeep, and its end was only seen by another VM.
     wave_bench b(1);
     b.machine("m", true, "");
     b.order("m", true);
@@ -92,8 +93,8 @@
 }
 
 TEST_CASE("a machine that is being emptied keeps its turn") {
-    // A wave ends seven seconds late. Its last machine was busy; whenever another one was quiet for a moment, that
-    // one was emptied instead and the busy one went back to work half empty.
+    // A wave ends seven seconds late. Its last machine was busy; whenever another one was quiet for a moment,
+    // that one was emptied instead and the busy one went back to work half empty.
     wave_bench b(1);
     b.machine("quiet", false, "v1");
     b.machine("busy", false, "v2");
