Machines by the rate at which work arrives

Cause: machines take two seconds to come, and the queue shows what a new turn needs only when its first callers are late (pool-load lines: 2 VMs for the first two seconds of each turn).

--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -17,8 +17,14 @@
 constexpr milliseconds least_retry_after = 1s;
 constexpr milliseconds longest_retry_after = 5s;
 
-/// Refused work counts as demand for this long; clients come back after a second or more.
-constexpr milliseconds refusal_memory = 1500ms;
+/// Time over which arriving work is averaged: a few jobs even of the rare large kinds, within the two seconds
+/// that machines take to come.
+constexpr milliseconds arrival_window = 1500ms;
+/// Fewer jobs than this in the window say nothing about a rate.
+constexpr std::size_t least_arrivals = 3;
+/// Until a machine that is asked for now takes work, and what is left of that on average for one on its way.
+constexpr milliseconds lending_time = 2000ms;
+constexpr milliseconds arriving_time = 1000ms;
 /// The need falls to a third within this time. The demand's turns last several seconds.
 constexpr double need_decay_ms = 1200;
 
@@ -58,17 +64,25 @@
     return work;
 }
 
-void demand_meter::turned_away(const std::string& job, std::int64_t work, timestamp now) {
-    m_refused[job] = {work, now};
+milliseconds pool_load::wait() const noexcept {
+    const std::int64_t millicores = std::max<std::int64_t>(1, usable_millicores + arriving_millicores);
+    return milliseconds(waiting_work / millicores);
+}
+
+void demand_meter::arrived(const std::string& job, std::int64_t work, timestamp now) {
+    m_arrivals[job] = {work, now};
 }
 
 void demand_meter::update(std::int64_t wanted, timestamp now) {
-    std::erase_if(m_refused, [&](const auto& item) { return now - item.second.at > refusal_memory; });
-    double refused = 0;
-    for (const auto& [job, item] : m_refused) {
-        refused += static_cast<double>(item.work);
+    std::erase_if(m_arrivals, [&](const auto& item) { return now - item.second.at > arrival_window; });
+    double rate = 0;
+    for (const auto& [job, item] : m_arrivals) {
+        rate += static_cast<double>(item.work) / static_cast<double>(arrival_window.count());
+    }
+    m_present = static_cast<double>(wanted);
+    if (m_arrivals.size() >= least_arrivals) {
+        m_present = std::max(m_present, rate);
     }
-    m_present = static_cast<double>(wanted) + refused / static_cast<double>(refusal_memory.count());
     const double passed = static_cast<double>((now - m_updated_at).count());
     m_kept = std::max(m_present, m_present + (m_kept - m_present) * std::exp(-passed / need_decay_ms));
     m_updated_at = now;
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -43,39 +43,39 @@
     std::size_t usable_vms = 0;
 
     std::int64_t arriving_millicores = 0; ///< Of VMs that are on their way to the pool.
+    std::int64_t lendable_millicores = 0; ///< Of machines that could be on their way if the pool needed them.
 
     /// Capacity that running and waiting work would use if the latter were to be done within a second, well
     /// within objectives of two seconds and more.
     [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
         return used_millicores + runnable_work / 1000;
     }
-    /// How long the pool takes for the work that waits.
-    [[nodiscard]] milliseconds wait() const noexcept {
-        return milliseconds(waiting_work /
-                            std::max<std::int64_t>(1, usable_millicores + arriving_millicores));
-    }
+    /// How long the pool takes for the work that waits, with the machines that are or can be on their way.
+    [[nodiscard]] milliseconds wait() const noexcept;
 };
 
 /// Follows the capacity that a pool needs: at once upwards, slowly downwards, so that the gaps between two
-/// bursts don't send machines away that are needed again a second later.
+/// bursts don't send machines away that are needed again a second later. Upwards it goes by the rate at which
+/// work arrives: machines take two seconds to come, and by the time that the queue shows what a new turn of
+/// demand needs, its first callers are late.
 class demand_meter {
   public:
-    /// Work of a job that was turned away; it stands for demand that the pool did not see.
-    void turned_away(const std::string& job, std::int64_t work, timestamp now);
+    /// A job was handed in, accepted or turned away; `work` in millicore-milliseconds.
+    void arrived(const std::string& job, std::int64_t work, timestamp now);
     /// `wanted`: what running and waiting work would use now, millicores.
     void update(std::int64_t wanted, timestamp now);
-    /// What is needed now, with what was turned away lately; millicores.
+    /// What is needed now: for what is there, or for what has arrived lately, whichever is more; millicores.
     [[nodiscard]] std::int64_t present() const noexcept { return static_cast<std::int64_t>(m_present); }
     /// The same, falling slowly.
     [[nodiscard]] std::int64_t kept() const noexcept { return static_cast<std::int64_t>(m_kept); }
 
   private:
-    struct refusal {
+    struct arrival {
         std::int64_t work = 0;
         timestamp at{0};
     };
 
-    std::map<std::string, refusal> m_refused; ///< By job: a client's retries count once.
+    std::map<std::string, arrival> m_arrivals; ///< By job: a client's retries count once.
     double m_present = 0;
     double m_kept = 0;
     timestamp m_updated_at{0};
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -59,6 +59,7 @@
         }
     }
     load.arriving_millicores = largest * static_cast<std::int64_t>(m_arriving_vms);
+    load.lendable_millicores = largest * static_cast<std::int64_t>(m_lendable_vms);
     return load;
 }
 
@@ -80,8 +81,15 @@
     return result;
 }
 
-void scheduler::turned_away(const job_spec& spec, timestamp now) {
-    m_demand.turned_away(spec.id, whole_work(spec), now);
+void scheduler::job_arrived(const job_spec& spec, timestamp now) {
+    if (!spec.long_running() && !spec.timed) {
+        m_demand.arrived(spec.id, whole_work(spec), now);
+    }
+}
+
+void scheduler::expect_vms(std::size_t arriving, std::size_t lendable) {
+    m_arriving_vms = arriving;
+    m_lendable_vms = lendable;
 }
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -143,10 +143,10 @@
     [[nodiscard]] pool_load load() const;
     /// What the pool needs, and its VMs.
     [[nodiscard]] pool_demand demand(timestamp now);
-    /// A job was turned away for want of room; it counts as demand for a while.
-    void turned_away(const job_spec& spec, timestamp now);
-    /// VMs that were promised to the pool and are not here yet.
-    void expect_vms(std::size_t count) { m_arriving_vms = count; }
+    /// A job was handed in, accepted or not; it counts as demand for a while.
+    void job_arrived(const job_spec& spec, timestamp now);
+    /// VMs that are on their way to the pool, and those that could be.
+    void expect_vms(std::size_t arriving, std::size_t lendable);
 
     // --- Storing ---
 
@@ -211,6 +211,7 @@
     std::int64_t m_runnable_work = 0;
     demand_meter m_demand;
     std::size_t m_arriving_vms = 0;
+    std::size_t m_lendable_vms = 0;
     decisions m_out;
 };
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -90,6 +90,7 @@
         request.pool = pool;
         request.configuration = m_parts.configuration.current().version;
         request.arriving = arriving(pool);
+        request.lendable = m_lendable;
         const std::set<std::string> kept_empty = m_clear[pool];
         request.vms.assign(kept_empty.begin(), kept_empty.end());
         m_parts.ask_pool(request, [this, pool, kept_empty, round = m_round,
@@ -359,6 +360,7 @@
     const std::string spare = spare_pool();
     const jobs::balance_plan wanted =
         jobs::plan_balance(balance_view(), m_demands, spare, {}, m_memory, event_loop::now());
+    m_lendable = wanted.lendable;
     std::size_t ordered = 0;
     for (const jobs::machine_move& move : wanted.moves) {
         const platform::machine_info& info = m_machines[move.machine];
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -63,11 +63,11 @@
         done(answer);
         return;
     }
+    m_scheduler.job_arrived(request.spec, event_loop::now());
     const jobs::pool_load load = m_scheduler.load();
     const jobs::admission_verdict verdict = m_scheduler.judge(request.spec);
     const std::int64_t waiting_ms = load.wait().count();
     if (!verdict.accepted) {
-        m_scheduler.turned_away(request.spec, event_loop::now());
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
         log_event(event_id::submit_refused, {{"pool", m_pool},
@@ -225,7 +225,7 @@
     const bool changed = wanted != m_cleared_vms;
     m_cleared_vms = wanted;
     m_cleared_at = event_loop::now();
-    m_scheduler.expect_vms(request.arriving);
+    m_scheduler.expect_vms(request.arriving, request.lendable);
     peer_answer answer = answer_of(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
     if (changed) {
