--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -19,6 +19,10 @@
 /// An order that has shown no effect for this long beyond the move's own time is forgotten; the list tells
 /// where the machine is.
 constexpr milliseconds move_patience = 2500ms;
+/// One lease serves the announcements of this long; a lease for each round would double the calls.
+constexpr milliseconds announcement_use = 1s;
+/// From the announcement to the order's arrival.
+constexpr milliseconds announcement_margin = 500ms;
 /// Orders of one round; the platform accepts a few dozen a second.
 constexpr std::size_t moves_at_once = 12;
 
@@ -27,9 +31,7 @@
 fleet_task::fleet_task(context parts, const ownership& held)
     : m_parts(std::move(parts)), m_held(held), m_timer(m_parts.loop.make_timer([this] { round(); })),
       m_answers_bound(m_parts.loop.make_timer([this] { list_machines(); })),
-      // Another holder's last order may be younger than this.
-      m_quiet_until(event_loop::now() +
-                    (held.epoch == 0 || held.own_before ? 0ms : m_parts.settings.order_quiet)) {}
+      m_recent_known(held.epoch == 0 || held.own_before) {}
 
 void fleet_task::start() {
     round();
@@ -38,7 +40,7 @@
 bool fleet_task::may_order() const {
     // Machines check no fencing tokens, so only a claim that certainly stands will do.
     const timestamp now = event_loop::now();
-    return !m_stopped && now >= m_quiet_until && now < m_parts.membership.certain_until(m_held.duty);
+    return !m_stopped && m_recent_known && now < m_parts.membership.certain_until(m_held.duty);
 }
 
 std::string fleet_task::spare_pool() const {
@@ -57,6 +59,9 @@
         return;
     }
     m_timer->start(round_interval);
+    if (!m_recent_known || !m_recent.empty()) {
+        read_announcements();
+    }
     if (!may_order()) {
         return;
     }
@@ -174,11 +179,85 @@
     }
     plan_waves();
     plan_moves();
+    give_orders();
     if (m_again_at_once) {
         m_timer->start(at_once);
     }
 }
 
+// --- Orders and their announcement ---
+
+void fleet_task::give_orders() {
+    if (m_planned.empty()) {
+        return;
+    }
+    std::vector<std::string> machines;
+    for (const planned_order& order : m_planned) {
+        machines.push_back(order.machine);
+    }
+    announce(machines, [this, orders = std::exchange(m_planned, {})](bool announced) {
+        for (const planned_order& order : orders) {
+            announced && may_order() ? order.give() : order.take_back();
+        }
+    });
+}
+
+/// The announcement lives under a lease of its own, so that it ends by itself when the quiet time has passed, also
+/// when its holder is gone.
+void fleet_task::announce(const std::vector<std::string>& machines, std::function<void(bool)> done) {
+    if (event_loop::now() - m_announcement_granted_at < announcement_use) {
+        write_announcement(machines, done);
+        return;
+    }
+    const timestamp asked_at = event_loop::now();
+    m_parts.store.grant_lease(m_parts.settings.order_quiet + announcement_use + announcement_margin,
+                              [this, machines, asked_at, done = std::move(done),
+                               alive = m_lifetime.watch()](const platform::lease_answer& answer) {
+                                  if (alive.expired()) {
+                                      return;
+                                  }
+                                  if (answer.status != platform::store_status::ok) {
+                                      done(false);
+                                      return;
+                                  }
+                                  m_announcement_lease = answer.lease;
+                                  m_announcement_granted_at = asked_at;
+                                  write_announcement(machines, done);
+                              });
+}
+
+void fleet_task::write_announcement(const std::vector<std::string>& machines,
+                                    const std::function<void(bool)>& done) {
+    platform::store_transaction change;
+    change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
+    const std::string key = announcement_prefix + std::to_string(m_held.token) + "-" +
+                            std::to_string(m_announcements++);
+    change.writes.push_back({key, encode_archive(machines), m_announcement_lease});
+    m_parts.store.commit(change, [done, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (!alive.expired()) {
+            done(answer.status == platform::store_status::ok);
+        }
+    });
+}
+
+void fleet_task::read_announcements() {
+    m_parts.store.range(announcement_prefix, {},
+                        [this, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                            if (alive.expired() || answer.status != platform::store_status::ok) {
+                                return;
+                            }
+                            m_recent.clear();
+                            const std::string own = announcement_prefix + std::to_string(m_held.token) + "-";
+                            for (const platform::store_item& item : answer.items) {
+                                const auto machines = decode_archive<std::vector<std::string>>(item.value);
+                                if (machines && !item.key.starts_with(own)) {
+                                    m_recent.insert(machines.value().begin(), machines.value().end());
+                                }
+                            }
+                            m_recent_known = true;
+                        });
+}
+
 // --- Upkeep ---
 
 std::map<std::string, jobs::upkeep_machine> fleet_task::upkeep_view() const {
@@ -196,7 +275,7 @@
         item.machine = name;
         item.pool = info.pool;
         item.vm = info.incarnation;
-        item.up = info.phase == platform::machine_phase::up && !m_moves.contains(name);
+        item.up = info.phase == platform::machine_phase::up && !m_moves.contains(name) && !m_recent.contains(name);
         const bool off = info.pool == spare_pool();
         item.idle = off || m_empty_vms.contains(info.incarnation);
         item.quiet = off || quiet.contains(info.incarnation);
@@ -223,7 +302,7 @@
             m_clear[info.pool].insert(info.incarnation);
         }
         for (const std::string& machine : step.order) {
-            order_upkeep(item, machine);
+            plan_upkeep(item, machine);
         }
         if (step.completed) {
             item.completed = true;
@@ -260,11 +339,16 @@
     }
 }
 
-void fleet_task::order_upkeep(wave& item, const std::string& machine) {
+void fleet_task::plan_upkeep(wave& item, const std::string& machine) {
+    const std::int64_t number = item.state.number;
     item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
-    m_parts.machines.upkeep({m_parts.membership.self().id, m_held.token}, machine, item.state.number,
-                            [this, number = item.state.number, machine,
-                             alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+    m_planned.push_back({machine, [this, number, machine] { order_upkeep(number, machine); },
+                         [this, number, machine] { m_waves[number].state.waiting.erase(machine); }});
+}
+
+void fleet_task::order_upkeep(std::int64_t number, const std::string& machine) {
+    m_parts.machines.upkeep({m_parts.membership.self().id, m_held.token}, machine, number,
+                            [this, number, machine, alive = m_lifetime.watch()](platform::machine_outcome outcome) {
                                 if (!alive.expired()) {
                                     upkeep_ordered(number, machine, outcome);
                                 }
@@ -343,7 +427,7 @@
         item.millicores = info.capacity.cpu_millicores;
         item.cleared = m_empty_vms.contains(info.incarnation);
         const auto cleared = m_clear.find(info.pool);
-        item.reserved = in_upkeep.contains(name) ||
+        item.reserved = in_upkeep.contains(name) || m_recent.contains(name) ||
                         (cleared != m_clear.end() && cleared->second.contains(info.incarnation));
         if (const auto move = m_moves.find(name); move != m_moves.end()) {
             item.pool = move->second.pool;
@@ -369,7 +453,7 @@
             m_again_at_once = true;
         } else if (ordered < moves_at_once) {
             ++ordered;
-            order_move(move);
+            plan_move(move);
         }
     }
     for (const auto& [name, info] : m_machines) {
@@ -379,17 +463,22 @@
     }
 }
 
-void fleet_task::order_move(const jobs::machine_move& move) {
+void fleet_task::plan_move(const jobs::machine_move& move) {
     const platform::machine_info& info = m_machines[move.machine];
     m_moves[move.machine] = {move.pool, info.incarnation, event_loop::now()};
     m_clear[info.pool].insert(info.incarnation);
-    m_parts.machines.move(
-        {m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
-        [this, move, kind = info.kind, alive = m_lifetime.watch()](platform::machine_outcome outcome) {
-            if (!alive.expired()) {
-                move_ordered(move, kind, outcome);
-            }
-        });
+    m_planned.push_back({move.machine, [this, move] { order_move(move); },
+                         [this, move] { m_moves.erase(move.machine); }});
+}
+
+void fleet_task::order_move(const jobs::machine_move& move) {
+    m_parts.machines.move({m_parts.membership.self().id, m_held.token}, move.machine, move.pool,
+                          [this, move, kind = m_machines[move.machine].kind,
+                           alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+                              if (!alive.expired()) {
+                                  move_ordered(move, kind, outcome);
+                              }
+                          });
 }
 
 void fleet_task::move_ordered(const jobs::machine_move& move, const std::string& kind,
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -69,11 +69,18 @@
     [[nodiscard]] std::string spare_pool() const;
     [[nodiscard]] std::size_t arriving(const std::string& pool) const;
 
+    void give_orders();
+    void announce(const std::vector<std::string>& machines, std::function<void(bool)> done);
+    void write_announcement(const std::vector<std::string>& machines, const std::function<void(bool)>& done);
+    void read_announcements();
+
     void load(std::int64_t number);
     void loaded(std::int64_t number, const platform::store_answer& answer);
-    void order_upkeep(wave& item, const std::string& machine);
+    void plan_upkeep(wave& item, const std::string& machine);
+    void order_upkeep(std::int64_t number, const std::string& machine);
     void upkeep_ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
     void record_wave(const jobs::wave_state& state);
+    void plan_move(const jobs::machine_move& move);
     void order_move(const jobs::machine_move& move);
     void move_ordered(const jobs::machine_move& move, const std::string& kind,
                       platform::machine_outcome outcome);
@@ -84,7 +91,6 @@
     ownership m_held;
     std::unique_ptr<timer> m_timer;
     std::unique_ptr<timer> m_answers_bound;
-    timestamp m_quiet_until;
 
     std::uint64_t m_round = 0;
     std::set<std::string> m_unanswered; ///< Pools whose owners have not answered in this round.
@@ -94,6 +100,19 @@
     std::size_t m_lendable = 0; ///< By the last plan.
     bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
 
+    /// An order that is planned and not yet announced.
+    struct planned_order {
+        std::string machine;
+        std::function<void()> give;
+        std::function<void()> take_back;
+    };
+    std::vector<planned_order> m_planned;
+    std::int64_t m_announcement_lease = 0;
+    timestamp m_announcement_granted_at{0};
+    std::uint64_t m_announcements = 0;
+    std::set<std::string> m_recent; ///< Machines that another holder may have ordered within the quiet time.
+    bool m_recent_known = false;    ///< The other holder's announcements were read.
+
     std::map<std::int64_t, wave> m_waves;
     std::set<std::string> m_asked_empty; ///< VMs that their owners were asked to empty in the last round.
     std::map<std::string, std::set<std::string>> m_clear; ///< Pool -> VMs that its owner is to keep empty.
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -46,6 +46,9 @@
     return "sp/wave/" + std::to_string(number);
 }
 
+/// Announcements of orders about machines.
+inline const std::string announcement_prefix = "sp/orders/";
+
 /// Duties that have one owner at a time.
 [[nodiscard]] inline std::string pool_duty(const std::string& pool) {
     return "pool/" + pool;
