Record VMs that appear together at once

Cause: the first of a batch of VMs was recorded alone, the others waited 300 ms for the next record: the change that takes gone VMs out of the record had paused it.

--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -213,7 +213,7 @@
         decide_soon();
         return;
     }
-    record_vms();
+    m_record_timer->start(0ms); // Those that change together are recorded together.
 }
 
 /// Whether the VM stands in the record, and in the one that may be stored any moment.
@@ -273,7 +273,7 @@
             ownership_lost("vm record", token);
         }
         if (vms_to_record() != m_recorded) {
-            m_record_timer->start(record_pause);
+            m_record_timer->start(answer.status == platform::store_status::ok ? 0ms : record_pause);
         }
     });
 }
