Look more often for VMs on their way; fleet rounds every 160 ms

Cause: from demand to the first task on a lent machine took 250 ms of round, 1.5 s of move, up to 400 ms until the VM was seen.

--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -11,7 +11,7 @@
 
 /// Between two rounds. Demand rises to several times a pool's room within a second and lasts several; each
 /// round costs one call of the platform and one of each owner.
-constexpr milliseconds round_interval = 250ms;
+constexpr milliseconds round_interval = 160ms;
 /// A round goes on without the owners that have not answered by then.
 constexpr milliseconds answers_bound = 150ms;
 /// A VM that was asked for is ordered away in a round of its own, right after its owner could answer.
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -226,6 +226,7 @@
     m_cleared_vms = wanted;
     m_cleared_at = event_loop::now();
     m_scheduler.expect_vms(request.arriving, request.lendable);
+    m_directory.expect_changes(request.arriving > 0);
     peer_answer answer = answer_of(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
     if (changed) {
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -11,6 +11,9 @@
 /// Each VM writes its registration every second and a half, so watches of many VMs would return all the time:
 /// 121 calls a second for 48 VMs and four owners without the pause, 9 with it, counted by the store's client.
 constexpr milliseconds watch_pause = 400ms;
+/// While machines are on their way to the pool: each tenth of a second that they idle there is paid for, and
+/// callers wait for them.
+constexpr milliseconds expecting_pause = 60ms;
 
 } // namespace
 
@@ -24,6 +27,10 @@
     m_watch.start(std::move(on_ready));
 }
 
+void vm_directory::expect_changes(bool expected) {
+    m_watch.set_pause(expected ? expecting_pause : watch_pause);
+}
+
 void vm_directory::take(const platform::store_item& item) {
     const std::string incarnation = item.key.substr(platform::vm_prefix.size());
     if (item.deleted) {
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -14,6 +14,8 @@
 
     void start(std::function<void()> on_ready);
 
+    /// VMs are about to appear: look more often.
+    void expect_changes(bool expected);
     /// Reads anew at once.
     void refresh() { m_watch.refresh(); }
 
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -26,6 +26,9 @@
     void start(std::function<void()> on_ready = {});
     void stop() { m_running = false; }
 
+    /// From the next watch on.
+    void set_pause(milliseconds pause) noexcept { m_pause = pause; }
+
     /// When the store last answered here.
     [[nodiscard]] timestamp answered_at() const noexcept { return m_answered_at; }
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
