Ask the policy service which VMs may run a step

Cause: queues with a policy refuse starts without a ticket; their jobs would never run. Also: moves keep to the platform's rate for orders.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -3,6 +3,7 @@
 /// Public header of the jobs library: the decisions about jobs and the VMs of one pool. Pure: state, events
 /// and clock readings in, orders out; nothing here does I/O. Objects may be used from one thread at a time.
 
+#include "jobs/advice.hpp"
 #include "jobs/balance.hpp"
 #include "jobs/fleet_configuration.hpp"
 #include "jobs/job.hpp"
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -52,7 +52,7 @@
 }
 
 vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
-                    const placement_settings& settings, timestamp now) {
+                    const placement_settings& settings, const step_advice* advice, timestamp now) {
     const step_spec& step = job.spec().steps[task.step];
     const resources need = counted_need(step);
     const std::vector<std::string>& failed_on = job.task(task).failed_on;
@@ -62,6 +62,9 @@
         if (!may_take(vm, step, need, task, settings, now)) {
             continue;
         }
+        if (advice != nullptr && advice->ticket(incarnation, now) == nullptr) {
+            continue;
+        }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
         const bool far = !step.data_rack.empty() && step.data_rack != vm.info().rack;
         const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_long_running(), -fullness(vm, need)};
@@ -73,4 +76,25 @@
     return best;
 }
 
+std::vector<std::string> vms_worth_asking(const vm_table& vms, const job_state& job, const task_id& task,
+                                          const placement_settings& settings, const step_advice& advice,
+                                          std::size_t most, timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    const resources need = counted_need(step);
+    std::vector<std::pair<double, std::string>> open;
+    for (const auto& [incarnation, vm] : vms) {
+        if (may_take(vm, step, need, task, settings, now) && advice.is_open(incarnation, now)) {
+            open.emplace_back(fullness(vm, need), incarnation);
+        }
+    }
+    std::ranges::sort(open);
+    std::vector<std::string> names;
+    for (const auto& [filled, incarnation] : open) {
+        if (names.size() < most) {
+            names.push_back(incarnation);
+        }
+    }
+    return names;
+}
+
 } // namespace siskinpaddle::jobs
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/advice.hpp"
 #include "jobs/job_state.hpp"
 #include "jobs/vm_state.hpp"
 
@@ -26,7 +27,16 @@
 /// long-running tasks are filled first, then the fullest that has room: what runs is kept together, so that
 /// whole VMs stay idle and can follow the demand to other pools; a VM's loss also hits fewer jobs that way.
 /// Returns null when none has room.
+/// `advice`: where the queue's policy allows only some VMs, what is known of them; else null.
 [[nodiscard]] vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
-                                  const placement_settings& settings, timestamp now);
+                                  const placement_settings& settings, const step_advice* advice,
+                                  timestamp now);
+
+/// VMs that could take a task of the step but for the policy, those with most room first; at most `most`.
+[[nodiscard]] std::vector<std::string> vms_worth_asking(const vm_table& vms, const job_state& job,
+                                                        const task_id& task,
+                                                        const placement_settings& settings,
+                                                        const step_advice& advice, std::size_t most,
+                                                        timestamp now);
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -160,6 +160,7 @@
             return false;
         }
         forgotten.emplace_back(item.first, job.phase());
+        std::erase_if(m_advice, [&](const auto& known) { return std::get<0>(known.first) == item.first; });
         return true;
     });
     return forgotten;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -63,6 +63,7 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<pace_order> paces;
+    std::vector<advice_request> questions; ///< To the policy service.
     std::vector<scheduler_note> notes;
 };
 
@@ -121,6 +122,7 @@
     void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
                         timestamp now);
     void stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
+    void advice_answered(const advice_request& request, const advice_answer& answer, timestamp now);
     void cordon(const std::string& vm, bool on);
     /// Nothing runs on the VM, or may yet start there, and all ends that it has listed are stored. Only then
     /// may it go: the ends of a VM that is gone can't be read again, and what had ended there would be
@@ -194,6 +196,8 @@
     void measure_waiting(timestamp now);
     void place_step(job_state& job, step_place place, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now);
+    [[nodiscard]] step_advice* advice_for(const job_state& job, step_place place);
+    void ask_advice(const job_state& job, step_place place, step_advice& advice, timestamp now);
     void place_gang(job_state& job, step_place place, timestamp now);
 
     scheduler_settings m_settings;
@@ -212,6 +216,8 @@
     demand_meter m_demand;
     std::size_t m_arriving_vms = 0;
     std::size_t m_lendable_vms = 0;
+    /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
     decisions m_out;
 };
 
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -206,6 +206,9 @@
 
 void scheduler::place_step(job_state& job, step_place place, timestamp now) {
     const step_spec& step = job.spec().steps[place.step];
+    if (step_advice* advice = advice_for(job, place)) {
+        ask_advice(job, place, *advice, now);
+    }
     if (step.gang) {
         place_gang(job, place, now);
         return;
@@ -223,7 +226,8 @@
 }
 
 bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now) {
-    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, now);
+    const step_advice* advice = advice_for(job, {id.occurrence, id.step});
+    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, advice, now);
     if (vm == nullptr) {
         return false;
     }
@@ -236,11 +240,36 @@
     vm->granted(item.start_deadline);
     const step_spec& step = job.spec().steps[id.step];
     vm->add_task(id, counted_need(step), step.long_running);
-    m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, {}});
+    const std::string ticket = advice == nullptr ? std::string() : *advice->ticket(item.vm, now);
+    m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, ticket});
     job.add_run(id, std::move(item));
     return true;
 }
 
+step_advice* scheduler::advice_for(const job_state& job, step_place place) {
+    if (!queue_of(job)->advice) {
+        return nullptr;
+    }
+    return &m_advice[{job.spec().id, place.occurrence, place.step}];
+}
+
+/// Asks about VMs that nothing is known of, one question for a step at a time.
+void scheduler::ask_advice(const job_state& job, step_place place, step_advice& advice, timestamp now) {
+    if (advice.pending(now)) {
+        return;
+    }
+    const advice_settings& policy = *queue_of(job)->advice;
+    advice_request request{job.spec().id, place.occurrence, place.step, {}, {}};
+    request.vms = vms_worth_asking(m_vms, job, job.id_of(place, 0), m_settings.placement, advice,
+                                   vms_to_ask(job.idle(place)), now);
+    if (request.vms.empty()) {
+        return;
+    }
+    request.expected = policy.decision + policy.per_vm * static_cast<std::int64_t>(request.vms.size());
+    advice.asked(request, now);
+    m_out.questions.push_back(std::move(request));
+}
+
 /// A gang starts whole or not at all: members that wait for the rest hold room that others could use, and
 /// end when they wait too long.
 void scheduler::place_gang(job_state& job, step_place place, timestamp now) {
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -149,6 +149,13 @@
     }
 }
 
+void scheduler::advice_answered(const advice_request& request, const advice_answer& answer, timestamp now) {
+    const auto found = m_advice.find({request.job, request.occurrence, request.step});
+    if (found != m_advice.end()) {
+        found->second.answered(request, answer, now);
+    }
+}
+
 void scheduler::cordon(const std::string& vm, bool on) {
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
         found->second.cordoned = on;
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -23,8 +23,12 @@
 constexpr milliseconds announcement_use = 1s;
 /// From the announcement to the order's arrival.
 constexpr milliseconds announcement_margin = 500ms;
-/// Orders of one round; the platform accepts a few dozen a second.
-constexpr std::size_t moves_at_once = 12;
+
+/// Moves of one round, so that all rounds together keep to the platform's rate; upkeeps, which are few, come on top.
+std::size_t moves_at_once(const node_settings& settings) {
+    const double each_round = settings.machine_orders_per_s * static_cast<double>(round_interval.count()) / 1000.0;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(each_round));
+}
 
 } // namespace
 
@@ -453,7 +457,7 @@
         if (info.pool != spare && !m_empty_vms.contains(info.incarnation)) {
             m_clear[info.pool].insert(info.incarnation);
             m_again_at_once = true;
-        } else if (ordered < moves_at_once) {
+        } else if (ordered < moves_at_once(m_parts.settings)) {
             ++ordered;
             plan_move(move);
         }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -23,7 +23,7 @@
 
 node::node(event_loop& loop, const node_settings& settings)
     : m_loop(loop), m_settings(settings), m_store(loop, settings.store), m_vms(loop),
-      m_machines(loop, settings.machines), m_peers(loop),
+      m_machines(loop, settings.machines), m_advice(loop, settings.advice), m_peers(loop),
       m_configuration(loop, m_store, [this] { configuration_changed(); }),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
@@ -116,7 +116,7 @@
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
     auto task = std::make_unique<pool_task>(
-        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_membership, m_counters}, pool,
+        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_advice, m_membership, m_counters}, pool,
         held);
     task->configure(m_configuration.current());
     task->start();
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -43,6 +43,7 @@
     platform::store_client m_store;
     platform::vm_client m_vms;
     platform::machine_client m_machines;
+    platform::advice_client m_advice;
     peer_client m_peers;
     configuration_task m_configuration;
     membership_task m_membership;
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -27,6 +27,7 @@
         platform::store_client& store;
         platform::vm_client& vms;
         platform::machine_client& machines;
+        platform::advice_client& advice;
         membership_task& membership;
         metrics& counters;
     };
@@ -94,6 +95,7 @@
     void send_start(const jobs::start_order& order);
     void send_stop(const jobs::stop_order& order);
     void send_pace(const jobs::pace_order& order);
+    void send_question(const jobs::advice_request& question);
     void check_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
                       const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
     void log_decisions(const jobs::decisions& wanted) const;
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -308,3 +308,45 @@
     b.report("v1", {});
     CHECK(b.pool().is_settled("v1"));
 }
+
+TEST_CASE("a step of a queue with a policy runs only on VMs that the policy service approves") {
+    // A carrier's job runs on a VM that its policy forbids, or never runs: VMs refuse starts without a ticket.
+    pool_bench b;
+    queue_settings queue;
+    queue.name = "q";
+    queue.pool = "p";
+    queue.max_attempts = 3;
+    queue.advice = advice_settings{20ms, 5ms, 3000ms};
+    b.pool().configure({queue});
+    b.vm("v1");
+    b.vm("v2");
+    b.job("j", {pool_bench::step(2)});
+    const decisions asked = b.decide();
+    CHECK(asked.starts.empty());
+    REQUIRE(asked.questions.size() == 1);
+    CHECK(asked.questions[0].vms.size() == 2);
+    CHECK(b.decide().questions.empty());
+
+    SUBCASE("approved VMs get the starts, with their ticket") {
+        b.pool().advice_answered(asked.questions[0], {true, {{"v2", "t-2"}}, 3000ms}, b.now());
+        const auto starts = b.start_all();
+        REQUIRE(starts.size() == 2);
+        CHECK(starts[0].vm == "v2");
+        CHECK(starts[0].ticket == "t-2");
+    }
+    SUBCASE("a ticket runs out") {
+        b.pool().advice_answered(asked.questions[0], {true, {{"v2", "t-2"}}, 3000ms}, b.now());
+        b.pass(2900ms);
+        b.report("v1", {});
+        b.report("v2", {});
+        const decisions again = b.decide();
+        CHECK(again.starts.empty());
+        CHECK(again.questions.size() == 1);
+    }
+    SUBCASE("an answer that never comes is asked for again") {
+        b.pass(1700ms);
+        b.report("v1", {});
+        b.report("v2", {});
+        CHECK(b.decide().questions.size() == 1);
+    }
+}
