--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -24,11 +24,9 @@
 /// From the announcement to the order's arrival.
 constexpr milliseconds announcement_margin = 500ms;
 
-/// Moves of one round, so that all rounds together keep to the platform's rate; upkeeps, which are few, come on top.
-std::size_t moves_at_once(const node_settings& settings) {
-    const double each_round = settings.machine_orders_per_s * static_cast<double>(round_interval.count()) / 1000.0;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(each_round));
-}
+/// Orders may come in a burst of what this time allows at the platform's rate: when a turn of demand begins, a dozen
+/// machines are asked for at once.
+constexpr double burst_s = 0.5;
 
 } // namespace
 
@@ -446,19 +444,27 @@
     return view;
 }
 
+void fleet_task::refill_orders() {
+    const timestamp now = event_loop::now();
+    const double rate = m_parts.settings.machine_orders_per_s;
+    const double passed_s = static_cast<double>((now - m_orders_refilled_at).count()) / 1000.0;
+    m_orders_left = std::min(rate * burst_s, m_orders_left + rate * passed_s);
+    m_orders_refilled_at = now;
+}
+
 void fleet_task::plan_moves() {
     const std::string spare = spare_pool();
     const jobs::balance_plan wanted =
         jobs::plan_balance(balance_view(), m_demands, spare, {}, m_memory, event_loop::now());
     m_lendable = wanted.lendable;
-    std::size_t ordered = 0;
+    refill_orders();
     for (const jobs::machine_move& move : wanted.moves) {
         const platform::machine_info& info = m_machines[move.machine];
         if (info.pool != spare && !m_empty_vms.contains(info.incarnation)) {
             m_clear[info.pool].insert(info.incarnation);
             m_again_at_once = true;
-        } else if (ordered < moves_at_once(m_parts.settings)) {
-            ++ordered;
+        } else if (m_orders_left >= 1) {
+            m_orders_left -= 1;
             plan_move(move);
         }
     }
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -64,6 +64,7 @@
     void plan();
     void plan_waves();
     void plan_moves();
+    void refill_orders();
     [[nodiscard]] std::vector<jobs::balance_machine> balance_view() const;
     [[nodiscard]] std::map<std::string, jobs::upkeep_machine> upkeep_view() const;
     [[nodiscard]] std::string spare_pool() const;
@@ -107,6 +108,8 @@
         std::function<void()> take_back;
     };
     std::vector<planned_order> m_planned;
+    double m_orders_left = 0; ///< At the platform's rate.
+    timestamp m_orders_refilled_at{0};
     std::int64_t m_announcement_lease = 0;
     timestamp m_announcement_granted_at{0};
     std::uint64_t m_announcements = 0;
