The log never waits for its reader

Cause: a reader that stalls would block the next line, and with it the owner of a pool until its lease has run out. Lines are collected for 20 ms and written as far as the pipe takes them; what exceeds 256 KiB is dropped and counted.

--- a/main/entry.cpp
+++ b/main/entry.cpp
@@ -58,6 +58,7 @@
 }
 
 void entry::tick() {
+    flush_event_log();
     m_health.suspect(m_callers.targets().suspect_vms());
     const bool ready = m_callers.ready();
     m_state.set_ready(ready);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -192,6 +192,7 @@
 
 void node::tick() {
     m_timer->start(tick_interval);
+    flush_event_log();
     const bool is_ready = ready();
     if (is_ready != m_was_ready) {
         m_was_ready = is_ready;
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -1,17 +1,19 @@
 #include "telemetry/event_log.hpp"
 
-#include <boost/core/null_deleter.hpp>
+#include "telemetry/line_writer.hpp"
+
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
-#include <iostream>
+#include <unistd.h>
 
 namespace siskinpaddle {
 
@@ -58,17 +60,47 @@
 
 } // namespace
 
-void start_event_log(std::string_view process, event_level least) {
-    namespace sinks = boost::log::sinks;
+namespace {
+
+/// Hands finished lines to the writer that never blocks. Boost.Log calls it for one line at a time.
+class line_backend
+    : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding> {
+  public:
+    explicit line_backend(int descriptor) : m_writer(descriptor) {}
+
+    void consume(const boost::log::record_view&, const string_type& line) { m_writer.write(line); }
+    void flush() { m_writer.flush(); }
+    [[nodiscard]] std::uint64_t take_dropped() { return m_writer.take_dropped(); }
+
+  private:
+    line_writer m_writer;
+};
+
+using line_sink = boost::log::sinks::synchronous_sink<line_backend>;
+
+boost::shared_ptr<line_sink> active_sink;
+
+} // namespace
+
+void start_event_log(std::string_view process, event_level least, int descriptor) {
     process_name = process;
     least_level = least;
-    auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-    backend->auto_flush(true);
-    using sink = sinks::synchronous_sink<sinks::text_ostream_backend>;
-    auto frontend = boost::make_shared<sink>(backend);
-    frontend->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    boost::log::core::get()->add_sink(frontend);
+    active_sink = boost::make_shared<line_sink>(boost::make_shared<line_backend>(descriptor));
+    active_sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::core::get()->add_sink(active_sink);
+    std::atexit(flush_event_log);
+}
+
+void flush_event_log() {
+    if (active_sink == nullptr) {
+        return;
+    }
+    const std::uint64_t dropped = active_sink->locked_backend()->take_dropped();
+    if (dropped > 0) {
+        log_event(event_id::log_lines_dropped, {{"lines", dropped}});
+    }
+    active_sink->flush();
 }
 
 void log_event(event_id id, std::initializer_list<event_field> fields) {
--- /dev/null
+++ b/telemetry/line_writer.cpp
@@ -0,0 +1,53 @@
+#include "telemetry/line_writer.hpp"
+
+#include <algorithm>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
+namespace siskinpaddle {
+
+namespace {
+
+bool can_write(int descriptor) {
+    pollfd item{descriptor, POLLOUT, 0};
+    return poll(&item, 1, 0) == 1 && (item.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+void line_writer::write(std::string_view line) {
+    if (m_kept.size() + line.size() + 1 > most_kept) {
+        ++m_dropped;
+        flush();
+        return;
+    }
+    m_kept += line;
+    m_kept += '\n';
+    if (m_kept.size() >= PIPE_BUF || std::chrono::steady_clock::now() - m_flushed_at >= collect_time) {
+        flush();
+    }
+}
+
+bool line_writer::flush() {
+    m_flushed_at = std::chrono::steady_clock::now();
+    std::size_t written = 0;
+    // A pipe that polls as writable takes PIPE_BUF bytes without blocking, and no more for certain.
+    while (written < m_kept.size() && can_write(m_descriptor)) {
+        const std::size_t size = std::min<std::size_t>(PIPE_BUF, m_kept.size() - written);
+        const ssize_t count = ::write(m_descriptor, m_kept.data() + written, size);
+        if (count <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+    m_kept.erase(0, written);
+    return m_kept.empty();
+}
+
+std::uint64_t line_writer::take_dropped() {
+    return std::exchange(m_dropped, 0);
+}
+
+} // namespace siskinpaddle
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -1,9 +1,11 @@
+#include "telemetry/line_writer.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <doctest/doctest.h>
 #include <fstream>
 #include <set>
 #include <sstream>
+#include <unistd.h>
 
 using namespace siskinpaddle;
 
@@ -51,3 +53,33 @@
     CHECK(m.to_text().find("siskinpaddle_requests 3\n") != std::string::npos);
     CHECK(m.to_text().find("siskinpaddle_x_ms_count 1000\n") != std::string::npos);
 }
+
+TEST_CASE("a log reader that stops reading never holds the process up") {
+    // All jobs of a pool stop: whatever collects its owner's log stalls, the pipe fills, and the next line blocks the
+    // process until its lease has run out.
+    int ends[2] = {-1, -1};
+    REQUIRE(pipe(ends) == 0);
+    line_writer writer(ends[1]);
+    const std::string line(200, 'x');
+    const std::size_t lines = 3 * line_writer::most_kept / line.size();
+    for (std::size_t i = 0; i < lines; ++i) {
+        writer.write(line);
+    }
+    CHECK_FALSE(writer.flush());
+    const std::uint64_t dropped = writer.take_dropped();
+    CHECK(dropped > 0);
+    CHECK(dropped < lines);
+
+    std::size_t received = 0;
+    std::string buffer(64U << 10U, ' ');
+    for (int i = 0; i < 100; ++i) {
+        const bool all = writer.flush();
+        received += static_cast<std::size_t>(read(ends[0], buffer.data(), buffer.size()));
+        if (all && received == (lines - dropped) * (line.size() + 1)) {
+            break;
+        }
+    }
+    CHECK(received == (lines - dropped) * (line.size() + 1));
+    close(ends[0]);
+    close(ends[1]);
+}
