--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -1,5 +1,9 @@
 #include "control/entry_settings.hpp"
 #include "net/loop_until.hpp"
+#include "node/membership_task.hpp"
+#include "node/node_settings.hpp"
+#include "node/peer_protocol.hpp"
+#include "platform/platform.hpp"
 #include "peer/peer.hpp"
 #include "policy/fleet_builder.hpp"
 #include "trial/task_protocol.hpp"
@@ -237,3 +241,102 @@
     CHECK(failed == 1);
     CHECK(heard == 0);
 }
+
+TEST_CASE("mutated words of the platform are refused or read as something harmless") {
+    random_source random(31);
+    const std::string configuration =
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","max_attempts":3,
+        "stretch_factor":2.2,"target_latency_ms":2500,"advice":{"decision_ms":5}}],"services":[{"name":"s"}],
+        "limits":{"max_body_bytes":262144}})";
+    const std::string vm =
+        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","state":"ready","machine":"m","capacity":
+        {"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113})";
+    const std::string wave = R"({"wave":1,"machines":["m-1","m-2"],"duration_s":20,"max_count":1})";
+    for (int i = 0; i < mutations; ++i) {
+        if (const auto read = platform::decode_configuration(mutated(configuration, random))) {
+            for (const jobs::queue_settings& queue : read->queues) {
+                REQUIRE(queue.max_attempts >= 1);
+                REQUIRE(queue.stretch_factor >= 1);
+            }
+        }
+        if (const auto read = platform::decode_vm("servers/i-1", mutated(vm, random))) {
+            REQUIRE(read->incarnation == "i-1");
+            REQUIRE(!read->address.empty());
+        }
+        if (const auto read = platform::decode_wave(mutated(wave, random))) {
+            REQUIRE(read->at_once >= 1);
+        }
+        static_cast<void>(platform::decode_task(mutated("5c0e7a21d94b36f8.0.1.17", random)));
+    }
+}
+
+TEST_CASE("mutated jobs are refused with findings or can be scheduled") {
+    random_source random(32);
+    const std::string body =
+        R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1"},
+        {"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointed":true}],
+        "repeat_count":2,"start_at_ms":1,"period_ms":1000})";
+    int refused = 0;
+    for (int i = 0; i < mutations; ++i) {
+        findings problems;
+        const jobs::job_spec spec = platform::decode_job(mutated(body, random), "5c0e7a21d94b36f8", "q", problems);
+        if (!problems.empty()) {
+            ++refused;
+            continue;
+        }
+        jobs::job_state job(spec, timestamp(0));
+        std::uint64_t tasks = 0;
+        job.each_step([&](jobs::step_place place) { tasks += job.left(place); });
+        REQUIRE(tasks > 0);
+        REQUIRE(tasks <= jobs::max_tasks_per_job);
+        REQUIRE(job.idle_total() == tasks);
+    }
+    CHECK(refused > mutations / 4);
+}
+
+TEST_CASE("mutated values of our own in the store, and mutated peer messages, are refused or harmless") {
+    random_source random(33);
+    jobs::job_record record;
+    record.spec.id = "5c0e7a21d94b36f8";
+    record.spec.steps.resize(2);
+    jobs::job_progress progress;
+    progress.done = "0110";
+    progress.checkpoints[2] = "c";
+    node::peer_request request;
+    request.pool = "p";
+    request.vms = {"a", "b"};
+    for (int i = 0; i < mutations; ++i) {
+        static_cast<void>(decode_archive<jobs::job_record>(mutated(encode_archive(record), random)));
+        static_cast<void>(decode_archive<node::peer_request>(mutated(encode_archive(request), random)));
+        static_cast<void>(decode_archive<node::owner_record>(mutated(encode_archive(node::owner_record{}), random)));
+        if (const auto read = decode_archive<jobs::job_progress>(mutated(encode_archive(progress), random))) {
+            jobs::job_state job(record.spec, timestamp(0));
+            job.restore(read.value());
+            REQUIRE(job.idle_total() <= 2);
+        }
+    }
+}
+
+TEST_CASE("mutated settings of a node are refused with findings or are good settings") {
+    random_source random(34);
+    const std::string text =
+        R"({"id":"n","availability_zone":"z","clients":"10.1.0.9:8624","readiness":"10.1.0.9:8622","address":"10.1.0.9",
+        "peer_port":7060,"metrics_port":9464,"store":"10.200.1.7:8621","machines":"10.200.0.107:8621","advice":null,
+        "vm_lease_ms":6000,"order_quiet_ms":3000,"grace_s":6,"keep_ended_s":120,"upkeep_s":2,"move_s":1.5,
+        "machine_orders_per_s":64.0})";
+    findings none;
+    static_cast<void>(node::parse_node_settings(parse_json(text, "", none), none));
+    REQUIRE(none.empty());
+    for (int i = 0; i < mutations; ++i) {
+        findings problems;
+        const boost::json::value document = parse_json(mutated(text, random), "", problems);
+        if (!problems.empty()) {
+            continue;
+        }
+        const node::node_settings settings = node::parse_node_settings(document, problems);
+        if (problems.empty()) {
+            REQUIRE(settings.store.port > 0);
+            REQUIRE(settings.vm_lease >= 1s);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fakes/platform_store.cpp
@@ -0,0 +1,273 @@
+#include "fakes/platform_store.hpp"
+
+#include <cstdlib>
+#include <event2/http.h>
+#include <openssl/evp.h>
+
+namespace siskinpaddle::fakes {
+
+namespace {
+
+constexpr milliseconds tick_interval = 20ms;
+
+std::string decoded(const std::string& text) {
+    size_t size = 0;
+    char* plain = evhttp_uridecode(text.c_str(), 0, &size);
+    std::string result(plain, size);
+    std::free(plain); // NOLINT: libevent hands out malloc'ed memory
+    return result;
+}
+
+std::string parameter(const server_request& request, std::string_view name) {
+    return decoded(query_parameter(request.target(), name));
+}
+
+std::string encoded(const std::string& bytes) {
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                       reinterpret_cast<const unsigned char*>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::int64_t number(const boost::json::object& object, std::string_view key) {
+    const boost::json::value* found = object.if_contains(key);
+    return found == nullptr ? 0 : found->to_number<std::int64_t>();
+}
+
+} // namespace
+
+platform_store::platform_store(event_loop& loop)
+    : m_loop(loop), m_server(loop, {}, [this](const request_handle& request) { take(request); }),
+      m_timer(loop.make_timer([this] { tick(); })) {
+    m_timer->start(tick_interval);
+}
+
+void platform_store::reply(const request_handle& request, int code, const boost::json::object& body) {
+    http_headers headers;
+    headers.add("Content-Type", "application/json");
+    request->reply(code, headers, boost::json::serialize(body));
+}
+
+void platform_store::set_silent(bool silent) {
+    m_silent = silent;
+    if (!silent) {
+        m_unanswered.clear();
+    }
+}
+
+void platform_store::take(const request_handle& request) {
+    const std::string path(path_of_target(request->target()));
+    if (m_silent) {
+        m_unanswered.push_back(request);
+    } else if (m_busy) {
+        reply(request, 503, {});
+    } else if (path == "/v1/kv-key") {
+        get(request);
+    } else if (path == "/v1/kv-range") {
+        range(request);
+    } else if (path == "/v1/kv-watch") {
+        watch(request);
+    } else if (path == "/v1/kv-txn") {
+        transact(request);
+    } else {
+        lease(request);
+    }
+}
+
+void platform_store::get(const request_handle& request) {
+    const std::string key = parameter(*request, "key");
+    const auto found = m_items.find(key);
+    if (found == m_items.end()) {
+        reply(request, 404, {{"current_rev", m_revision}});
+        return;
+    }
+    reply(request, 200,
+          {{"key", key},
+           {"value", found->second.value},
+           {"revision", found->second.revision},
+           {"lease", found->second.lease},
+           {"current_rev", m_revision}});
+}
+
+void platform_store::range(const request_handle& request) {
+    constexpr std::size_t page = 50; // Small, so that pages are met with few items.
+    const std::string prefix = parameter(*request, "prefix");
+    const std::string after = parameter(*request, "after");
+    boost::json::array items;
+    bool more = false;
+    for (const auto& [key, value] : m_items) {
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        if (items.size() == page) {
+            more = true;
+            break;
+        }
+        items.push_back(boost::json::object{
+            {"key", key}, {"value", value.value}, {"revision", value.revision}, {"lease", value.lease}});
+    }
+    reply(request, 200, {{"items", std::move(items)}, {"has_more", more}, {"current_rev", m_revision}});
+}
+
+boost::json::array platform_store::events_for(const waiting_watch& watch) const {
+    boost::json::array events;
+    for (const event& item : m_events) {
+        if (item.revision <= watch.after || !item.key.starts_with(watch.prefix)) {
+            continue;
+        }
+        boost::json::object told{{"key", item.key}, {"revision", item.revision}};
+        if (item.deleted) {
+            told["deleted"] = true;
+        } else {
+            told["value"] = item.value;
+            told["lease"] = item.lease;
+        }
+        events.push_back(std::move(told));
+    }
+    return events;
+}
+
+void platform_store::watch(const request_handle& request) {
+    waiting_watch item;
+    item.request = request;
+    item.prefix = parameter(*request, "prefix");
+    item.after = std::strtoll(parameter(*request, "after").c_str(), nullptr, 10);
+    item.until =
+        event_loop::now() + milliseconds(std::strtoll(parameter(*request, "wait_ms").c_str(), nullptr, 10));
+    if (item.after < m_compacted) {
+        reply(request, 410, {});
+        return;
+    }
+    m_watches.push_back(std::move(item));
+    answer_watches();
+}
+
+void platform_store::answer_watches() {
+    for (auto item = m_watches.begin(); item != m_watches.end();) {
+        boost::json::array events = events_for(*item);
+        if (events.empty() && event_loop::now() < item->until) {
+            ++item;
+            continue;
+        }
+        reply(item->request, 200, {{"events", std::move(events)}, {"current_rev", m_revision}});
+        item = m_watches.erase(item);
+    }
+}
+
+void platform_store::apply(const std::string& key, const item* value) {
+    if (value == nullptr) {
+        m_items.erase(key);
+        m_events.push_back({key, m_revision, true, {}, 0});
+        return;
+    }
+    m_items[key] = *value;
+    m_events.push_back({key, m_revision, false, value->value, value->lease});
+}
+
+void platform_store::put(const std::string& key, const std::string& value, std::int64_t lease) {
+    ++m_revision;
+    const item written{encoded(value), m_revision, lease};
+    apply(key, &written);
+    answer_watches();
+}
+
+void platform_store::remove(const std::string& key) {
+    ++m_revision;
+    apply(key, nullptr);
+    answer_watches();
+}
+
+std::size_t platform_store::count(const std::string& prefix) const {
+    std::size_t found = 0;
+    for (const auto& [key, value] : m_items) {
+        found += key.starts_with(prefix) ? 1 : 0;
+    }
+    return found;
+}
+
+void platform_store::transact(const request_handle& request) {
+    const boost::json::object body = boost::json::parse(request->body()).as_object();
+    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
+        const std::string key(row.at("key").as_string());
+        const auto found = m_items.find(key);
+        const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
+        if (revision != number(row.as_object(), "revision")) {
+            reply(request, 412, {{"items", boost::json::array{}}});
+            return;
+        }
+    }
+    for (const boost::json::value& row : body.at("writes").as_array()) {
+        const std::int64_t lease = number(row.as_object(), "lease");
+        if (lease != 0 && !m_leases.contains(lease)) {
+            reply(request, 404, {});
+            return;
+        }
+    }
+    ++m_revision;
+    for (const boost::json::value& row : body.at("writes").as_array()) {
+        const item written{std::string(row.at("value").as_string()), m_revision,
+                           number(row.as_object(), "lease")};
+        apply(std::string(row.at("key").as_string()), &written);
+    }
+    for (const boost::json::value& key : body.at("remove").as_array()) {
+        apply(std::string(key.as_string()), nullptr);
+    }
+    if (m_lost_answers > 0) {
+        --m_lost_answers;
+        m_unanswered.push_back(request);
+    } else {
+        reply(request, 200, {{"revision", m_revision}});
+    }
+    answer_watches();
+}
+
+void platform_store::lease(const request_handle& request) {
+    const std::string path(path_of_target(request->target()));
+    const std::int64_t id = std::strtoll(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
+    if (path == "/v1/kv-lease") {
+        const milliseconds ttl(number(boost::json::parse(request->body()).as_object(), "ttl_ms"));
+        const std::int64_t granted = m_next_lease++;
+        m_leases[granted] = {event_loop::now() + ttl, ttl};
+        reply(request, 200, {{"lease", granted}, {"ttl_ms", ttl.count()}});
+    } else if (!m_leases.contains(id)) {
+        reply(request, 404, {});
+    } else if (path.starts_with("/v1/kv-keep/")) {
+        m_leases[id].first = event_loop::now() + m_leases[id].second;
+        reply(request, 200, {{"ttl_ms", m_leases[id].second.count()}});
+    } else {
+        m_leases[id].first = timestamp(0);
+        tick();
+        reply(request, 200, {});
+    }
+}
+
+void platform_store::lapse_leases() {
+    for (auto& [id, until] : m_leases) {
+        until.first = timestamp(0);
+    }
+    tick();
+}
+
+void platform_store::tick() {
+    m_timer->start(tick_interval);
+    const timestamp now = event_loop::now();
+    std::vector<std::string> ended;
+    for (const auto& [key, value] : m_items) {
+        const auto lease = m_leases.find(value.lease);
+        if (lease != m_leases.end() && lease->second.first <= now) {
+            ended.push_back(key);
+        }
+    }
+    std::erase_if(m_leases, [&](const auto& item) { return item.second.first <= now; });
+    for (const std::string& key : ended) {
+        ++m_revision;
+        apply(key, nullptr);
+    }
+    if (!m_silent) {
+        answer_watches();
+    }
+}
+
+} // namespace siskinpaddle::fakes
--- /dev/null
+++ b/tests/fakes/platform_store.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "net/net.hpp"
+
+#include <boost/json.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace siskinpaddle::fakes {
+
+/// Stand-in of the users' key-value store, over real sockets: items with revisions, transactions under
+/// conditions, watches, leases, and the troubles that it may have. One per test; keeps everything in memory.
+class platform_store {
+  public:
+    explicit platform_store(event_loop& loop);
+
+    [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+    [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+
+    /// Writes an item as the operator or a VM would.
+    void put(const std::string& key, const std::string& value, std::int64_t lease = 0);
+    void remove(const std::string& key);
+    [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
+    [[nodiscard]] std::size_t count(const std::string& prefix) const;
+
+    /// Answers nothing and does nothing.
+    void set_silent(bool silent);
+    /// Refuses every call with 503.
+    void set_busy(bool busy) { m_busy = busy; }
+    /// Carries the next so many transactions out without answering them.
+    void lose_answers(int transactions) { m_lost_answers = transactions; }
+    /// Forgets its history: watches of older revisions are told so.
+    void compact() { m_compacted = m_revision; }
+    /// Lets all leases run out at once.
+    void lapse_leases();
+
+  private:
+    struct item {
+        std::string value; ///< As it came: base64 text.
+        std::int64_t revision = 0;
+        std::int64_t lease = 0;
+    };
+    struct event {
+        std::string key;
+        std::int64_t revision = 0;
+        bool deleted = false;
+        std::string value;
+        std::int64_t lease = 0;
+    };
+    struct waiting_watch {
+        std::shared_ptr<server_request> request;
+        std::string prefix;
+        std::int64_t after = 0;
+        timestamp until{0};
+    };
+    using request_handle = std::shared_ptr<server_request>;
+
+    void take(const request_handle& request);
+    void get(const request_handle& request);
+    void range(const request_handle& request);
+    void watch(const request_handle& request);
+    void transact(const request_handle& request);
+    void lease(const request_handle& request);
+    void apply(const std::string& key, const item* value);
+    void answer_watches();
+    [[nodiscard]] boost::json::array events_for(const waiting_watch& watch) const;
+    void tick();
+    static void reply(const request_handle& request, int code, const boost::json::object& body);
+
+    event_loop& m_loop;
+    http_server m_server;
+    std::unique_ptr<timer> m_timer;
+    std::map<std::string, item> m_items;
+    std::vector<event> m_events;
+    std::list<waiting_watch> m_watches;
+    std::vector<request_handle> m_unanswered;
+    std::map<std::int64_t, std::pair<timestamp, milliseconds>> m_leases; ///< Until when, and for how long.
+    std::int64_t m_revision = 0;
+    std::int64_t m_compacted = 0;
+    std::int64_t m_next_lease = 1000;
+    bool m_silent = false;
+    bool m_busy = false;
+    int m_lost_answers = 0;
+};
+
+} // namespace siskinpaddle::fakes
--- /dev/null
+++ b/tests/fakes/task_vm.cpp
@@ -0,0 +1,160 @@
+#include "fakes/task_vm.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::fakes {
+
+namespace {
+
+constexpr milliseconds tick_interval = 10ms;
+/// The VM's clock is not ours.
+constexpr std::int64_t clock_offset_ms = 77'000;
+
+std::int64_t number(const boost::json::object& object, std::string_view key) {
+    const boost::json::value* found = object.if_contains(key);
+    return found == nullptr ? 0 : found->to_number<std::int64_t>();
+}
+
+} // namespace
+
+task_vm::task_vm(event_loop& loop, std::string incarnation, milliseconds run_time)
+    : m_loop(loop), m_incarnation(std::move(incarnation)), m_run_time(run_time),
+      m_server(loop, {}, [this](const request_handle& request) { take(request); }),
+      m_timer(loop.make_timer([this] { tick(); })) {
+    m_timer->start(tick_interval);
+}
+
+std::int64_t task_vm::clock_ms() const {
+    return event_loop::now().count() + clock_offset_ms;
+}
+
+std::string task_vm::registration(const std::string& pool) const {
+    return boost::json::serialize(
+        boost::json::object{{"service", pool},
+                            {"address", "127.0.0.1:" + std::to_string(m_server.port())},
+                            {"zone", "z"},
+                            {"state", "ready"},
+                            {"machine", "m-" + m_incarnation},
+                            {"capacity", {{"cpu", 4000}, {"mem_mb", 8192}, {"gpu", 0}}},
+                            {"labels", {"a", "r1"}}});
+}
+
+void task_vm::reply(const request_handle& request, int code, boost::json::object body) const {
+    http_headers headers;
+    headers.add("Content-Type", "application/json");
+    body["clock_ms"] = clock_ms();
+    request->reply(code, headers, boost::json::serialize(body));
+}
+
+void task_vm::take(const request_handle& request) {
+    if (m_silent) {
+        m_unanswered.push_back(request);
+        return;
+    }
+    const boost::json::object body = boost::json::parse(request->body()).as_object();
+    if (request->headers().get("Expect-Instance") != m_incarnation) {
+        reply(request, 421, {});
+        return;
+    }
+    if (number(body, "fencing_token") < m_token) {
+        reply(request, 409, {{"reason", "fence"}});
+        return;
+    }
+    m_token = number(body, "fencing_token");
+    const std::string path(path_of_target(request->target()));
+    if (path == "/v1/run-start") {
+        start(request, body);
+    } else if (path == "/v1/run-stop") {
+        stop(request, body);
+    } else {
+        renew(request, body);
+    }
+}
+
+void task_vm::start(const request_handle& request, const boost::json::object& body) {
+    const std::string task(body.at("task").as_string());
+    const std::int64_t attempt = number(body, "attempt");
+    if (number(body, "deadline_ms") < clock_ms()) {
+        reply(request, 409, {{"reason", "late"}});
+        return;
+    }
+    if (attempt <= m_highest[task]) {
+        reply(request, 409, {{"reason", "old"}});
+        return;
+    }
+    m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
+    m_highest[task] = attempt;
+    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}});
+    reply(request, 200, {});
+}
+
+void task_vm::stop(const request_handle& request, const boost::json::object& body) {
+    const std::string task(body.at("task").as_string());
+    const std::int64_t attempt = number(body, "attempt");
+    m_highest[task] = std::max(m_highest[task], attempt);
+    for (std::size_t i = 0; i < m_runs.size(); ++i) {
+        if (m_runs[i].task == task && m_runs[i].attempt == attempt && m_runs[i].ended == timestamp(0)) {
+            finish(i, "stopped");
+        }
+    }
+    reply(request, 200, {});
+}
+
+void task_vm::renew(const request_handle& request, const boost::json::object& body) {
+    m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
+    const std::int64_t acknowledged = number(body, "ack_seq");
+    m_ends.remove_if([&](const end& item) { return item.sequence <= acknowledged; });
+    m_renewals.push_back({request, event_loop::now() + milliseconds(number(body, "wait_ms"))});
+    answer_renewals();
+}
+
+boost::json::object task_vm::lists() const {
+    boost::json::array running;
+    for (const run_record& item : m_runs) {
+        if (item.ended == timestamp(0)) {
+            running.push_back(boost::json::array{item.task, item.attempt, "", 100, 0});
+        }
+    }
+    boost::json::array finished;
+    for (const end& item : m_ends) {
+        const run_record& run = m_runs[item.run];
+        finished.push_back(boost::json::array{item.sequence, run.task, run.attempt, run.how, ""});
+    }
+    return {{"running", std::move(running)}, {"finished", std::move(finished)}};
+}
+
+void task_vm::answer_renewals() {
+    for (auto item = m_renewals.begin(); item != m_renewals.end();) {
+        if (m_ends.empty() && event_loop::now() < item->until) {
+            ++item;
+            continue;
+        }
+        reply(item->request, 200, lists());
+        item = m_renewals.erase(item);
+    }
+}
+
+void task_vm::finish(std::size_t run, const char* how) {
+    m_runs[run].ended = event_loop::now();
+    m_runs[run].how = how;
+    m_ends.push_back({m_next_end++, run});
+}
+
+void task_vm::tick() {
+    m_timer->start(tick_interval);
+    for (std::size_t i = 0; i < m_runs.size(); ++i) {
+        if (m_runs[i].ended != timestamp(0)) {
+            continue;
+        }
+        if (clock_ms() > m_lease_until) {
+            finish(i, "lapsed");
+        } else if (event_loop::now() - m_runs[i].began >= m_run_time) {
+            finish(i, "done");
+        }
+    }
+    if (!m_silent) {
+        answer_renewals();
+    }
+}
+
+} // namespace siskinpaddle::fakes
--- /dev/null
+++ b/tests/fakes/task_vm.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "net/net.hpp"
+
+#include <boost/json.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::fakes {
+
+/// Stand-in of one VM that runs tasks: leases, fencing tokens, attempt numbers, ends that are listed until they are
+/// acknowledged. It keeps its own record of all runs, for the tests' checks. One life; a VM that restarts is another
+/// object.
+class task_vm {
+  public:
+    /// A run as the VM saw it.
+    struct run_record {
+        std::string task;
+        std::int64_t attempt = 0;
+        timestamp began{0};
+        timestamp ended{0}; ///< 0: it goes on.
+        std::string how;
+    };
+
+    task_vm(event_loop& loop, std::string incarnation, milliseconds run_time);
+
+    [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+    [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+    /// Its entry in the platform's directory.
+    [[nodiscard]] std::string registration(const std::string& pool) const;
+    [[nodiscard]] const std::string& incarnation() const noexcept { return m_incarnation; }
+    [[nodiscard]] const std::vector<run_record>& runs() const noexcept { return m_runs; }
+
+    /// Answers nothing more; what runs goes on until its lease ends.
+    void set_silent(bool silent) { m_silent = silent; }
+
+  private:
+    using request_handle = std::shared_ptr<server_request>;
+    struct waiting_renewal {
+        request_handle request;
+        timestamp until{0};
+    };
+    struct end {
+        std::int64_t sequence = 0;
+        std::size_t run = 0; ///< Position in m_runs.
+    };
+
+    void take(const request_handle& request);
+    void start(const request_handle& request, const boost::json::object& body);
+    void stop(const request_handle& request, const boost::json::object& body);
+    void renew(const request_handle& request, const boost::json::object& body);
+    void answer_renewals();
+    void finish(std::size_t run, const char* how);
+    void tick();
+    [[nodiscard]] std::int64_t clock_ms() const;
+    [[nodiscard]] boost::json::object lists() const;
+    void reply(const request_handle& request, int code, boost::json::object body) const;
+
+    event_loop& m_loop;
+    std::string m_incarnation;
+    milliseconds m_run_time;
+    http_server m_server;
+    std::unique_ptr<timer> m_timer;
+    std::vector<run_record> m_runs;
+    std::map<std::string, std::int64_t> m_highest; ///< Task -> highest attempt that was there or was stopped.
+    std::list<end> m_ends;
+    std::list<waiting_renewal> m_renewals;
+    std::vector<request_handle> m_unanswered;
+    std::int64_t m_token = 0;
+    std::int64_t m_lease_until = 0;
+    std::int64_t m_next_end = 1;
+    bool m_silent = false;
+};
+
+} // namespace siskinpaddle::fakes
