Duties go to the nodes with most processor, dealt out one after the other

Cause: on the grown deployments pools were owned by nodes with 0.12 of a core and 10 Mbit/s links: orders timed out by the thousand and VMs were taken for silent.

--- a/jobs/advice.cpp
+++ b/jobs/advice.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// A refused VM stays refused: the step's policy does not change. Asked again only in case the VM is another one.
+/// A refused VM stays refused: the step's policy does not change. Asked again only in case the VM is another
+/// one.
 constexpr milliseconds refusal_memory = 60s;
 /// A ticket is not used in its last moments: the start must reach the VM while it is valid.
 constexpr milliseconds ticket_margin = 300ms;
--- a/jobs/advice.hpp
+++ b/jobs/advice.hpp
@@ -46,7 +46,8 @@
     timestamp m_pending_until{0};
 };
 
-/// Most VMs that one question names. Each adds to the time of the answer, so only as many as the step may need.
+/// Most VMs that one question names. Each adds to the time of the answer, so only as many as the step may
+/// need.
 [[nodiscard]] std::size_t vms_to_ask(std::size_t idle_tasks);
 
 } // namespace siskinpaddle::jobs
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -24,8 +24,8 @@
 /// From the announcement to the order's arrival.
 constexpr milliseconds announcement_margin = 500ms;
 
-/// Orders may come in a burst of what this time allows at the platform's rate: when a turn of demand begins, a dozen
-/// machines are asked for at once.
+/// Orders may come in a burst of what this time allows at the platform's rate: when a turn of demand begins,
+/// a dozen machines are asked for at once.
 constexpr double burst_s = 0.5;
 
 } // namespace
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -42,8 +42,12 @@
 membership_task::membership_task(event_loop& loop, const node_settings& settings,
                                  platform::store_client& store, handlers on_change)
     : m_loop(loop), m_settings(settings), m_store(store),
-      m_handlers(std::move(on_change)), m_self{settings.id, draw_incarnation(), settings.peers.address,
-                                               settings.peers.port, settings.availability_zone},
+      m_handlers(std::move(on_change)), m_self{settings.id,
+                                               draw_incarnation(),
+                                               settings.peers.address,
+                                               settings.peers.port,
+                                               settings.availability_zone,
+                                               settings.processor_share},
       m_watch(loop, store, control_prefix, watch_wait,
               [this](const platform::store_item& item) { take_change(item); }),
       m_renew_timer(loop.make_timer([this] { m_lease == 0 ? grant() : renew(); })),
@@ -232,12 +236,7 @@
     if (owner != m_owners.end() && owner->second.owner.incarnation == m_self.incarnation) {
         return milliseconds(0);
     }
-    // Those that own least come first, so that the work spreads; the hash decides between equals.
-    const std::pair own{duties_of(m_self.id), hash64(duty + "/" + m_self.id)};
-    const auto before = std::ranges::count_if(m_nodes, [&](const auto& item) {
-        return std::pair{duties_of(item.first), hash64(duty + "/" + item.first)} < own;
-    });
-    milliseconds delay = turn * before;
+    milliseconds delay = turn * static_cast<std::int64_t>(claim_position(duty));
     if (owner != m_owners.end() && owner->second.owner.id != m_self.id &&
         m_nodes.contains(owner->second.owner.id)) {
         delay += last_owner_advantage;
@@ -245,9 +244,32 @@
     return delay;
 }
 
-std::size_t membership_task::duties_of(const std::string& node) const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_alive, [&](const auto& item) { return item.second.value == node; }));
+/// How many nodes come before this one. Who would be loaded least comes first, so that duties spread by the
+/// nodes' processors; the hash decides between equals. Duties that are vacant together are dealt out one
+/// after the other, else one node could be the first choice for several of them: all nodes that see the same
+/// come to the same deal.
+std::size_t membership_task::claim_position(const std::string& duty) const {
+    std::map<std::string, std::size_t> duties;
+    for (const auto& [name, alive] : m_alive) {
+        ++duties[alive.value];
+    }
+    for (const std::string& vacant : m_duties) {
+        const auto rank = [&](const node_record& node) {
+            const auto load = static_cast<double>(duties[node.id] + 1) / node.processor_share;
+            return std::pair{load, hash64(vacant + "/" + node.id)};
+        };
+        if (vacant == duty) {
+            const auto own = rank(m_self);
+            return static_cast<std::size_t>(
+                std::ranges::count_if(m_nodes, [&](const auto& item) { return rank(item.second) < own; }));
+        }
+        if (!m_alive.contains(vacant) && !m_nodes.empty()) {
+            const auto first =
+                std::ranges::min_element(m_nodes, {}, [&](const auto& item) { return rank(item.second); });
+            ++duties[first->first];
+        }
+    }
+    return m_nodes.size();
 }
 
 void membership_task::consider_claims() {
@@ -265,9 +287,12 @@
             m_vacant_since.erase(duty);
             continue;
         }
-        const timestamp since = m_vacant_since.try_emplace(duty, now).first->second;
         const bool in_time = settled || owner != m_owners.end();
-        if (ready && in_time && !m_claims.contains(duty) && now - since >= claim_delay(duty)) {
+        if (!ready || !in_time) {
+            continue; // The turns count from the moment when everybody may claim.
+        }
+        const timestamp since = m_vacant_since.try_emplace(duty, now).first->second;
+        if (!m_claims.contains(duty) && now - since >= claim_delay(duty)) {
             claim(duty);
         }
     }
@@ -287,7 +312,10 @@
     change.writes.push_back({owner_prefix + duty, encode_archive(record), 0});
     change.writes.push_back({alive_prefix + duty, m_self.id, m_lease});
     m_claims.insert(duty);
-    log_event(event_id::duty_claimed, {{"duty", duty}, {"epoch", record.epoch}});
+    log_event(event_id::duty_claimed, {{"duty", duty},
+                                       {"epoch", record.epoch},
+                                       {"position", claim_position(duty)},
+                                       {"nodes", m_nodes.size()}});
     m_store.commit(change,
                    [this, duty, record, alive = m_lifetime.watch()](const platform::store_answer& answer) {
                        if (!alive.expired()) {
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -19,10 +19,11 @@
     std::string address;
     std::uint16_t port = 0;
     std::string availability_zone;
+    double processor_share = 1; ///< Of a core.
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(id, incarnation, address, port, availability_zone);
+        archive(id, incarnation, address, port, availability_zone, processor_share);
     }
 };
 
@@ -104,7 +105,7 @@
     void take_owner(const std::string& duty, const platform::store_item& item);
     void consider_claims();
     [[nodiscard]] milliseconds claim_delay(const std::string& duty) const;
-    [[nodiscard]] std::size_t duties_of(const std::string& node) const;
+    [[nodiscard]] std::size_t claim_position(const std::string& duty) const;
     void claim(const std::string& duty);
     void claimed(const std::string& duty, const owner_record& record, const platform::store_answer& answer);
     void note_owner(const std::string& duty, const owner_record& record);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -68,6 +68,7 @@
 void node::start() {
     log_event(event_id::node_started, {{"incarnation", m_membership.self().incarnation},
                                        {"zone", m_settings.availability_zone},
+                                       {"processor_share", m_settings.processor_share},
                                        {"clients", m_settings.clients.to_string()},
                                        {"peers", m_settings.peers.to_string()},
                                        {"store", m_settings.store.to_string()}});
@@ -115,9 +116,9 @@
         m_pools.erase(known);
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
-    auto task = std::make_unique<pool_task>(
-        pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines, m_advice, m_membership, m_counters}, pool,
-        held);
+    auto task = std::make_unique<pool_task>(pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines,
+                                                               m_advice, m_membership, m_counters},
+                                            pool, held);
     task->configure(m_configuration.current());
     task->start();
     m_pools[held.duty] = std::move(task);
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -84,6 +84,11 @@
     if (settings.machine_orders_per_s <= 0) {
         out.add("/machine_orders_per_s", "must be a number above 0");
     }
+    const boost::json::value* share = root.child("processor_share");
+    settings.processor_share = share != nullptr && share->is_number() ? share->to_number<double>() : 1;
+    if (settings.processor_share <= 0) {
+        out.add("/processor_share", "must be a number above 0");
+    }
     return settings;
 }
 
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -24,6 +24,7 @@
     milliseconds upkeep_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
+    double processor_share = 1; ///< Of a core: how much of the work that is shared out this node should take.
 };
 
 /// Reads and checks a settings document; findings name every problem with its place.
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -500,19 +500,20 @@
 
 void pool_task::send_question(const jobs::advice_request& question) {
     m_parts.counters.count("advice_questions");
-    m_parts.advice.ask(question, [this, question, alive = m_lifetime.watch()](const jobs::advice_answer& answer) {
-        if (alive.expired()) {
-            return;
-        }
-        log_event(event_id::advice_answered, {{"pool", m_pool},
-                                              {"job", question.job},
-                                              {"step", question.step},
-                                              {"asked", question.vms.size()},
-                                              {"approved", answer.tickets.size()},
-                                              {"good", static_cast<int>(answer.good)}});
-        m_scheduler.advice_answered(question, answer, event_loop::now());
-        decide_soon();
-    });
+    m_parts.advice.ask(question,
+                       [this, question, alive = m_lifetime.watch()](const jobs::advice_answer& answer) {
+                           if (alive.expired()) {
+                               return;
+                           }
+                           log_event(event_id::advice_answered, {{"pool", m_pool},
+                                                                 {"job", question.job},
+                                                                 {"step", question.step},
+                                                                 {"asked", question.vms.size()},
+                                                                 {"approved", answer.tickets.size()},
+                                                                 {"good", static_cast<int>(answer.good)}});
+                           m_scheduler.advice_answered(question, answer, event_loop::now());
+                           decide_soon();
+                       });
 }
 
 void pool_task::ownership_lost(const char* found_by, std::int64_t token) {
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -5,8 +5,8 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
--- a/telemetry/event_log.hpp
+++ b/telemetry/event_log.hpp
@@ -22,12 +22,12 @@
         : name(field), value(std::to_string(number)) {}
 };
 
-/// Sends events to `descriptor` (standard output), one line each, from `least` upwards. Never waits for the reader.
-/// Call before any thread logs; a second call replaces the first.
+/// Sends events to `descriptor` (standard output), one line each, from `least` upwards. Never waits for the
+/// reader. Call before any thread logs; a second call replaces the first.
 void start_event_log(std::string_view process, event_level least, int descriptor = 1);
 
-/// Writes what was collected; call now and then, since lines that come together are written together, and the last
-/// ones wait for the next.
+/// Writes what was collected; call now and then, since lines that come together are written together, and the
+/// last ones wait for the next.
 void flush_event_log();
 
 /// Writes one event: time, level, number, name and `key=value` fields. Values with blanks are quoted.
--- a/telemetry/line_writer.hpp
+++ b/telemetry/line_writer.hpp
@@ -7,9 +7,9 @@
 
 namespace siskinpaddle {
 
-/// Writes lines to a file descriptor without ever waiting for its reader: what can't be written is kept up to a
-/// bound, beyond it lines are dropped and counted. Answers a log reader that stalls, which would otherwise stop
-/// the process with its next line while it holds leases that others live by. Not thread-safe.
+/// Writes lines to a file descriptor without ever waiting for its reader: what can't be written is kept up to
+/// a bound, beyond it lines are dropped and counted. Answers a log reader that stalls, which would otherwise
+/// stop the process with its next line while it holds leases that others live by. Not thread-safe.
 class line_writer {
   public:
     explicit line_writer(int descriptor) : m_descriptor(descriptor) {}
--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -3,8 +3,8 @@
 #include "node/membership_task.hpp"
 #include "node/node_settings.hpp"
 #include "node/peer_protocol.hpp"
-#include "platform/platform.hpp"
 #include "peer/peer.hpp"
+#include "platform/platform.hpp"
 #include "policy/fleet_builder.hpp"
 #include "trial/task_protocol.hpp"
 
@@ -279,7 +279,8 @@
     int refused = 0;
     for (int i = 0; i < mutations; ++i) {
         findings problems;
-        const jobs::job_spec spec = platform::decode_job(mutated(body, random), "5c0e7a21d94b36f8", "q", problems);
+        const jobs::job_spec spec =
+            platform::decode_job(mutated(body, random), "5c0e7a21d94b36f8", "q", problems);
         if (!problems.empty()) {
             ++refused;
             continue;
@@ -308,7 +309,8 @@
     for (int i = 0; i < mutations; ++i) {
         static_cast<void>(decode_archive<jobs::job_record>(mutated(encode_archive(record), random)));
         static_cast<void>(decode_archive<node::peer_request>(mutated(encode_archive(request), random)));
-        static_cast<void>(decode_archive<node::owner_record>(mutated(encode_archive(node::owner_record{}), random)));
+        static_cast<void>(
+            decode_archive<node::owner_record>(mutated(encode_archive(node::owner_record{}), random)));
         if (const auto read = decode_archive<jobs::job_progress>(mutated(encode_archive(progress), random))) {
             jobs::job_state job(record.spec, timestamp(0));
             job.restore(read.value());
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -24,9 +24,9 @@
 
 std::string encoded(const std::string& bytes) {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                       reinterpret_cast<const unsigned char*>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
+    const int length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -12,9 +12,9 @@
 
 namespace siskinpaddle::fakes {
 
-/// Stand-in of one VM that runs tasks: leases, fencing tokens, attempt numbers, ends that are listed until they are
-/// acknowledged. It keeps its own record of all runs, for the tests' checks. One life; a VM that restarts is another
-/// object.
+/// Stand-in of one VM that runs tasks: leases, fencing tokens, attempt numbers, ends that are listed until
+/// they are acknowledged. It keeps its own record of all runs, for the tests' checks. One life; a VM that
+/// restarts is another object.
 class task_vm {
   public:
     /// A run as the VM saw it.
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -310,7 +310,8 @@
 }
 
 TEST_CASE("a step of a queue with a policy runs only on VMs that the policy service approves") {
-    // A carrier's job runs on a VM that its policy forbids, or never runs: VMs refuse starts without a ticket.
+    // A carrier's job runs on a VM that its policy forbids, or never runs: VMs refuse starts without a
+    // ticket.
     pool_bench b;
     queue_settings queue;
     queue.name = "q";
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -15,8 +15,8 @@
 
 namespace siskinpaddle::tests {
 
-/// Real nodes on one loop against the stand-ins of the store and of VMs, over real sockets. Destroying a node is what
-/// a kill looks like to all others.
+/// Real nodes on one loop against the stand-ins of the store and of VMs, over real sockets. Destroying a node
+/// is what a kill looks like to all others.
 class node_deployment {
   public:
     struct running_node {
@@ -27,8 +27,9 @@
     node_deployment() : store(loop), client(loop) {
         static const bool log_started = [] {
             const char* level = std::getenv("SISKINPADDLE_TEST_LOG");
-            start_event_log("test", value_named<event_level>(level == nullptr ? "error" : level)
-                                        .value_or(event_level::error));
+            start_event_log(
+                "test",
+                value_named<event_level>(level == nullptr ? "error" : level).value_or(event_level::error));
             return true;
         }();
         REQUIRE(log_started);
@@ -37,8 +38,9 @@
     }
 
     static std::string configuration(std::int64_t version, const std::string& prefix = "/quotes/") {
-        return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"quotes","host":"h.example","prefix":")" +
-               prefix + R"(","service":"p","max_attempts":3,"stretch_factor":1.6,"target_latency_ms":5000}],
+        return R"({"version":)" + std::to_string(version) +
+               R"(,"routes":[{"name":"quotes","host":"h.example","prefix":")" + prefix +
+               R"(","service":"p","max_attempts":3,"stretch_factor":1.6,"target_latency_ms":5000}],
                "services":[{"name":"p","admission_control":true}],"limits":{"max_body_bytes":65536}})";
     }
 
@@ -106,7 +108,8 @@
             result = std::move(answer);
             done = true;
         });
-        REQUIRE(loop_until(loop, [&] { return done; }, 8s));
+        REQUIRE(loop_until(
+            loop, [&] { return done; }, 8s));
         return result;
     }
 
@@ -116,13 +119,15 @@
     }
 
     /// Waits until a status call through `node` shows the phase.
-    bool shows(const std::string& node, const std::string& job, const std::string& phase, milliseconds bound) {
+    bool shows(const std::string& node, const std::string& job, const std::string& phase,
+               milliseconds bound) {
         const timestamp end = event_loop::now() + bound;
         while (event_loop::now() < end) {
             if (call(node, "GET", "/quotes/" + job).body.find("\"" + phase + "\"") != std::string::npos) {
                 return true;
             }
-            loop_until(loop, [] { return false; }, 50ms);
+            loop_until(
+                loop, [] { return false; }, 50ms);
         }
         return false;
     }
@@ -134,7 +139,8 @@
             if (call(node, "GET", "/quotes/").code == 200) {
                 return;
             }
-            loop_until(loop, [] { return false; }, 50ms);
+            loop_until(
+                loop, [] { return false; }, 50ms);
         }
         FAIL("no node took over the pool");
     }
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -32,15 +32,16 @@
 }
 
 TEST_CASE("a job survives its owner, and no task of it runs twice") {
-    // A seat is sold twice, or never. The pool's owner is killed while tasks run; a task that was done and a task
-    // that still runs must both be found by the next owner.
+    // A seat is sold twice, or never. The pool's owner is killed while tasks run; a task that was done and a
+    // task that still runs must both be found by the next owner.
     node_deployment d;
     d.add_vm("v1", 1500ms);
     d.add_vm("v2", 1500ms);
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(12)).code == 200);
-    REQUIRE(loop_until(d.loop, [&] { return d.vms[0]->runs().size() + d.vms[1]->runs().size() == 12; }, 10s));
+    REQUIRE(loop_until(
+        d.loop, [&] { return d.vms[0]->runs().size() + d.vms[1]->runs().size() == 12; }, 10s));
     d.kill_node("n1");
     d.start_node("n2");
     CHECK(d.shows("n2", job_a, "completed", 25s));
@@ -62,15 +63,18 @@
 }
 
 TEST_CASE("while the store is away jobs are refused at once, and what runs goes on") {
-    // A traveller's desk waits three seconds for each try: every submit hung until its call to the store timed out.
+    // A traveller's desk waits three seconds for each try: every submit hung until its call to the store
+    // timed out.
     node_deployment d;
     d.add_vm("v1", 3000ms);
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(1)).code == 200);
-    REQUIRE(loop_until(d.loop, [&] { return d.vms[0]->runs().size() == 1; }, 10s));
+    REQUIRE(loop_until(
+        d.loop, [&] { return d.vms[0]->runs().size() == 1; }, 10s));
     d.store.set_silent(true);
-    loop_until(d.loop, [] { return false; }, 2500ms); // Until a renewal has gone unanswered for long enough.
+    loop_until(
+        d.loop, [] { return false; }, 2500ms); // Until a renewal has gone unanswered for long enough.
     const http_answer refused = d.call("n1", "POST", "/quotes/" + job_b, d.job_body(1));
     CHECK(refused.code == 503);
     CHECK(refused.headers.get("Retry-After") == "1");
@@ -101,11 +105,12 @@
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code == 200);
-    REQUIRE(loop_until(d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
+    REQUIRE(loop_until(
+        d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
     CHECK(d.call("n1", "DELETE", "/quotes/" + job_a).code == 200);
     CHECK(loop_until(
-        d.loop,
-        [&] { return d.vms[0]->runs()[0].how == "stopped" && d.vms[0]->runs()[1].how == "stopped"; }, 10s));
+        d.loop, [&] { return d.vms[0]->runs()[0].how == "stopped" && d.vms[0]->runs()[1].how == "stopped"; },
+        10s));
     d.kill_node("n1");
     d.start_node("n2");
     d.wait_until_serving("n2");
@@ -119,12 +124,14 @@
     d.start_node("n1");
     d.wait_until_serving("n1");
     d.store.put("op/config", d.configuration(7, "/fares/"));
-    CHECK(loop_until(d.loop, [&] { return d.call("n1", "GET", "/fares/").code != 404; }, 10s));
+    CHECK(loop_until(
+        d.loop, [&] { return d.call("n1", "GET", "/fares/").code != 404; }, 10s));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
     d.store.compact();
     d.store.put("op/config", d.configuration(5, "/quotes/"));
     d.store.put("op/config", d.configuration(9, "/seats/"));
-    CHECK(loop_until(d.loop, [&] { return d.call("n1", "GET", "/seats/").code != 404; }, 10s));
+    CHECK(loop_until(
+        d.loop, [&] { return d.call("n1", "GET", "/seats/").code != 404; }, 10s));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
 }
 
@@ -134,7 +141,8 @@
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(3)).code == 200);
-    REQUIRE(loop_until(d.loop, [&] { return d.vms[0]->runs().size() == 3; }, 10s));
+    REQUIRE(loop_until(
+        d.loop, [&] { return d.vms[0]->runs().size() == 3; }, 10s));
     d.store.lapse_leases();
     CHECK(d.shows("n1", job_a, "completed", 25s));
     CHECK(d.vms[0]->runs().size() == 3);
@@ -147,7 +155,8 @@
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code == 200);
-    REQUIRE(loop_until(d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
+    REQUIRE(loop_until(
+        d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
     d.vms[0]->set_silent(true);
     d.add_vm("v2", 100ms);
     CHECK(d.shows("n1", job_a, "completed", 30s));
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -16,7 +16,8 @@
 }
 
 TEST_CASE("a registration's fields end up where they belong") {
-    const auto vm = decode_vm("servers/i-7", R"({"service":"s","address":"10.128.0.9:8080","zone":"z1","state":"draining",
+    const auto vm =
+        decode_vm("servers/i-7", R"({"service":"s","address":"10.128.0.9:8080","zone":"z1","state":"draining",
         "remaining_ms":1500,"machine":"m-1","capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"]})");
     REQUIRE(vm.has_value());
     CHECK(vm->incarnation == "i-7");
@@ -34,8 +35,8 @@
 TEST_CASE("fields that are left out read as zero, false or empty") {
     findings problems;
     const jobs::job_spec spec =
-        decode_job(R"({"spec":"x","phases":[{"count":3,"cpu":500},{"count":1,"after":[0],"gang":true}]})", "i", "q",
-                   problems);
+        decode_job(R"({"spec":"x","phases":[{"count":3,"cpu":500},{"count":1,"after":[0],"gang":true}]})",
+                   "i", "q", problems);
     REQUIRE(problems.empty());
     CHECK(spec.steps[0].need == jobs::resources{500, 0, 0});
     CHECK_FALSE(spec.steps[0].gang);
@@ -50,11 +51,10 @@
         const char* body;
         const char* place;
     };
-    for (const bad_job& item : {bad_job{R"({"phases":[]})", "/steps"},
-                                bad_job{R"({"phases":[{"cpu":1}]})", "/steps/0/count"},
-                                bad_job{R"({"phases":[{"count":1,"after":[0]}]})", "/steps/0/after"},
-                                bad_job{R"({"phases":[{"count":100000}]})", "/steps"},
-                                bad_job{R"([1])", "/"}}) {
+    for (const bad_job& item :
+         {bad_job{R"({"phases":[]})", "/steps"}, bad_job{R"({"phases":[{"cpu":1}]})", "/steps/0/count"},
+          bad_job{R"({"phases":[{"count":1,"after":[0]}]})", "/steps/0/after"},
+          bad_job{R"({"phases":[{"count":100000}]})", "/steps"}, bad_job{R"([1])", "/"}}) {
         INFO(item.body);
         findings problems;
         static_cast<void>(decode_job(item.body, "i", "q", problems));
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -55,8 +55,8 @@
 }
 
 TEST_CASE("a log reader that stops reading never holds the process up") {
-    // All jobs of a pool stop: whatever collects its owner's log stalls, the pipe fills, and the next line blocks the
-    // process until its lease has run out.
+    // All jobs of a pool stop: whatever collects its owner's log stalls, the pipe fills, and the next line
+    // blocks the process until its lease has run out.
     int ends[2] = {-1, -1};
     REQUIRE(pipe(ends) == 0);
     line_writer writer(ends[1]);
