A job that was handed in and cancelled without an owner never starts

The inbox is watched anew every 1.2 s instead of 3 s: a silent watch delayed it. Ruled out: a stop that got no answer (run 1 is the job's first run).

--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -279,6 +279,10 @@
             if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
                 m_scheduler.add_job(record, accepted_at(record.accepted_ms));
             }
+            if (m_inbox.items().contains(cancel_key(m_pool, job))) {
+                // Read before its submit, the cancelling found no job. Nothing of the job may start first.
+                m_scheduler.cancel(job, event_loop::now());
+            }
             decide_soon();
         } else if (answer.status == platform::store_status::conflict) {
             ownership_lost("inbox", token);
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -18,7 +18,7 @@
 /// Between two looks at the platform's machines for VMs that an earlier owner used and that don't answer.
 constexpr milliseconds unheard_interval = 400ms;
 /// A watch is begun anew this often; a connection that went silent is found within this time.
-constexpr milliseconds inbox_wait = 3s;
+constexpr milliseconds inbox_wait = 1200ms;
 
 /// Long enough that runs outlive the change of their owner (a lease of three seconds, and what a renewal
 /// waits for); no longer, since the runs of a VM that went dark start elsewhere only when its lease has run
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -153,7 +153,9 @@
                 by_task[run.task].push_back(run);
             }
         }
-        for (const auto& [task, runs] : by_task) {
+        for (const auto& item : by_task) {
+            const std::string& task = item.first;
+            const std::vector<fakes::task_vm::run_record>& runs = item.second;
             for (const auto& a : runs) {
                 for (const auto& b : runs) {
                     if (&a != &b && a.began <= b.began) {
