--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -86,7 +86,9 @@
                 if (item.vm != name) {
                     continue;
                 }
-                const bool stopping = item.phase == run_phase::stopping || item.phase == run_phase::unsettled;
+                const bool stopping =
+                    item.phase == run_phase::stopping ||
+                    (item.phase == run_phase::unsettled && item.stop_sent_at != timestamp(0));
                 if (stopping && item.stop_acked_at == timestamp(0) &&
                     now - item.stop_sent_at >= m_settings.stop_repeat) {
                     stop_run(id, item, now);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -113,7 +113,11 @@
     case order_outcome::unknown:
         if (item->phase == run_phase::starting) {
             item->phase = run_phase::unsettled;
-            stop_run(order.task, *item, now);
+            // A stop settles it soonest. But a long-running task that is there is at work, and stopping it
+            // would take it away from its users: there a report after the start's deadline settles it.
+            if (!job->second.spec().steps[order.task.step].long_running) {
+                stop_run(order.task, *item, now);
+            }
         }
         return;
     case order_outcome::refused_room:
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -351,3 +351,32 @@
         CHECK(b.decide().questions.size() == 1);
     }
 }
+
+TEST_CASE("a long-running task whose start got no answer is not stopped, since it may be at work") {
+    // Three of a portal's five instances are away, though it allows one. After a rack's loss they start
+    // again; the answers to two starts are lost, and the runs, which are there and at work, are stopped for
+    // it.
+    pool_bench b;
+    b.vm("v1");
+    b.job("j", {lasting(1, 1)});
+    const start_order order = b.decide().starts.at(0);
+    b.pass(800ms);
+    b.pool().start_answered(order, order_outcome::unknown, 0, b.now());
+    CHECK(b.decide().stops.empty());
+
+    SUBCASE("it is there and goes on") {
+        b.report("v1", {b.running(order)});
+        b.pass(2000ms);
+        b.report("v1", {b.running(order)});
+        const decisions later = b.decide();
+        CHECK(later.stops.empty());
+        CHECK(later.starts.empty());
+    }
+    SUBCASE("it is not there and its time to start has passed: it starts again") {
+        b.report("v1", {});
+        CHECK(b.decide().starts.empty());
+        b.pass(1000ms);
+        b.report("v1", {});
+        CHECK(b.decide().starts.size() == 1);
+    }
+}
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -164,8 +164,9 @@
 }
 
 TEST_CASE("a job that was handed in and cancelled while no owner could be reached never starts") {
-    // A cancelled booking runs for a moment, four seconds after its cancelling was confirmed. Both requests lay in the
-    // pool's inbox; the owner read them together, found no job to cancel yet, took the job and started it.
+    // A cancelled booking runs for a moment, four seconds after its cancelling was confirmed. Both requests
+    // lay in the pool's inbox; the owner read them together, found no job to cancel yet, took the job and
+    // started it.
     node_deployment d;
     d.add_vm("v1", 60'000ms);
     jobs::job_record record;
@@ -179,5 +180,6 @@
     d.wait_until_serving("n1");
     CHECK(d.shows("n1", job_a, "cancelled", 10s));
     CHECK(d.vms[0]->runs().empty());
-    CHECK(loop_until(d.loop, [&] { return d.store.count("sp/inbox/") == 0; }, 10s));
+    CHECK(loop_until(
+        d.loop, [&] { return d.store.count("sp/inbox/") == 0; }, 10s));
 }
