--- a/core/json_object.cpp
+++ b/core/json_object.cpp
@@ -1,6 +1,8 @@
 #include "core/json_object.hpp"
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
 namespace siskinpaddle {
 
@@ -158,4 +160,15 @@
     return parser.release();
 }
 
+boost::json::value parse_json_file(const std::string& path, findings& out) {
+    const std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        out.add("", "can't be read");
+        return {};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse_json(text.str(), "", out);
+}
+
 } // namespace siskinpaddle
--- a/core/json_object.hpp
+++ b/core/json_object.hpp
@@ -61,4 +61,7 @@
 /// input can't exhaust the stack.
 [[nodiscard]] boost::json::value parse_json(std::string_view text, const std::string& place, findings& out);
 
+/// Reads and parses a file; a finding names what is wrong with it.
+[[nodiscard]] boost::json::value parse_json_file(const std::string& path, findings& out);
+
 } // namespace siskinpaddle
--- /dev/null
+++ b/jobs/scheduler_runs.cpp
@@ -0,0 +1,210 @@
+#include "jobs/scheduler.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::jobs {
+
+void scheduler::drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
+                         timestamp now) {
+    job.remove_run(id, attempt, vm, now);
+    if (const auto found = m_vms.find(vm); found != m_vms.end()) {
+        const step_spec& step = job.spec().steps[id.step];
+        found->second.remove_task(id, counted_need(step), step.long_running);
+    }
+}
+
+void scheduler::stop_run(const task_id& id, run& item, timestamp now) {
+    if (item.phase != run_phase::unsettled) {
+        item.phase = run_phase::stopping;
+    }
+    item.stop_sent_at = now;
+    m_out.stops.push_back({item.vm, id, item.attempt});
+}
+
+void scheduler::stop_all(job_state& job, timestamp now) {
+    if (job.runs_total() == 0) {
+        return;
+    }
+    job.each_step([&](step_place place) {
+        for (std::uint32_t index = 0; index < job.spec().steps[place.step].count; ++index) {
+            const task_id id = job.id_of(place, index);
+            for (run& item : job.task(id).runs) {
+                stop_run(id, item, now);
+            }
+        }
+    });
+}
+
+void scheduler::take_done(job_state& job, const task_id& id, timestamp now) {
+    const step_spec& step = job.spec().steps[id.step];
+    if (step.long_running) {
+        return; // It is to run until it is cancelled: however it ends, it starts again.
+    }
+    const auto finish_task = [&](const task_id& item) {
+        job.mark_done(item);
+        for (run& other : job.task(item).runs) {
+            if (!step.gang) {
+                stop_run(item, other, now);
+            }
+        }
+    };
+    if (step.gang) {
+        for (std::uint32_t index = 0; index < step.count; ++index) {
+            finish_task(job.id_of({id.occurrence, id.step}, index));
+        }
+    } else {
+        finish_task(id);
+    }
+    const bool ended = job.all_done() && !is_final(job.phase());
+    if (ended) {
+        finish(job, job_phase::completed, now);
+    } else {
+        changed(job, false);
+    }
+}
+
+void scheduler::take_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm,
+                             timestamp now) {
+    const step_spec& step = job.spec().steps[id.step];
+    if (step.long_running) {
+        return;
+    }
+    const task_id counted = step.gang ? job.id_of({id.occurrence, id.step}, 0) : id;
+    task_state& state = job.task(counted);
+    if (std::ranges::find(state.failed_attempts, attempt) != state.failed_attempts.end()) {
+        return; // Counted and stored by an earlier owner, or the gang's other members failed with it.
+    }
+    state.failed_attempts.push_back(attempt);
+    job.task(id).failed_on.push_back(vm.info().incarnation);
+    changed(job, false);
+    const queue_settings& queue = *queue_of(job);
+    // A queue that the configuration no longer names states no bound any more.
+    if (state.failed_attempts.size() >= queue.max_attempts && !queue.name.empty()) {
+        note("job-failed", vm.info().incarnation, &counted, attempt);
+        finish(job, job_phase::failed, now);
+    }
+}
+
+void scheduler::take_end(vm_state& vm, const end_report& end, timestamp now) {
+    const auto found = m_jobs.find(end.task.job);
+    if (found == m_jobs.end() || !found->second.contains(end.task)) {
+        return;
+    }
+    job_state& job = found->second;
+    task_state& task = job.task(end.task);
+    job.set_begun();
+    if (!end.checkpoint.empty() && !task.done) {
+        task.checkpoint = end.checkpoint;
+    }
+    const std::string& incarnation = vm.info().incarnation;
+    const bool known = std::ranges::any_of(
+        task.runs, [&](const run& item) { return item.attempt == end.attempt && item.vm == incarnation; });
+    if (known) {
+        drop_run(job, end.task, end.attempt, incarnation, now);
+    }
+    if (end.how == run_end::done) {
+        vm.book_success();
+    } else if (end.how == run_end::failed) {
+        vm.book_failure(now);
+    }
+    if (is_final(job.phase()) || task.done) {
+        return;
+    }
+    if (end.how == run_end::done) {
+        take_done(job, end.task, now);
+    } else if (end.how == run_end::failed) {
+        take_failure(job, end.task, end.attempt, vm, now);
+    }
+}
+
+void scheduler::take_running(vm_state& vm, const running_report& item, const vm_report& report,
+                             timestamp now) {
+    const std::string& incarnation = vm.info().incarnation;
+    const auto found = m_jobs.find(item.task.job);
+    if (found == m_jobs.end() || !found->second.contains(item.task)) {
+        note("stop-unknown-run", incarnation, &item.task, item.attempt);
+        m_out.stops.push_back({incarnation, item.task, item.attempt});
+        return;
+    }
+    job_state& job = found->second;
+    task_state& task = job.task(item.task);
+    auto known = std::ranges::find_if(
+        task.runs, [&](const run& one) { return one.attempt == item.attempt && one.vm == incarnation; });
+    if (known == task.runs.end()) {
+        run adopted;
+        adopted.attempt = item.attempt;
+        adopted.vm = incarnation;
+        adopted.phase = run_phase::running;
+        adopted.started_at = now;
+        adopted.progress_at = now;
+        const bool unwanted = task.done || is_final(job.phase()) ||
+                              (!task.runs.empty() && !job.spec().steps[item.task.step].speculative);
+        run& added = job.add_run(item.task, std::move(adopted));
+        const step_spec& step = job.spec().steps[item.task.step];
+        vm.add_task(item.task, counted_need(step), step.long_running);
+        note(unwanted ? "stop-surplus-run" : "run-adopted", incarnation, &item.task, item.attempt);
+        if (unwanted) {
+            stop_run(item.task, added, now);
+        }
+        known = std::prev(task.runs.end());
+    }
+    job.set_begun();
+    if (known->phase == run_phase::starting ||
+        (known->phase == run_phase::unsettled && known->stop_sent_at == timestamp(0))) {
+        known->phase = run_phase::running;
+    } else if (known->phase == run_phase::unsettled) {
+        known->phase = run_phase::stopping; // It did start, and its stop is on the way.
+    }
+    known->confirmed_clock = report.clock_ms;
+    if (known->percent != item.percent || known->progress_at == timestamp(0)) {
+        known->percent = item.percent;
+        known->progress_at = now;
+    }
+    known->usage = item.usage;
+    if (!item.checkpoint.empty()) {
+        task.checkpoint = item.checkpoint;
+    }
+}
+
+/// Runs of ours that the VM lists neither as running nor as ended. A report tells of its own moment on the
+/// VM's clock; it settles a run only if it is newer than the last word on that run.
+void scheduler::settle_missing(vm_state& vm, const vm_report& report, timestamp now) {
+    const std::string incarnation = vm.info().incarnation;
+    std::set<std::pair<task_id, std::uint32_t>> listed;
+    for (const running_report& item : report.running) {
+        listed.emplace(item.task, item.attempt);
+    }
+    const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
+    for (const task_id& id : tasks) {
+        job_state& job = m_jobs.find(id.job)->second;
+        const std::vector<run> runs = job.task(id).runs;
+        for (const run& item : runs) {
+            if (item.vm != incarnation || listed.contains({id, item.attempt})) {
+                continue;
+            }
+            const bool confirmed_before = item.confirmed_clock > 0 && item.confirmed_clock < report.clock_ms;
+            const bool can_not_come = item.start_deadline > 0 && item.start_deadline < report.clock_ms;
+            if (confirmed_before || (item.phase != run_phase::starting && can_not_come)) {
+                note("run-missing", incarnation, &id, item.attempt);
+                drop_run(job, id, item.attempt, incarnation, now);
+            }
+        }
+    }
+}
+
+void scheduler::drop_runs_of(vm_state& vm, const char* why, timestamp now) {
+    const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
+    const std::string incarnation = vm.info().incarnation;
+    for (const task_id& id : tasks) {
+        job_state& job = m_jobs.find(id.job)->second;
+        const std::vector<run> runs = job.task(id).runs;
+        for (const run& item : runs) {
+            if (item.vm == incarnation) {
+                note(why, incarnation, &id, item.attempt);
+                drop_run(job, id, item.attempt, incarnation, now);
+            }
+        }
+    }
+}
+
+} // namespace siskinpaddle::jobs
--- a/main/siskinpaddled.cpp
+++ b/main/siskinpaddled.cpp
@@ -1,9 +1,7 @@
 #include "main/entry.hpp"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <tclap/CmdLine.h>
 
 using namespace siskinpaddle;
@@ -12,23 +10,8 @@
 
 enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
 
-std::string read_file(const std::string& path, findings& out) {
-    const std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        out.add("", "can't be read");
-        return {};
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 entry_settings read_settings(const std::string& path, findings& out) {
-    const std::string text = read_file(path, out);
-    if (!out.empty()) {
-        return {};
-    }
-    const boost::json::value document = parse_json(text, "", out);
+    const boost::json::value document = parse_json_file(path, out);
     return out.empty() ? parse_entry_settings(document, out) : entry_settings{};
 }
 
--- /dev/null
+++ b/node/fleet_upkeep.cpp
@@ -0,0 +1,157 @@
+#include "node/fleet_task.hpp"
+
+#include "node/keys.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+std::map<std::string, jobs::upkeep_machine> fleet_task::upkeep_view() const {
+    std::map<std::string, jobs::upkeep_machine> view;
+    std::set<std::string> quiet;
+    for (const auto& [pool, demand] : m_demands) {
+        for (const jobs::vm_load& vm : demand.vms) {
+            if (vm.idle) {
+                quiet.insert(vm.vm);
+            }
+        }
+    }
+    for (const auto& [name, info] : m_machines) {
+        jobs::upkeep_machine item;
+        item.machine = name;
+        item.pool = info.pool;
+        item.vm = info.incarnation;
+        item.up =
+            info.phase == platform::machine_phase::up && !m_moves.contains(name) && !m_recent.contains(name);
+        const bool off = info.pool == spare_pool();
+        item.idle = off || m_empty_vms.contains(info.incarnation);
+        item.quiet = off || quiet.contains(info.incarnation);
+        item.clearing = m_asked_empty.contains(info.incarnation);
+        view[name] = std::move(item);
+    }
+    return view;
+}
+
+void fleet_task::plan_waves() {
+    const std::map<std::string, jobs::upkeep_machine> view = upkeep_view();
+    for (auto& [number, item] : m_waves) {
+        if (item.completed || !item.loaded) {
+            continue;
+        }
+        if (!item.told_running) {
+            item.told_running = true;
+            tell(number, false);
+        }
+        const jobs::wave_step step =
+            jobs::plan_wave(item.state, view, m_parts.settings.upkeep_time, event_loop::now());
+        for (const std::string& machine : step.clear) {
+            const platform::machine_info& info = m_machines[machine];
+            m_clear[info.pool].insert(info.incarnation);
+        }
+        for (const std::string& machine : step.order) {
+            plan_upkeep(item, machine);
+        }
+        if (step.completed) {
+            item.completed = true;
+            log_event(event_id::wave_completed, {{"wave", number}, {"machines", item.state.machines.size()}});
+            tell(number, true);
+        }
+    }
+}
+
+void fleet_task::load(std::int64_t number) {
+    wave& item = m_waves[number];
+    if (item.reading) {
+        return;
+    }
+    item.reading = true;
+    m_parts.store.get(wave_record_key(number),
+                      [this, number, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                          if (!alive.expired()) {
+                              loaded(number, answer);
+                          }
+                      });
+}
+
+void fleet_task::loaded(std::int64_t number, const platform::store_answer& answer) {
+    wave& item = m_waves[number];
+    item.reading = false;
+    if (answer.status == platform::store_status::absent) {
+        item.loaded = true;
+    } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
+        item.loaded = true;
+        if (const auto confirmed = decode_archive<std::set<std::string>>(answer.items.front().value)) {
+            item.state.confirmed = confirmed.value();
+        }
+    }
+}
+
+void fleet_task::plan_upkeep(wave& item, const std::string& machine) {
+    const std::int64_t number = item.state.number;
+    item.state.waiting[machine] = {m_machines[machine].incarnation, event_loop::now()};
+    m_planned.push_back({machine, [this, number, machine] { order_upkeep(number, machine); },
+                         [this, number, machine] { m_waves[number].state.waiting.erase(machine); }});
+}
+
+void fleet_task::order_upkeep(std::int64_t number, const std::string& machine) {
+    m_parts.machines.upkeep(
+        {m_parts.membership.self().id, m_held.token}, machine, number,
+        [this, number, machine, alive = m_lifetime.watch()](platform::machine_outcome outcome) {
+            if (!alive.expired()) {
+                upkeep_ordered(number, machine, outcome);
+            }
+        });
+}
+
+void fleet_task::upkeep_ordered(std::int64_t number, const std::string& machine,
+                                platform::machine_outcome outcome) {
+    log_event(event_id::machine_ordered, {{"order", "upkeep"},
+                                          {"wave", number},
+                                          {"machine", machine},
+                                          {"outcome", name_of(outcome)},
+                                          {"token", m_held.token}});
+    jobs::wave_state& state = m_waves[number].state;
+    if (outcome == platform::machine_outcome::done) {
+        if (const auto waiting = state.waiting.find(machine); waiting != state.waiting.end()) {
+            waiting->second.confirmed = true;
+        }
+        state.confirmed.insert(machine);
+        record_wave(state);
+    } else if (outcome != platform::machine_outcome::unknown) {
+        state.waiting.erase(machine); // Not carried out: it is still to do.
+    }
+}
+
+/// A successor goes on where this owner stopped. If the record is lost it orders again what is done already,
+/// which changes nothing but costs the clearing of a VM.
+void fleet_task::record_wave(const jobs::wave_state& state) {
+    platform::store_transaction change;
+    change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
+    change.writes.push_back({wave_record_key(state.number), encode_archive(state.confirmed), 0});
+    m_parts.store.commit(change, [number = state.number](const platform::store_answer& answer) {
+        if (answer.status != platform::store_status::ok) {
+            log_event(event_id::machine_ordered,
+                      {{"order", "record"}, {"wave", number}, {"outcome", "not-stored"}});
+        }
+    });
+}
+
+void fleet_task::tell(std::int64_t number, bool completed) {
+    platform::store_transaction change;
+    change.conditions.push_back({owner_prefix + m_held.duty, m_held.token});
+    change.writes.push_back({platform::wave_status_key(number), platform::encode_wave_status(completed), 0});
+    m_parts.store.commit(
+        change, [this, number, completed, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+            if (alive.expired() || answer.status == platform::store_status::ok) {
+                return;
+            }
+            if (completed) {
+                m_waves[number].completed = false; // Told again with the next round.
+            } else {
+                m_waves[number].told_running = false;
+            }
+        });
+}
+
+} // namespace siskinpaddle::node
--- /dev/null
+++ b/node/pool_takeover.cpp
@@ -0,0 +1,130 @@
+#include "node/pool_task.hpp"
+
+#include "node/keys.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// Pause before a failed read of the store is repeated; each call counts against its rates.
+constexpr milliseconds load_retry = 150ms;
+
+} // namespace
+
+void pool_task::start() {
+    log_event(event_id::pool_taking_over,
+              {{"pool", m_pool}, {"epoch", m_held.epoch}, {"token", m_held.token}});
+    m_directory.start([this] { load_progress({}); });
+}
+
+void pool_task::retry_loading(std::function<void()> step) {
+    m_retry_action = std::move(step);
+    m_retry->start(load_retry);
+}
+
+void pool_task::load_progress(const std::string& after) {
+    m_parts.store.range(progress_prefix(m_pool), after,
+                        [this, after, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                            if (alive.expired()) {
+                                return;
+                            }
+                            if (answer.status != platform::store_status::ok) {
+                                retry_loading([this, after] { load_progress(after); });
+                                return;
+                            }
+                            for (const platform::store_item& item : answer.items) {
+                                const std::string id = item.key.substr(progress_prefix(m_pool).size());
+                                if (const auto progress = decode_archive<jobs::job_progress>(item.value)) {
+                                    m_loaded_progress[id] = progress.value();
+                                }
+                            }
+                            if (answer.more && !answer.items.empty()) {
+                                load_progress(answer.items.back().key);
+                            } else {
+                                load_jobs({});
+                            }
+                        });
+}
+
+timestamp pool_task::accepted_at(std::int64_t wall_ms) const {
+    const std::int64_t age = std::max<std::int64_t>(0, wall_clock_ms() - wall_ms);
+    return event_loop::now() - milliseconds(age);
+}
+
+void pool_task::load_jobs(const std::string& after) {
+    m_parts.store.range(
+        job_prefix(m_pool), after,
+        [this, after, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            if (answer.status != platform::store_status::ok) {
+                retry_loading([this, after] { load_jobs(after); });
+                return;
+            }
+            for (const platform::store_item& item : answer.items) {
+                const auto record = decode_archive<jobs::job_record>(item.value);
+                if (!record) {
+                    log_event(event_id::run_noted, {{"what", "job-damaged"}, {"key", item.key}});
+                    continue;
+                }
+                const auto progress = m_loaded_progress.extract(record.value().spec.id);
+                m_scheduler.restore_job(record.value(),
+                                        progress.empty() ? std::nullopt : std::optional(progress.mapped()),
+                                        accepted_at(record.value().accepted_ms));
+            }
+            if (answer.more && !answer.items.empty()) {
+                load_jobs(answer.items.back().key);
+            } else {
+                load_vms();
+            }
+        });
+}
+
+void pool_task::load_vms() {
+    m_parts.store.get(vms_key(m_pool), [this,
+                                        alive = m_lifetime.watch()](const platform::store_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        if (answer.status != platform::store_status::ok && answer.status != platform::store_status::absent) {
+            retry_loading([this] { load_vms(); });
+            return;
+        }
+        if (!answer.items.empty()) {
+            const auto recorded = decode_archive<std::vector<jobs::vm_info>>(answer.items.front().value);
+            if (recorded) {
+                m_recorded = recorded.value();
+            }
+        }
+        // Cancellings that did not reach an owner lie in the inbox: none of their tasks may be started first.
+        m_inbox.start([this] { finish_loading(); });
+    });
+}
+
+void pool_task::finish_loading() {
+    const timestamp now = event_loop::now();
+    for (const auto& [id, progress] : m_loaded_progress) {
+        m_ended[id] = progress.phase;
+        m_ended_at[id] = now;
+    }
+    m_loaded_progress.clear();
+    m_ready = true;
+    for (const jobs::vm_info& info : m_recorded) {
+        m_scheduler.expect_vm(info);
+        renew(info.incarnation);
+    }
+    log_event(event_id::pool_taken_over, {{"pool", m_pool},
+                                          {"epoch", m_held.epoch},
+                                          {"jobs", m_scheduler.job_count()},
+                                          {"ended", m_ended.size()},
+                                          {"vms", m_recorded.size()}});
+    for (const auto& [vm, info] : m_directory.vms()) {
+        vm_changed(vm, info);
+    }
+    look_for_unheard();
+}
+
+} // namespace siskinpaddle::node
--- a/node/siskinpaddle_node.cpp
+++ b/node/siskinpaddle_node.cpp
@@ -1,9 +1,7 @@
 #include "node/node.hpp"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <tclap/CmdLine.h>
 
 using namespace siskinpaddle;
@@ -13,14 +11,7 @@
 enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
 
 node::node_settings read_settings(const std::string& path, findings& out) {
-    const std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        out.add("", "can't be read");
-        return {};
-    }
-    const boost::json::value document = parse_json(text.str(), "", out);
+    const boost::json::value document = parse_json_file(path, out);
     return out.empty() ? node::parse_node_settings(document, out) : node::node_settings{};
 }
 
