--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -28,9 +28,9 @@
 TEST_CASE("a job is accepted if it can end within its objective behind the work that waits") {
     // Objective of a job of one second: 1.6 s + 0.6 s, so 1.2 s may be spent waiting.
     struct situation {
-        const char* what;
+        const char* what = "";
         pool_load load;
-        bool accepted;
+        bool accepted = false;
     };
     const job_spec job = pool_bench::record("j", {pool_bench::step(8)}).spec;
     for (const situation& item :
