--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -51,7 +51,7 @@
             continue;
         }
         ++account.have;
-        if (load->long_running) {
+        if (load->endless) {
             continue;
         }
         if (load->idle) {
@@ -78,7 +78,7 @@
         each = std::max(each, machine.pool == name ? machine.millicores : 0);
     }
     const auto hosts = static_cast<std::size_t>(
-        std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.long_running; }));
+        std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.endless; }));
     account.least = std::max(settings.least_vms, hosts);
     account.wanted = std::max(account.least, vms_for(demand.need_millicores, each, settings));
     account.keep = std::max(account.wanted, vms_for(demand.keep_millicores, each, settings));
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -13,14 +13,14 @@
 /// One VM as its pool's owner sees it.
 struct vm_load {
     std::string vm;
-    bool usable = false;       ///< It takes work.
-    bool idle = false;         ///< Nothing runs there, or may yet start, and what ended there is stored.
-    bool long_running = false; ///< It has runs that don't end by themselves.
+    bool usable = false;  ///< It takes work.
+    bool idle = false;    ///< Nothing runs there, or may yet start, and what ended there is stored.
+    bool endless = false; ///< It has runs that don't end by themselves.
     std::int64_t used_millicores = 0;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(vm, usable, idle, long_running, used_millicores);
+        archive(vm, usable, idle, endless, used_millicores);
     }
 };
 
--- a/jobs/job.hpp
+++ b/jobs/job.hpp
@@ -53,7 +53,7 @@
     std::string data_rack;        ///< Rack of the step's data; empty: none.
     std::uint32_t max_per_vm = 0; ///< Most tasks of the step on one VM; 0: any number.
     bool speculative = false;     ///< Two runs of one task may overlap.
-    bool long_running = false;    ///< Runs until the job is cancelled and is restarted however it ends.
+    bool endless = false;         ///< Runs until the job is cancelled and is restarted however it ends.
     std::string image;
     std::int64_t target_tail_ms = 0;     ///< Bound on the tail of a serving task's response times; 0: none.
     bool uses_leftover = false;          ///< Takes what other tasks leave unused; counts against no capacity.
@@ -62,8 +62,7 @@
     template <typename Archive>
     void serialize(Archive& archive) {
         archive(count, need, estimate_ms, after, checkpointed, gang, same_rack, required_label, data_rack,
-                max_per_vm, speculative, long_running, image, target_tail_ms, uses_leftover,
-                disruption_budget);
+                max_per_vm, speculative, endless, image, target_tail_ms, uses_leftover, disruption_budget);
     }
 };
 
@@ -78,9 +77,9 @@
     std::int64_t start_at_ms = 0; ///< Time of day of the first occurrence, ms since 1970.
     std::int64_t period_ms = 0;
 
-    [[nodiscard]] bool long_running() const noexcept {
+    [[nodiscard]] bool endless() const noexcept {
         for (const step_spec& step : steps) {
-            if (step.long_running) {
+            if (step.endless) {
                 return true;
             }
         }
--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -43,7 +43,7 @@
     job_rank rank;
     rank.priority = queue.priority;
     rank.objective_at = objective_of(job, queue);
-    if (job.spec().long_running()) {
+    if (job.spec().endless()) {
         rank.group = 0;
         return rank;
     }
@@ -110,7 +110,7 @@
 
 admission_verdict admit(const job_spec& spec, const queue_settings& queue, std::int64_t longest_chain_ms,
                         const pool_load& load) {
-    if (spec.long_running() || spec.timed) {
+    if (spec.endless() || spec.timed) {
         return {};
     }
     if (load.usable_millicores <= 0) {
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -67,7 +67,7 @@
         }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
         const bool far = !step.data_rack.empty() && step.data_rack != vm.info().rack;
-        const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_long_running(), -fullness(vm, need)};
+        const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_endless(), -fullness(vm, need)};
         if (best == nullptr || cost < best_cost) {
             best = &vm;
             best_cost = cost;
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -74,7 +74,7 @@
         item.usable =
             vm.listed && vm.reachable && vm.ever_heard() && !vm.info().draining && !vm.set_aside_at(now);
         item.idle = is_settled(name);
-        item.long_running = vm.hosts_long_running();
+        item.endless = vm.hosts_endless();
         item.used_millicores = vm.used().cpu_millicores;
         result.vms.push_back(std::move(item));
     }
@@ -82,7 +82,7 @@
 }
 
 void scheduler::job_arrived(const job_spec& spec, timestamp now) {
-    if (!spec.long_running() && !spec.timed) {
+    if (!spec.endless() && !spec.timed) {
         m_demand.arrived(spec.id, whole_work(spec), now);
     }
 }
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -93,7 +93,7 @@
                     now - item.stop_sent_at >= m_settings.stop_repeat) {
                     stop_run(id, item, now);
                 }
-                const bool stuck = item.phase == run_phase::running && !step.long_running && !step.gang &&
+                const bool stuck = item.phase == run_phase::running && !step.endless && !step.gang &&
                                    vm.reachable && now - item.progress_at >= stuck_after &&
                                    vm.heard_at() > item.progress_at + stuck_after / 2;
                 if (stuck) {
@@ -115,10 +115,10 @@
             if (item.vm != name || item.phase != run_phase::running) {
                 continue;
             }
-            if (!step.long_running && (!step.checkpointed || item.percent >= nearly_done_percent)) {
+            if (!step.endless && (!step.checkpointed || item.percent >= nearly_done_percent)) {
                 continue; // It ends by itself soon.
             }
-            const bool budgeted = step.long_running && step.disruption_budget > 0;
+            const bool budgeted = step.endless && step.disruption_budget > 0;
             if (budgeted && away(job, {id.occurrence, id.step}, now) >= step.disruption_budget) {
                 continue; // Its turn comes when the others of its step are at work again.
             }
@@ -241,7 +241,7 @@
     item.start_deadline = vm->deadline(now, m_settings.start_patience);
     vm->granted(item.start_deadline);
     const step_spec& step = job.spec().steps[id.step];
-    vm->add_task(id, counted_need(step), step.long_running);
+    vm->add_task(id, counted_need(step), step.endless);
     const std::string ticket = advice == nullptr ? std::string() : *advice->ticket(item.vm, now);
     m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, ticket});
     job.add_run(id, std::move(item));
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -9,7 +9,7 @@
     job.remove_run(id, attempt, vm, now);
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
         const step_spec& step = job.spec().steps[id.step];
-        found->second.remove_task(id, counted_need(step), step.long_running);
+        found->second.remove_task(id, counted_need(step), step.endless);
     }
 }
 
@@ -37,7 +37,7 @@
 
 void scheduler::take_done(job_state& job, const task_id& id, timestamp now) {
     const step_spec& step = job.spec().steps[id.step];
-    if (step.long_running) {
+    if (step.endless) {
         return; // It is to run until it is cancelled: however it ends, it starts again.
     }
     const auto finish_task = [&](const task_id& item) {
@@ -66,7 +66,7 @@
 void scheduler::take_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm,
                              timestamp now) {
     const step_spec& step = job.spec().steps[id.step];
-    if (step.long_running) {
+    if (step.endless) {
         return;
     }
     const task_id counted = step.gang ? job.id_of({id.occurrence, id.step}, 0) : id;
@@ -141,7 +141,7 @@
                               (!task.runs.empty() && !job.spec().steps[item.task.step].speculative);
         run& added = job.add_run(item.task, std::move(adopted));
         const step_spec& step = job.spec().steps[item.task.step];
-        vm.add_task(item.task, counted_need(step), step.long_running);
+        vm.add_task(item.task, counted_need(step), step.endless);
         note(unwanted ? "stop-surplus-run" : "run-adopted", incarnation, &item.task, item.attempt);
         if (unwanted) {
             stop_run(item.task, added, now);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -115,7 +115,7 @@
             item->phase = run_phase::unsettled;
             // A stop settles it soonest. But a long-running task that is there is at work, and stopping it
             // would take it away from its users: there a report after the start's deadline settles it.
-            if (!job->second.spec().steps[order.task.step].long_running) {
+            if (!job->second.spec().steps[order.task.step].endless) {
                 stop_run(order.task, *item, now);
             }
         }
@@ -200,7 +200,7 @@
         leftover = leftover || step.uses_leftover;
         for (const run& item : job.task(id).runs) {
             if (item.vm == name && (item.phase == run_phase::unsettled || item.phase == run_phase::stopping ||
-                                    (step.long_running && item.percent < 100))) {
+                                    (step.endless && item.percent < 100))) {
                 return true;
             }
         }
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -44,19 +44,19 @@
     return m_heard_at + milliseconds(static_cast<std::int64_t>(std::ceil(left))) + lapse_margin;
 }
 
-void vm_state::add_task(const task_id& task, const resources& need, bool long_running) {
+void vm_state::add_task(const task_id& task, const resources& need, bool endless) {
     m_tasks.insert(task);
-    m_long_running += long_running ? 1 : 0;
+    m_endless += endless ? 1 : 0;
     m_used += need;
 }
 
-void vm_state::remove_task(const task_id& task, const resources& need, bool long_running) {
+void vm_state::remove_task(const task_id& task, const resources& need, bool endless) {
     const auto found = m_tasks.find(task);
     if (found == m_tasks.end()) {
         return;
     }
     m_tasks.erase(found);
-    m_long_running -= long_running ? 1 : 0;
+    m_endless -= endless ? 1 : 0;
     m_used -= need;
 }
 
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -35,9 +35,9 @@
     [[nodiscard]] timestamp lapses_at() const;
 
     [[nodiscard]] bool has_run(const task_id& task) const { return m_tasks.contains(task); }
-    void add_task(const task_id& task, const resources& need, bool long_running);
-    void remove_task(const task_id& task, const resources& need, bool long_running);
-    [[nodiscard]] bool hosts_long_running() const noexcept { return m_long_running > 0; }
+    void add_task(const task_id& task, const resources& need, bool endless);
+    void remove_task(const task_id& task, const resources& need, bool endless);
+    [[nodiscard]] bool hosts_endless() const noexcept { return m_endless > 0; }
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
     /// Nothing runs there, and what has ended there is stored.
     [[nodiscard]] bool settled() const noexcept { return m_tasks.empty() && seen <= acknowledged; }
@@ -67,7 +67,7 @@
     std::int64_t m_granted = 0;
     std::multiset<task_id> m_tasks;
     resources m_used;
-    int m_long_running = 0; ///< Runs that don't end by themselves.
+    int m_endless = 0; ///< Runs that don't end by themselves.
     int m_strikes = 0;
     timestamp m_aside_until{0};
 };
--- a/tests/jobs/balance_test.cpp
+++ b/tests/jobs/balance_test.cpp
@@ -113,7 +113,7 @@
     b.pool("a", 10);
     b.need("a", 0);
     for (std::size_t i = 0; i < 5; ++i) {
-        b.demands["a"].vms[i].long_running = true;
+        b.demands["a"].vms[i].endless = true;
         b.demands["a"].vms[i].idle = false;
     }
     b.plan();
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -48,7 +48,7 @@
 
 TEST_CASE("long-running jobs are accepted whatever the load") {
     job_record record = pool_bench::record("j", {pool_bench::step(2)});
-    record.spec.steps[0].long_running = true;
+    record.spec.steps[0].endless = true;
     CHECK(admit(record.spec, quotes(), 0, load(1000, 64)).accepted);
 }
 
--- a/tests/jobs/pace_test.cpp
+++ b/tests/jobs/pace_test.cpp
@@ -14,10 +14,10 @@
     neighbours() {
         b.vm("v1");
         step_spec first = pool_bench::step(1);
-        first.long_running = true;
+        first.endless = true;
         first.target_tail_ms = 100;
         step_spec second = pool_bench::step(1, 20'000);
-        second.long_running = true;
+        second.endless = true;
         second.uses_leftover = true;
         b.job("s", {first});
         serving = b.start_all().at(0);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -7,7 +7,7 @@
 
 step_spec lasting(std::uint32_t count, std::uint32_t budget) {
     step_spec item = pool_bench::step(count);
-    item.long_running = true;
+    item.endless = true;
     item.disruption_budget = budget;
     return item;
 }
