--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -114,13 +114,6 @@
     balance_plan& plan() { return m_plan; }
     std::vector<pool_account>& pools() { return m_pools; }
 
-    void count_lendable() {
-        m_plan.lendable = m_spares.size();
-        for (const pool_account& pool : m_pools) {
-            m_plan.lendable += std::min(pool.surplus(), pool.idle.size());
-        }
-    }
-
     /// Gives the pool that lacks most the next machine, until nobody lacks or nothing is left.
     void fill() {
         while (true) {
@@ -217,7 +210,6 @@
     share_out(pools, available);
     planner work(std::move(pools), std::move(spares), memory);
     work.fill();
-    work.count_lendable();
     for (pool_account& pool : work.pools()) {
         if (pool.have <= pool.keep) {
             memory.surplus_since.erase(pool.name);
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -61,8 +61,6 @@
 struct balance_plan {
     std::vector<machine_move> moves;
     std::set<std::string> clear; ///< VMs that are to be empty, so that they can be moved next.
-    /// Machines that are free for whoever needs them next: spare, or idle beyond what their pools want.
-    std::size_t lendable = 0;
 };
 
 /// What one plan leaves for the next.
--- a/jobs/fleet_configuration.hpp
+++ b/jobs/fleet_configuration.hpp
@@ -33,8 +33,7 @@
 /// A pool of VMs.
 struct pool_settings {
     std::string name;
-    bool guards_capacity = true; ///< Its VMs refuse what doesn't fit.
-    bool spare = false;          ///< Its VMs are off; they wait to be moved to other pools.
+    bool spare = false; ///< Its VMs are off; they wait to be moved to other pools.
 };
 
 /// One version of the operator's configuration.
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -43,7 +43,6 @@
     std::size_t usable_vms = 0;
 
     std::int64_t arriving_millicores = 0; ///< Of VMs that are on their way to the pool.
-    std::int64_t lendable_millicores = 0; ///< Of machines that could be on their way if the pool needed them.
 
     /// Capacity that running and waiting work would use if the latter were to be done within a second, well
     /// within objectives of two seconds and more.
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -20,7 +20,6 @@
     /// A VM that was not heard of for longer gets no new runs: it may be dead. Above the longest wait of a
     /// lease renewal (2 s) and its round trip.
     milliseconds silence = 2600ms;
-    milliseconds drain_notice{0};
 };
 
 /// Chooses the VM for one task: one that may take it, VMs on which the task failed last. VMs that host
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -59,7 +59,6 @@
         }
     }
     load.arriving_millicores = largest * static_cast<std::int64_t>(m_arriving_vms);
-    load.lendable_millicores = largest * static_cast<std::int64_t>(m_lendable_vms);
     return load;
 }
 
@@ -87,11 +86,6 @@
     }
 }
 
-void scheduler::expect_vms(std::size_t arriving, std::size_t lendable) {
-    m_arriving_vms = arriving;
-    m_lendable_vms = lendable;
-}
-
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
     const auto [place, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
     if (added) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -147,8 +147,8 @@
     [[nodiscard]] pool_demand demand(timestamp now);
     /// A job was handed in, accepted or not; it counts as demand for a while.
     void job_arrived(const job_spec& spec, timestamp now);
-    /// VMs that are on their way to the pool, and those that could be.
-    void expect_vms(std::size_t arriving, std::size_t lendable);
+    /// VMs that are on their way to the pool.
+    void expect_vms(std::size_t arriving) { m_arriving_vms = arriving; }
 
     // --- Storing ---
 
@@ -215,7 +215,6 @@
     std::int64_t m_runnable_work = 0;
     demand_meter m_demand;
     std::size_t m_arriving_vms = 0;
-    std::size_t m_lendable_vms = 0;
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
     decisions m_out;
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -24,8 +24,6 @@
     [[nodiscard]] const std::map<std::int64_t, platform::upkeep_wave>& waves() const noexcept {
         return m_waves;
     }
-    /// When the store last confirmed what we have.
-    [[nodiscard]] timestamp confirmed_at() const noexcept { return m_watch.answered_at(); }
 
   private:
     void take(const platform::store_item& item);
--- a/node/fleet_moves.cpp
+++ b/node/fleet_moves.cpp
@@ -60,7 +60,6 @@
     const std::string spare = spare_pool();
     const jobs::balance_plan wanted =
         jobs::plan_balance(balance_view(), m_demands, spare, {}, m_memory, event_loop::now());
-    m_lendable = wanted.lendable;
     refill_orders();
     for (const jobs::machine_move& move : wanted.moves) {
         const platform::machine_info& info = m_machines[move.machine];
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -89,7 +89,6 @@
         request.pool = pool;
         request.configuration = m_parts.configuration.current().version;
         request.arriving = arriving(pool);
-        request.lendable = m_lendable;
         const std::set<std::string> kept_empty = m_clear[pool];
         request.vms.assign(kept_empty.begin(), kept_empty.end());
         m_parts.ask_pool(request, [this, pool, kept_empty, round = m_round,
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -98,7 +98,6 @@
     std::map<std::string, jobs::pool_demand> m_demands; ///< As answered in this round.
     std::set<std::string> m_empty_vms;                  ///< Kept empty by their owners as of this round.
     std::map<std::string, platform::machine_info> m_machines;
-    std::size_t m_lendable = 0;   ///< By the last plan.
     bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
 
     /// An order that is planned and not yet announced.
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -83,7 +83,6 @@
     [[nodiscard]] timestamp act_until(const std::string& duty) const;
     /// When the store last renewed our lease.
     [[nodiscard]] timestamp renewed_at() const noexcept { return m_renewed_at; }
-    [[nodiscard]] const std::map<std::string, node_record>& nodes() const noexcept { return m_nodes; }
 
     /// How long after the end of its lease an owner may still act.
     static constexpr milliseconds grace_after_lease = 4s;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -153,6 +153,9 @@
         } else {
             const bool unsettled =
                 answer.status == platform::store_status::unknown || m_unsettled_submits.contains(id);
+            if (unsettled) {
+                log_event(event_id::submit_unknown, {{"pool", m_pool}, {"job", id}, {"token", token}});
+            }
             settle_submit(id, item.done, unsettled ? peer_outcome::unknown : peer_outcome::unavailable);
         }
         m_unsettled_submits.erase(id);
@@ -225,7 +228,7 @@
     const bool changed = wanted != m_cleared_vms;
     m_cleared_vms = wanted;
     m_cleared_at = event_loop::now();
-    m_scheduler.expect_vms(request.arriving, request.lendable);
+    m_scheduler.expect_vms(request.arriving);
     m_directory.expect_changes(request.arriving > 0);
     peer_answer answer = answer_of(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -48,7 +48,6 @@
 
     [[nodiscard]] const std::string& pool() const noexcept { return m_pool; }
     [[nodiscard]] std::uint32_t epoch() const noexcept { return m_held.epoch; }
-    [[nodiscard]] bool ready() const noexcept { return m_ready; }
     [[nodiscard]] const jobs::scheduler& scheduler() const noexcept { return m_scheduler; }
 
   private:
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -66,7 +66,6 @@
         return;
     }
     m_failures = 0;
-    m_answered_at = event_loop::now();
     if (m_listing_revision == 0) {
         // Pages are no snapshot: what changes while they are read shows in a watch from the first one.
         m_listing_revision = answer.revision;
@@ -145,7 +144,6 @@
         return;
     }
     m_failures = 0;
-    m_answered_at = event_loop::now();
     for (const platform::store_item& item : answer.items) {
         apply(item);
     }
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -29,8 +29,6 @@
     /// From the next watch on.
     void set_pause(milliseconds pause) noexcept { m_pause = pause; }
 
-    /// When the store last answered here.
-    [[nodiscard]] timestamp answered_at() const noexcept { return m_answered_at; }
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
     [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept {
         return m_items;
@@ -60,7 +58,6 @@
     std::map<std::string, platform::store_item> m_listing;
     std::int64_t m_listing_revision = 0;
     std::int64_t m_revision = 0;
-    timestamp m_answered_at{0};
     std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are ignored.
     bool m_running = false;
     int m_failures = 0;
