Tests of nodes wait for conditions, on ports that nobody else takes

Cause: node tests took their ports from 30000 to 54000. The system gives ports from 32768 to outgoing connections, so a port could be taken between the probe and the listen. Waits were bounded by 8 to 30 s each, and one test slept for 2.5 s until an outage "has lasted long enough": on a busy machine the verdict could hang on time. Port search and log start stood twice.

Change: one free_port() and one start_test_log() for both deployments, from 10000 to 30000; waits share loop_until with its one generous bound; the outage test waits until the node itself tells store_unanswered_ms above the bound at which it refuses. The test is stricter: the run must now end while the store is still away. The new gauge store_unanswered_ms is told on the metrics address. Set-up that stood in eight tests is serve_with_one_vm().

Ruled out: polling submits until one is refused. An unanswered one may still be carried out, so the check that the refused job is unknown would not hold.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -257,6 +257,9 @@
     for (const auto& [kind, calls] : m_store.calls()) {
         m_counters.set("store_calls_" + kind, calls);
     }
+    const timestamp unanswered = m_store.unanswered_since();
+    const milliseconds silence = unanswered == timestamp(0) ? 0ms : event_loop::now() - unanswered;
+    m_counters.set("store_unanswered_ms", static_cast<std::uint64_t>(silence.count()));
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
     for (const auto& [duty, task] : m_pools) {
         m_counters.set("pool_jobs{pool=\"" + task->pool() + "\"}", task->scheduler().job_count());
--- a/tests/main/deployment.hpp
+++ b/tests/main/deployment.hpp
@@ -3,7 +3,9 @@
 #include "fakes/fake_platform.hpp"
 #include "fakes/fake_vm.hpp"
 #include "main/entry.hpp"
+#include "net/free_port.hpp"
 #include "net/loop_until.hpp"
+#include "telemetry/test_log.hpp"
 
 #include <map>
 #include <memory>
@@ -20,14 +22,7 @@
     static constexpr const char* credential = "an operator's credential";
 
     deployment() : platform(loop, 300ms), client(loop) {
-        static const bool log_started = [] {
-            const char* level = std::getenv("SISKINPADDLE_TEST_LOG");
-            start_event_log(
-                "test",
-                value_named<event_level>(level == nullptr ? "error" : level).value_or(event_level::error));
-            return true;
-        }();
-        REQUIRE(log_started);
+        start_test_log();
         REQUIRE(platform.listen({"127.0.0.1", 0}));
         const std::string digest = sha256_hex(credential);
         const std::string rival = sha256_hex("the rival's credential");
@@ -42,29 +37,13 @@
                                    "h":{"prefix":"/h","service":"h"}}}})");
     }
 
-    /// A port that nobody listens on, from a range of this test process below the system's own choice of
-    /// ports.
-    static std::uint16_t next_port() {
-        static const int first = 10'000 + getpid() % 40 * 500;
-        static int used = 0;
-        for (int tries = 0; tries < 500; ++tries) {
-            const auto port = static_cast<std::uint16_t>(first + used++ % 500);
-            event_loop probe_loop;
-            http_server probe(probe_loop, {}, [](const std::shared_ptr<server_request>&) {});
-            if (probe.listen({"127.0.0.1", port})) {
-                return port;
-            }
-        }
-        return 0;
-    }
-
     fakes::fake_vm& add_vm(const std::string& id, const std::string& zone = "a") {
         fakes::fake_vm_settings settings;
         settings.id = id;
         settings.availability_zone = zone;
         settings.rack = "r-" + id;
-        settings.target = {"127.0.0.1", next_port()};
-        settings.agent_port = next_port();
+        settings.target = {"127.0.0.1", free_port()};
+        settings.agent_port = free_port();
         settings.platform = {"127.0.0.1", platform.port()};
         settings.reboot_time = 100ms;
         vms[id] = std::make_unique<fakes::fake_vm>(loop, settings);
@@ -77,9 +56,9 @@
         if (settings.id.empty()) {
             settings.id = id;
             settings.availability_zone = zone;
-            settings.callers = {"127.0.0.1", next_port()};
-            settings.operators = {"127.0.0.1", next_port()};
-            settings.peers = {"127.0.0.1", next_port()};
+            settings.callers = {"127.0.0.1", free_port()};
+            settings.operators = {"127.0.0.1", free_port()};
+            settings.peers = {"127.0.0.1", free_port()};
             settings.platform = {"127.0.0.1", platform.port()};
             settings.peer_key = "a shared key of at least thirty-two characters";
             settings.heartbeat_interval = 200ms;
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -2,15 +2,16 @@
 
 #include "fakes/platform_store.hpp"
 #include "fakes/task_vm.hpp"
+#include "net/free_port.hpp"
 #include "net/loop_until.hpp"
 #include "node/node.hpp"
+#include "telemetry/test_log.hpp"
 
-#include <cstdlib>
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 namespace siskinpaddle::tests {
@@ -25,14 +26,7 @@
     };
 
     node_deployment() : store(loop), client(loop) {
-        static const bool log_started = [] {
-            const char* level = std::getenv("SISKINPADDLE_TEST_LOG");
-            start_event_log(
-                "test",
-                value_named<event_level>(level == nullptr ? "error" : level).value_or(event_level::error));
-            return true;
-        }();
-        REQUIRE(log_started);
+        start_test_log();
         REQUIRE(store.listen({"127.0.0.1", 0}));
         store.put("op/config", configuration(2));
     }
@@ -44,20 +38,6 @@
                "services":[{"name":"p","admission_control":true}],"limits":{"max_body_bytes":65536}})";
     }
 
-    static std::uint16_t free_port() {
-        static const int first = 30'000 + getpid() % 30 * 800;
-        static int used = 0;
-        for (int tries = 0; tries < 800; ++tries) {
-            const auto port = static_cast<std::uint16_t>(first + used++ % 800);
-            event_loop probe_loop;
-            http_server probe(probe_loop, {}, [](const std::shared_ptr<server_request>&) {});
-            if (probe.listen({"127.0.0.1", port})) {
-                return port;
-            }
-        }
-        return 0;
-    }
-
     void start_node(const std::string& id) {
         running_node item;
         item.settings = std::make_unique<node::node_settings>();
@@ -91,6 +71,20 @@
         return *vms.back();
     }
 
+    /// Sends over a connection of its own and waits for the answer.
+    http_answer answer_to(http_call request) {
+        request.timeout = 6s; // Above the deadline that the call names.
+        request.fresh_connection = true;
+        http_answer result;
+        bool done = false;
+        client.send(std::move(request), [&](http_answer answer) {
+            result = std::move(answer);
+            done = true;
+        });
+        REQUIRE(until([&] { return done; }));
+        return result;
+    }
+
     http_answer call(const std::string& node, const std::string& method, const std::string& target,
                      const std::string& body = {}) {
         http_call request;
@@ -100,17 +94,7 @@
         request.headers.add("Host", "h.example");
         request.headers.add("Deadline-Ms", "3000");
         request.body = body;
-        request.timeout = 6s;
-        request.fresh_connection = true;
-        http_answer result;
-        bool done = false;
-        client.send(std::move(request), [&](http_answer answer) {
-            result = std::move(answer);
-            done = true;
-        });
-        REQUIRE(loop_until(
-            loop, [&] { return done; }, 8s));
-        return result;
+        return answer_to(std::move(request));
     }
 
     static std::string job_body(int tasks) {
@@ -118,31 +102,54 @@
                R"(,"cpu":500,"mem_mb":64,"estimate_ms":200}]})";
     }
 
+    bool until(const std::function<bool()>& condition) { return loop_until(loop, condition); }
+
     /// Waits until a status call through `node` shows the phase.
-    bool shows(const std::string& node, const std::string& job, const std::string& phase,
-               milliseconds bound) {
-        const timestamp end = event_loop::now() + bound;
-        while (event_loop::now() < end) {
-            if (call(node, "GET", "/quotes/" + job).body.find("\"" + phase + "\"") != std::string::npos) {
-                return true;
-            }
-            loop_until(
-                loop, [] { return false; }, 50ms);
-        }
-        return false;
+    bool shows(const std::string& node, const std::string& job, const std::string& phase) {
+        return until([&] {
+            const http_answer answer = call(node, "GET", "/quotes/" + job);
+            return answer.body.find("\"" + phase + "\"") != std::string::npos;
+        });
     }
 
     /// Waits until the node takes jobs.
     void wait_until_serving(const std::string& node) {
-        const timestamp end = event_loop::now() + 15s;
-        while (event_loop::now() < end) {
-            if (call(node, "GET", "/quotes/").code == 200) {
-                return;
+        REQUIRE(until([&] { return call(node, "GET", "/quotes/").code == 200; }));
+    }
+
+    /// The VM "v1" and the node "n1", which takes jobs.
+    void serve_with_one_vm(milliseconds run_time) {
+        add_vm("v1", run_time);
+        start_node("n1");
+        wait_until_serving("n1");
+    }
+
+    /// Waits until the VMs have started that many runs, ended ones included.
+    bool until_started(std::size_t count) {
+        return until([&] {
+            std::size_t started = 0;
+            for (const auto& vm : vms) {
+                started += vm->runs().size();
+            }
+            return started == count;
+        });
+    }
+
+    /// A figure from the node's metrics address; -1 when it doesn't tell one.
+    std::int64_t metric(const std::string& node, const std::string& name) {
+        http_call request;
+        request.to = nodes[node].settings->metrics;
+        request.method = "GET";
+        request.target = "/metrics";
+        std::istringstream lines(answer_to(std::move(request)).body);
+        std::string key;
+        std::string value;
+        while (lines >> key >> value) {
+            if (key == name) {
+                return std::stoll(value);
             }
-            loop_until(
-                loop, [] { return false; }, 50ms);
         }
-        FAIL("no node took over the pool");
+        return -1;
     }
 
     /// Checks from the VMs' own records that no task ran twice at a time or again after it was done.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -1,4 +1,5 @@
 #include "node/node_deployment.hpp"
+#include "node/store_health.hpp"
 
 using namespace siskinpaddle;
 using namespace siskinpaddle::tests;
@@ -19,8 +20,8 @@
     d.wait_until_serving("n2");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(4)).code == 200);
     CHECK(d.call("n2", "POST", "/quotes/" + job_a, d.job_body(4)).code == 200); // A repeat is the same job.
-    CHECK(d.shows("n1", job_a, "completed", 10s));
-    CHECK(d.shows("n2", job_a, "completed", 10s));
+    CHECK(d.shows("n1", job_a, "completed"));
+    CHECK(d.shows("n2", job_a, "completed"));
     CHECK(d.done_runs() == 4);
     d.check_runs_once();
     CHECK(d.store.count("sp/job/p/") == 0);
@@ -40,24 +41,21 @@
     d.start_node("n1");
     d.wait_until_serving("n1");
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(12)).code == 200);
-    REQUIRE(loop_until(
-        d.loop, [&] { return d.vms[0]->runs().size() + d.vms[1]->runs().size() == 12; }, 10s));
+    REQUIRE(d.until_started(12));
     d.kill_node("n1");
     d.start_node("n2");
-    CHECK(d.shows("n2", job_a, "completed", 25s));
+    CHECK(d.shows("n2", job_a, "completed"));
     CHECK(d.done_runs() == 12);
     d.check_runs_once();
 }
 
 TEST_CASE("an accepted job survives the loss of all nodes") {
     node_deployment d;
-    d.add_vm("v1", 100ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(100ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(20)).code == 200);
     d.kill_node("n1");
     d.start_node("n1");
-    CHECK(d.shows("n1", job_a, "completed", 25s));
+    CHECK(d.shows("n1", job_a, "completed"));
     CHECK(d.done_runs() == 20);
     d.check_runs_once();
 }
@@ -66,20 +64,19 @@
     // A traveller's desk waits three seconds for each try: every submit hung until its call to the store
     // timed out.
     node_deployment d;
-    d.add_vm("v1", 3000ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(3000ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(1)).code == 200);
-    REQUIRE(loop_until(
-        d.loop, [&] { return d.vms[0]->runs().size() == 1; }, 10s));
+    REQUIRE(d.until_started(1));
     d.store.set_silent(true);
-    loop_until(
-        d.loop, [] { return false; }, 2500ms); // Until a renewal has gone unanswered for long enough.
+    REQUIRE(d.until([&] {
+        return d.metric("n1", "siskinpaddle_store_unanswered_ms") >= node::store_failing_after.count();
+    }));
     const http_answer refused = d.call("n1", "POST", "/quotes/" + job_b, d.job_body(1));
     CHECK(refused.code == 503);
     CHECK(refused.headers.get("Retry-After") == "1");
+    CHECK(d.until([&] { return d.done_runs() == 1; }));
     d.store.set_silent(false);
-    CHECK(d.shows("n1", job_a, "completed", 25s));
+    CHECK(d.shows("n1", job_a, "completed"));
     CHECK(d.call("n1", "GET", "/quotes/" + job_b).code == 410);
     CHECK(d.done_runs() == 1);
 }
@@ -87,79 +84,63 @@
 TEST_CASE("a write whose answer is lost neither loses nor doubles a job") {
     // A confirmation is refused and yet carried out. The store had taken the record; its answer never came.
     node_deployment d;
-    d.add_vm("v1", 100ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(100ms);
     d.store.lose_answers(1);
     const int first = d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code;
     CHECK((first == 200 || first == 504));
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code == 200);
-    CHECK(d.shows("n1", job_a, "completed", 15s));
+    CHECK(d.shows("n1", job_a, "completed"));
     CHECK(d.done_runs() == 2);
     d.check_runs_once();
 }
 
 TEST_CASE("a cancelled job stops and stays cancelled over a change of owner") {
     node_deployment d;
-    d.add_vm("v1", 60'000ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(60'000ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code == 200);
-    REQUIRE(loop_until(
-        d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
+    REQUIRE(d.until_started(2));
     CHECK(d.call("n1", "DELETE", "/quotes/" + job_a).code == 200);
-    CHECK(loop_until(
-        d.loop, [&] { return d.vms[0]->runs()[0].how == "stopped" && d.vms[0]->runs()[1].how == "stopped"; },
-        10s));
+    CHECK(d.until(
+        [&] { return d.vms[0]->runs()[0].how == "stopped" && d.vms[0]->runs()[1].how == "stopped"; }));
     d.kill_node("n1");
     d.start_node("n2");
     d.wait_until_serving("n2");
-    CHECK(d.shows("n2", job_a, "cancelled", 10s));
+    CHECK(d.shows("n2", job_a, "cancelled"));
     CHECK(d.vms[0]->runs().size() == 2);
 }
 
 TEST_CASE("a configuration comes into force and never goes back") {
     node_deployment d;
-    d.add_vm("v1", 100ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(100ms);
     d.store.put("op/config", d.configuration(7, "/fares/"));
-    CHECK(loop_until(
-        d.loop, [&] { return d.call("n1", "GET", "/fares/").code != 404; }, 10s));
+    CHECK(d.until([&] { return d.call("n1", "GET", "/fares/").code != 404; }));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
     d.store.compact();
     d.store.put("op/config", d.configuration(5, "/quotes/"));
     d.store.put("op/config", d.configuration(9, "/seats/"));
-    CHECK(loop_until(
-        d.loop, [&] { return d.call("n1", "GET", "/seats/").code != 404; }, 10s));
+    CHECK(d.until([&] { return d.call("n1", "GET", "/seats/").code != 404; }));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
 }
 
 TEST_CASE("leases of the store that lapse in an outage cost no run") {
     node_deployment d;
-    d.add_vm("v1", 4000ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(4000ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(3)).code == 200);
-    REQUIRE(loop_until(
-        d.loop, [&] { return d.vms[0]->runs().size() == 3; }, 10s));
+    REQUIRE(d.until_started(3));
     d.store.lapse_leases();
-    CHECK(d.shows("n1", job_a, "completed", 25s));
+    CHECK(d.shows("n1", job_a, "completed"));
     CHECK(d.vms[0]->runs().size() == 3);
     d.check_runs_once();
 }
 
 TEST_CASE("a VM that goes silent loses its tasks to another, once they have certainly ended") {
     node_deployment d;
-    d.add_vm("v1", 60'000ms);
-    d.start_node("n1");
-    d.wait_until_serving("n1");
+    d.serve_with_one_vm(60'000ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(2)).code == 200);
-    REQUIRE(loop_until(
-        d.loop, [&] { return d.vms[0]->runs().size() == 2; }, 10s));
+    REQUIRE(d.until_started(2));
     d.vms[0]->set_silent(true);
     d.add_vm("v2", 100ms);
-    CHECK(d.shows("n1", job_a, "completed", 30s));
+    CHECK(d.shows("n1", job_a, "completed"));
     d.check_runs_once();
 }
 
@@ -178,8 +159,7 @@
     d.store.put("sp/inbox/p/cancel/" + job_a, "1");
     d.start_node("n1");
     d.wait_until_serving("n1");
-    CHECK(d.shows("n1", job_a, "cancelled", 10s));
+    CHECK(d.shows("n1", job_a, "cancelled"));
     CHECK(d.vms[0]->runs().empty());
-    CHECK(loop_until(
-        d.loop, [&] { return d.store.count("sp/inbox/") == 0; }, 10s));
+    CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
 }
--- /dev/null
+++ b/tests/telemetry/test_log.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "telemetry/telemetry.hpp"
+
+#include <cstdlib>
+
+namespace siskinpaddle::tests {
+
+/// Starts the event log once for a test process: errors only, or from the level that the environment variable
+/// SISKINPADDLE_TEST_LOG names. Not thread-safe.
+inline void start_test_log() {
+    static bool started = false;
+    if (started) {
+        return;
+    }
+    const char* level = std::getenv("SISKINPADDLE_TEST_LOG");
+    start_event_log(
+        "test", value_named<event_level>(level == nullptr ? "error" : level).value_or(event_level::error));
+    started = true;
+}
+
+} // namespace siskinpaddle::tests
