Server programs read their settings in one place

Change: core/settings_file.hpp has the exit codes and load_settings(), which writes every finding with file and place.

Ruled out: sharing the run loop as well. The two programs differ in what they take over on signals; a template over both saves six lines and hides which signal does what.

Conclusion: one reading, one wording; no change for good settings.

--- a/core/core.hpp
+++ b/core/core.hpp
@@ -11,3 +11,4 @@
 #include "core/hash.hpp"
 #include "core/json_object.hpp"
 #include "core/random.hpp"
+#include "core/settings_file.hpp"
--- /dev/null
+++ b/core/settings_file.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/json_object.hpp"
+
+#include <optional>
+#include <ostream>
+
+namespace siskinpaddle {
+
+/// Exit codes of the server programs.
+enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
+
+/// Reads a program's settings with `parse(value, findings)`. Writes every finding with the file's name and
+/// its place to `errors`; then there are no settings.
+template <class Parse>
+[[nodiscard]] auto load_settings(const std::string& path, const Parse& parse, std::ostream& errors)
+    -> std::optional<decltype(parse(boost::json::value(), std::declval<findings&>()))> {
+    findings problems;
+    const boost::json::value document = parse_json_file(path, problems);
+    if (problems.empty()) {
+        auto settings = parse(document, problems);
+        if (problems.empty()) {
+            return settings;
+        }
+    }
+    findings placed;
+    placed.append(problems, path + ":");
+    errors << placed.to_string();
+    return std::nullopt;
+}
+
+} // namespace siskinpaddle
--- a/main/siskinpaddled.cpp
+++ b/main/siskinpaddled.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
-
-entry_settings read_settings(const std::string& path, findings& out) {
-    const boost::json::value document = parse_json_file(path, out);
-    return out.empty() ? parse_entry_settings(document, out) : entry_settings{};
-}
-
 int run(const entry_settings& settings) {
     start_event_log(settings.id, settings.log_level);
     event_loop loop;
@@ -42,19 +35,15 @@
         TCLAP::ValueArg<std::string> config("c", "config", "Settings file (JSON).", true, "", "FILE", line);
         TCLAP::SwitchArg check("", "check", "Only check the settings and print every finding.", line);
         line.parse(argc, argv);
-        findings problems;
-        const entry_settings settings = read_settings(config.getValue(), problems);
-        if (!problems.empty()) {
-            findings placed;
-            placed.append(problems, config.getValue() + ":");
-            std::cerr << placed.to_string();
+        const auto settings = load_settings(config.getValue(), parse_entry_settings, std::cerr);
+        if (!settings) {
             return exit_bad_settings;
         }
         if (check.getValue()) {
             std::cout << config.getValue() << ": good\n";
             return exit_good;
         }
-        return run(settings);
+        return run(*settings);
     } catch (const std::exception& error) {
         std::cerr << "siskinpaddled: " << error.what() << "\n";
         return exit_failed;
--- a/node/siskinpaddle_node.cpp
+++ b/node/siskinpaddle_node.cpp
@@ -2,27 +2,20 @@
 
 #include <csignal>
 #include <iostream>
+#include <sstream>
 #include <tclap/CmdLine.h>
 
 using namespace siskinpaddle;
 
 namespace {
 
-enum exit_code : int { exit_good = 0, exit_failed = 1, exit_bad_settings = 2 };
-
-node::node_settings read_settings(const std::string& path, findings& out) {
-    const boost::json::value document = parse_json_file(path, out);
-    return out.empty() ? node::parse_node_settings(document, out) : node::node_settings{};
-}
-
 /// What a running process takes over from changed settings: nothing yet but the report of their findings.
 void check_again(const std::string& path) {
-    findings problems;
-    static_cast<void>(read_settings(path, problems));
-    if (problems.empty()) {
+    std::ostringstream problems;
+    if (load_settings(path, node::parse_node_settings, problems)) {
         log_event(event_id::settings_reloaded, {{"file", path}});
     } else {
-        log_event(event_id::settings_refused, {{"file", path}, {"problems", problems.to_string()}});
+        log_event(event_id::settings_refused, {{"file", path}, {"problems", problems.str()}});
     }
 }
 
@@ -57,23 +50,20 @@
                                            "LEVEL", line);
         TCLAP::SwitchArg check("", "check", "Only check the settings and print every finding.", line);
         line.parse(argc, argv);
-        findings problems;
-        const node::node_settings settings = read_settings(file.getValue(), problems);
         const auto least = value_named<event_level>(level.getValue());
         if (!least) {
-            problems.add("--log-level", "'" + level.getValue() + "' is not a level");
+            std::cerr << "--log-level: '" << level.getValue() << "' is not a level\n";
+            return exit_bad_settings;
         }
-        if (!problems.empty()) {
-            findings placed;
-            placed.append(problems, file.getValue() + ":");
-            std::cerr << placed.to_string();
+        const auto settings = load_settings(file.getValue(), node::parse_node_settings, std::cerr);
+        if (!settings) {
             return exit_bad_settings;
         }
         if (check.getValue()) {
             std::cout << file.getValue() << ": good\n";
             return exit_good;
         }
-        return run(settings, file.getValue(), *least);
+        return run(*settings, file.getValue(), *least);
     } catch (const std::exception& error) {
         std::cerr << "siskinpaddle-node: " << error.what() << "\n";
         return exit_failed;
