A gang that distance slows down starts on one rack

Cause: the users' jobs can say that a step's tasks take several times as long when they run on more than one rack. The flag was decoded, stored and sent on, and nothing read it: members went to the fullest VMs with room, wherever those stood.

Change: rack_for_gang() chooses the rack that has room for the whole step, if possible that of its data, else the one with least to spare. The rack is an item of the cost in choose_vm(), the same one that the data's rack had, so a gang that fits on no single rack is spread and not kept waiting.

Ruled out: a rack as a condition. A pool with four VMs on a rack often has no rack with room for a large gang; it would wait until it is late. Trying one rack after the other and taking the starts back: each try books and frees runs; counting what fits leaves no trace.

Figures: the new test fails without the choice (3 checks) and passes with it.

--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -31,6 +31,27 @@
     return step.max_per_vm == 0 || runs_of_step(vm, task) < step.max_per_vm;
 }
 
+/// Whether the queue's policy, if it has one, lets the VM take tasks just now.
+bool is_allowed(const step_advice* advice, const std::string& incarnation, timestamp now) {
+    return advice == nullptr || advice->ticket(incarnation, now) != nullptr;
+}
+
+/// Tasks of the step that the VM has room for.
+std::uint32_t fitting_tasks(const vm_state& vm, const step_spec& step, const task_id& task) {
+    const resources need = counted_need(step);
+    std::uint32_t most = step.count;
+    if (step.max_per_vm != 0) {
+        most = std::min(most, step.max_per_vm - static_cast<std::uint32_t>(runs_of_step(vm, task)));
+    }
+    std::uint32_t fitting = 0;
+    resources together = need;
+    while (fitting < most && together.fits_in(vm.room())) {
+        together += need;
+        ++fitting;
+    }
+    return fitting;
+}
+
 /// Share of the VM's processor or memory that is taken, whichever is larger.
 double fullness(const vm_state& vm, const resources& need) {
     const resources& all = vm.info().capacity;
@@ -52,21 +73,19 @@
 }
 
 vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
-                    const placement_settings& settings, const step_advice* advice, timestamp now) {
+                    const placement_settings& settings, const step_advice* advice,
+                    const std::string& near_rack, timestamp now) {
     const step_spec& step = job.spec().steps[task.step];
     const resources need = counted_need(step);
     const std::vector<std::string>& failed_on = job.task(task).failed_on;
     vm_state* best = nullptr;
     std::tuple<bool, bool, int, bool, double> best_cost;
     for (auto& [incarnation, vm] : vms) {
-        if (!may_take(vm, step, need, task, settings, now)) {
-            continue;
-        }
-        if (advice != nullptr && advice->ticket(incarnation, now) == nullptr) {
+        if (!may_take(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now)) {
             continue;
         }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
-        const bool far = !step.data_rack.empty() && step.data_rack != vm.info().rack;
+        const bool far = !near_rack.empty() && near_rack != vm.info().rack;
         const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_endless(), -fullness(vm, need)};
         if (best == nullptr || cost < best_cost) {
             best = &vm;
@@ -76,6 +95,28 @@
     return best;
 }
 
+std::string rack_for_gang(const vm_table& vms, const job_state& job, const task_id& task,
+                          const placement_settings& settings, const step_advice* advice, timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    const resources need = counted_need(step);
+    std::map<std::string, std::uint32_t> fitting;
+    for (const auto& [incarnation, vm] : vms) {
+        if (may_take(vm, step, need, task, settings, now) && is_allowed(advice, incarnation, now)) {
+            fitting[vm.info().rack] += fitting_tasks(vm, step, task);
+        }
+    }
+    std::string best;
+    std::tuple<bool, std::uint32_t> best_cost;
+    for (const auto& [rack, tasks] : fitting) {
+        const std::tuple cost{rack != step.data_rack, tasks};
+        if (tasks >= step.count && (best.empty() || cost < best_cost)) {
+            best = rack;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
 std::vector<std::string> vms_worth_asking(const vm_table& vms, const job_state& job, const task_id& task,
                                           const placement_settings& settings, const step_advice& advice,
                                           std::size_t most, timestamp now) {
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -27,9 +27,18 @@
 /// whole VMs stay idle and can follow the demand to other pools; a VM's loss also hits fewer jobs that way.
 /// Returns null when none has room.
 /// `advice`: where the queue's policy allows only some VMs, what is known of them; else null.
+/// `near_rack`: where the task would run faster; empty: anywhere.
 [[nodiscard]] vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
                                   const placement_settings& settings, const step_advice* advice,
-                                  timestamp now);
+                                  const std::string& near_rack, timestamp now);
+
+/// The rack for a gang that would be slowed down by a distance between its members: one with room for the
+/// whole step, if possible that of its data, else the one with least to spare, so that larger gangs still
+/// find theirs. Empty when no single rack has room; the gang is then spread, since late is worth more than
+/// never. `task`: any of the step.
+[[nodiscard]] std::string rack_for_gang(const vm_table& vms, const job_state& job, const task_id& task,
+                                        const placement_settings& settings, const step_advice* advice,
+                                        timestamp now);
 
 /// VMs that could take a task of the step but for the policy, those with most room first; at most `most`.
 [[nodiscard]] std::vector<std::string> vms_worth_asking(const vm_table& vms, const job_state& job,
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -195,7 +195,8 @@
     void place_waiting(timestamp now, std::int64_t wall_ms);
     void measure_waiting(timestamp now);
     void place_step(job_state& job, step_place place, timestamp now);
-    bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now);
+    bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& near_rack,
+                    timestamp now);
     [[nodiscard]] step_advice* advice_for(const job_state& job, step_place place);
     void ask_advice(const job_state& job, step_place place, step_advice& advice, timestamp now);
     void place_gang(job_state& job, step_place place, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -221,15 +221,16 @@
         if (task.done || !task.runs.empty() || (task.unaccounted && !step.speculative)) {
             continue;
         }
-        if (!place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, now)) {
+        if (!place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, step.data_rack, now)) {
             return; // All tasks of a step are alike: where one finds no room, none does.
         }
     }
 }
 
-bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt, timestamp now) {
+bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt,
+                           const std::string& near_rack, timestamp now) {
     const step_advice* advice = advice_for(job, {id.occurrence, id.step});
-    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, advice, now);
+    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, advice, near_rack, now);
     if (vm == nullptr) {
         return false;
     }
@@ -289,11 +290,14 @@
         attempt = std::max(attempt, task.attempts);
         checkpoint = std::max(checkpoint, task.checkpoint);
     }
+    const std::string rack = step.same_rack ? rack_for_gang(m_vms, job, job.id_of(place, 0),
+                                                            m_settings.placement, advice_for(job, place), now)
+                                            : step.data_rack;
     const std::size_t before = m_out.starts.size();
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const task_id id = job.id_of(place, index);
         job.task(id).checkpoint = checkpoint;
-        if (place_task(job, id, attempt + 1, now)) {
+        if (place_task(job, id, attempt + 1, rack, now)) {
             continue;
         }
         while (m_out.starts.size() > before) {
--- a/tests/jobs/pool_bench.hpp
+++ b/tests/jobs/pool_bench.hpp
@@ -41,6 +41,13 @@
         report(name, {});
     }
 
+    void vm_on_rack(const std::string& rack, const std::string& name, std::int64_t cores) {
+        vm_info item = info(name, cores);
+        item.rack = rack;
+        m_scheduler.list_vm(item);
+        report(name, {});
+    }
+
     static step_spec step(std::uint32_t count, std::int64_t cpu = 1000, std::int64_t estimate_ms = 1000) {
         step_spec item;
         item.count = count;
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -245,6 +245,51 @@
     CHECK(b.pool().find_job("j")->phase() == job_phase::completed);
 }
 
+TEST_CASE("a gang that distance slows down starts on one rack where one has room for all of it") {
+    // A user's model takes twice as long as promised. Its members were put on the fullest VMs with room,
+    // which stood on two racks, although one rack had room for them all.
+    struct layout {
+        const char* story;
+        std::int64_t cores_of_b; // Rack a: 2 + 1 cores; rack b: this many on one VM.
+        const char* data_rack;
+        const char* expected; // The rack of all starts.
+    };
+    constexpr layout layouts[] = {
+        {"a fuller VM stands on another rack", 1, "", "a"},
+        {"the rack with least to spare", 8, "", "a"},
+        {"the rack of the data", 8, "b", "b"},
+        {"the data's rack is too small", 2, "b", "a"},
+    };
+    for (const layout& item : layouts) {
+        INFO(item.story);
+        pool_bench b;
+        b.vm_on_rack("a", "v1", 2);
+        b.vm_on_rack("b", "v2", item.cores_of_b);
+        b.vm_on_rack("a", "v3", 1);
+        step_spec gang = pool_bench::step(3);
+        gang.gang = true;
+        gang.same_rack = true;
+        gang.data_rack = item.data_rack;
+        b.job("j", {gang});
+        const auto starts = b.start_all();
+        REQUIRE(starts.size() == 3);
+        for (const start_order& order : starts) {
+            CHECK(b.pool().vms().at(order.vm).info().rack == item.expected);
+        }
+    }
+}
+
+TEST_CASE("a gang that fits on no single rack is spread rather than kept waiting") {
+    pool_bench b;
+    b.vm_on_rack("a", "v1", 2);
+    b.vm_on_rack("b", "v2", 2);
+    step_spec gang = pool_bench::step(3);
+    gang.gang = true;
+    gang.same_rack = true;
+    b.job("j", {gang});
+    CHECK(b.start_all().size() == 3);
+}
+
 TEST_CASE("work is packed, so that whole VMs stay idle") {
     pool_bench b;
     for (const char* name : {"v1", "v2", "v3", "v4"}) {
