A later life that answers ends the wait for an earlier one

Four VMs of its record had crashed at 38.2 s, while the store was away. It could not connect to them; the list of machines showed their machines up and in the pool, under later lives. Tasks that it had not found yet waited for the longest lease of the earlier owner to run out.

Change: when a VM answers the new owner, VMs of the earlier owner's record that are earlier lives of the same machine are known to have ended. A machine holds one life at a time, and the record is older than the answer.

Ruled out: that a later life is listed. An ended life's last heartbeat can bring its entry back, so only an answer counts; the test checks that, too. A refused connection: a cut-off zone may refuse as well.

The new test fails without the change (2 checks).

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -179,6 +179,7 @@
     void settle_missing(vm_state& vm, const vm_report& report, timestamp now);
     void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                   timestamp now);
+    void forget_earlier_lives(const vm_info& alive, timestamp now);
     void drop_runs_of(vm_state& vm, const char* why, timestamp now);
     void stop_run(const task_id& id, run& item, timestamp now);
     void stop_all(job_state& job, timestamp now);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -82,9 +82,30 @@
         settle_missing(vm, report, now);
     }
     m_unheard.erase(name);
+    forget_earlier_lives(vm.info(), now);
     pace(vm);
 }
 
+/// A machine holds one life of a VM at a time. A VM of the earlier owner's record was alive before this owner
+/// began, so a later life of its machine that answers this owner shows that it has ended. Answers VMs that
+/// crash while nobody can take over, such as in an outage of the store: the new owner can't reach them, they
+/// still stand in its pool, and all tasks that it had not found yet waited for the longest lease to run out.
+/// That a later life is registered isn't enough: the last heartbeat of an ended one can bring its entry back.
+void scheduler::forget_earlier_lives(const vm_info& alive, timestamp now) {
+    std::vector<std::string> ended;
+    for (const std::string& name : m_unheard) {
+        const auto found = m_vms.find(name);
+        if (found != m_vms.end() && found->second.info().machine == alive.machine &&
+            name != alive.incarnation) {
+            ended.push_back(name);
+        }
+    }
+    for (const std::string& name : ended) {
+        note("earlier-life-ended", name, nullptr, 0);
+        vm_gone(name, now);
+    }
+}
+
 void scheduler::start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
                                timestamp now) {
     const auto job = m_jobs.find(order.task.job);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -74,6 +74,24 @@
     CHECK(b.decide().starts.size() == 1);
 }
 
+TEST_CASE("tasks don't wait for a VM whose machine answers as a later one") {
+    // Reports start twelve seconds late and a second pool starves. VMs crashed while the store was away; the
+    // new owner could not connect to them, and no list of machines showed them gone: their machines were up
+    // and still in the pool, under later lives that answered.
+    pool_bench b(1);
+    b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
+    b.pool().expect_vm(b.info("crashed"));
+    b.pool().vm_unreachable("crashed");
+    vm_info later = b.info("later");
+    later.machine = b.info("crashed").machine;
+    b.pool().list_vm(later);
+    b.vm("other");
+    CHECK(b.decide().starts.empty()); // Listed alone proves nothing.
+    b.report("later", {});
+    CHECK(b.decide().starts.size() == 1);
+    CHECK(!b.pool().vms().contains("crashed"));
+}
+
 TEST_CASE("a VM that is silent loses its runs when its lease has run out, and no sooner") {
     // A user's overnight run stands still for the rest of the night. Its VM went dark; the owner repeated the
     // renewal, booked a new deadline with each try, and so never saw the lease run out.
