Peers' word of a newer configuration begins one reading, not one an answer

Nodes on fast links have it earlier and name its version in each answer to a peer; each answer began a whole reading anew, and the transfers that were given up for it went on and filled the link.

Change: a named version is waited for (0.7 s) before it is read anew; a listing that has just begun serves a second asker; a watch that is given up is ended on the wire.

Ruled out: processor time (0.07 cores at most); the store's own link; the operator (acks every 1.4 s, seen within 10 ms on nodes with 200 Mbit/s); versions that pile up in one watch (no more than three).

--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -2,6 +2,8 @@
 
 #include "telemetry/telemetry.hpp"
 
+#include <algorithm>
+
 namespace siskinpaddle::node {
 
 namespace {
@@ -9,19 +11,38 @@
 /// A version must be in force within two seconds; a watch whose connection went silent must be noticed well
 /// within that.
 constexpr milliseconds watch_wait = 1s;
+/// How long our own watch has to bring a version that a peer has named already. Guards against links that are
+/// filled with readings of the same configuration: nodes on fast links have it, and say so in each answer,
+/// before the transfer to a slow node is through (400 KB take 0.32 s at 10 Mbit/s). Above twice that; with
+/// the reading that follows still within the two seconds in which a version must be in force.
+constexpr milliseconds heard_patience = 700ms;
 
 } // namespace
 
 configuration_task::configuration_task(event_loop& loop, platform::store_client& store,
                                        std::function<void()> on_change)
-    : m_on_change(std::move(on_change)),
+    : m_on_change(std::move(on_change)), m_behind_timer(loop.make_timer([this] { read_if_behind(); })),
       m_watch(loop, store, std::string(platform::operator_prefix), watch_wait,
               [this](const platform::store_item& item) { take(item); }) {}
 
 void configuration_task::heard_of(std::int64_t version) {
-    if (known() && version > m_current.version) {
-        m_watch.refresh();
+    m_heard_version = std::max(m_heard_version, version);
+    if (!known() || version <= m_current.version || m_behind) {
+        return;
+    }
+    m_behind = true;
+    m_behind_timer->start(heard_patience);
+}
+
+void configuration_task::read_if_behind() {
+    m_behind = false;
+    if (m_heard_version <= m_current.version) {
+        return;
     }
+    log_event(
+        event_id::fleet_config_behind,
+        {{"version", m_current.version}, {"heard_of", m_heard_version}, {"watched_at", m_watch.revision()}});
+    m_watch.refresh();
 }
 
 void configuration_task::take(const platform::store_item& item) {
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -16,7 +16,8 @@
     void start() { m_watch.start(); }
     /// Reads anew at once.
     void refresh() { m_watch.refresh(); }
-    /// A peer has this version in force; reads anew if it is newer than ours.
+    /// A peer has this version in force; reads anew if it is newer than ours and our own watch does not bring
+    /// it within a while.
     void heard_of(std::int64_t version);
 
     [[nodiscard]] const jobs::fleet_configuration& current() const noexcept { return m_current; }
@@ -27,8 +28,12 @@
 
   private:
     void take(const platform::store_item& item);
+    void read_if_behind();
 
     std::function<void()> m_on_change;
+    std::unique_ptr<timer> m_behind_timer;
+    std::int64_t m_heard_version = 0; ///< Newest that a peer has named.
+    bool m_behind = false;            ///< A peer has named a newer version; the timer runs.
     jobs::fleet_configuration m_current;
     std::map<std::int64_t, platform::upkeep_wave> m_waves;
     watch_task m_watch;
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -1,5 +1,7 @@
 #include "node/watch_task.hpp"
 
+#include "telemetry/telemetry.hpp"
+
 #include <algorithm>
 
 namespace siskinpaddle::node {
@@ -10,6 +12,9 @@
 /// and doubled up to a bound, since the store counts each call.
 constexpr milliseconds first_pause = 50ms;
 constexpr milliseconds longest_pause = 400ms;
+/// A listing that has run for this long may hang on a connection that went silent: another one is begun
+/// beside it. Three times what 400 KB take at 10 Mbit/s.
+constexpr milliseconds listing_patience = 1s;
 
 } // namespace
 
@@ -28,12 +33,41 @@
     refresh();
 }
 
+/// What is given up is given up on the wire, too: large values that nobody waits for any more would fill a
+/// slow link and make the next reading late as well.
 void watch_task::refresh() {
+    const timestamp now = event_loop::now();
+    if (m_listing_now && now - m_listing_begun_at < listing_patience) {
+        return;
+    }
+    m_listing_now = true;
+    m_listing_begun_at = now;
+    if (m_waiting_watch) {
+        m_store.abandon_watch(*std::exchange(m_waiting_watch, std::nullopt));
+    }
     ++m_round;
     list({}, m_round);
 }
 
-void watch_task::again(std::function<void()> action) {
+void watch_task::succeeded() {
+    if (m_failing_since != timestamp(0)) {
+        log_event(event_id::watch_resumed, {{"prefix", m_prefix},
+                                            {"after_ms", (event_loop::now() - m_failing_since).count()},
+                                            {"failures", m_failures},
+                                            {"revision", m_revision}});
+    }
+    m_failures = 0;
+    m_failing_since = timestamp(0);
+}
+
+void watch_task::again(platform::store_status status, std::function<void()> action) {
+    if (m_failures == 0) {
+        m_failing_since = event_loop::now();
+        log_event(event_id::watch_failing, {{"prefix", m_prefix},
+                                            {"outcome", platform::name_of(status)},
+                                            {"revision", m_revision},
+                                            {"listing", static_cast<int>(m_listing_now)}});
+    }
     const milliseconds pause = std::min(longest_pause, first_pause * (1 << std::min(m_failures, 5)));
     ++m_failures;
     later(pause, std::move(action));
@@ -62,10 +96,10 @@
         return;
     }
     if (answer.status != platform::store_status::ok) {
-        again([this, round] { list({}, round); });
+        again(answer.status, [this, round] { list({}, round); });
         return;
     }
-    m_failures = 0;
+    succeeded();
     if (m_listing_revision == 0) {
         // Pages are no snapshot: what changes while they are read shows in a watch from the first one.
         m_listing_revision = answer.revision;
@@ -84,6 +118,7 @@
 }
 
 void watch_task::finish_listing() {
+    m_listing_now = false;
     std::vector<platform::store_item> removed;
     for (const auto& [key, item] : m_items) {
         if (!m_listing.contains(key) && item.revision <= m_listing_revision) {
@@ -123,27 +158,31 @@
 }
 
 void watch_task::watch(std::uint64_t round) {
-    m_store.watch(m_prefix, m_revision, m_wait,
-                  [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
-                      if (!alive.expired()) {
-                          take_events(answer, round);
-                      }
-                  });
+    m_waiting_watch =
+        m_store.watch(m_prefix, m_revision, m_wait,
+                      [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
+                          if (!alive.expired()) {
+                              take_events(answer, round);
+                          }
+                      });
 }
 
 void watch_task::take_events(const platform::store_answer& answer, std::uint64_t round) {
     if (!m_running || round != m_round) {
         return;
     }
+    m_waiting_watch.reset();
     if (answer.status == platform::store_status::compacted) {
+        m_listing_now = true;
+        m_listing_begun_at = event_loop::now();
         list({}, round);
         return;
     }
     if (answer.status != platform::store_status::ok) {
-        again([this, round] { watch(round); });
+        again(answer.status, [this, round] { watch(round); });
         return;
     }
-    m_failures = 0;
+    succeeded();
     for (const platform::store_item& item : answer.items) {
         apply(item);
     }
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace siskinpaddle::node {
@@ -34,7 +35,8 @@
         return m_items;
     }
 
-    /// Lists anew at once, e.g. because a peer knows of something newer.
+    /// Lists anew at once, e.g. because a peer knows of something newer. A listing that has just begun serves
+    /// for this one too.
     void refresh();
 
   private:
@@ -44,7 +46,8 @@
     void watch(std::uint64_t round);
     void take_events(const platform::store_answer& answer, std::uint64_t round);
     void apply(const platform::store_item& item);
-    void again(std::function<void()> action);
+    void again(platform::store_status status, std::function<void()> action);
+    void succeeded();
     void later(milliseconds pause, std::function<void()> action);
 
     event_loop& m_loop;
@@ -61,6 +64,10 @@
     std::uint64_t m_round = 0; ///< Answers to calls of an earlier round are ignored.
     bool m_running = false;
     int m_failures = 0;
+    timestamp m_failing_since{0};
+    bool m_listing_now = false;
+    timestamp m_listing_begun_at{0};
+    std::optional<std::uint64_t> m_waiting_watch; ///< The call that waits for a change.
     std::unique_ptr<timer> m_retry;
     std::function<void()> m_retry_action;
     lifetime m_lifetime;
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -50,6 +50,11 @@
     request->reply(code, headers, boost::json::serialize(body));
 }
 
+std::size_t platform_store::calls(const std::string& path) const {
+    const auto found = m_calls.find(path);
+    return found == m_calls.end() ? 0 : found->second;
+}
+
 void platform_store::set_silent(bool silent) {
     m_silent = silent;
     if (!silent) {
@@ -59,6 +64,7 @@
 
 void platform_store::take(const request_handle& request) {
     const std::string path(path_of_target(request->target()));
+    ++m_calls[path];
     if (m_silent) {
         m_unanswered.push_back(request);
     } else if (m_busy) {
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -25,6 +25,9 @@
     [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
     [[nodiscard]] std::size_t count(const std::string& prefix) const;
 
+    /// Calls that have come so far for `path`, answered or not.
+    [[nodiscard]] std::size_t calls(const std::string& path) const;
+
     /// Answers nothing and does nothing.
     void set_silent(bool silent);
     /// Refuses every call with 503.
@@ -76,6 +79,7 @@
     std::vector<event> m_events;
     std::list<waiting_watch> m_watches;
     std::vector<request_handle> m_unanswered;
+    std::map<std::string, std::size_t> m_calls;                          ///< By path.
     std::map<std::int64_t, std::pair<timestamp, milliseconds>> m_leases; ///< Until when, and for how long.
     std::int64_t m_revision = 0;
     std::int64_t m_compacted = 0;
