Carry a rising rate of work on to when machines come

Cause: a turn rises evenly from nothing to 160 jobs a second in four seconds; machines take two seconds from the order to the first task, and were asked for by the rate of the last 1.5 s. Pools were half equipped until the turn's height.

Change: the rise between two spans of a second, beyond 1.5 standard deviations, is carried 2.4 s on, to three times the present rate at most.

The new test fails without it: 0.3 of what is needed two seconds ahead.

--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -22,6 +22,17 @@
 constexpr milliseconds arrival_window = 1500ms;
 /// Fewer jobs than this in the window say nothing about a rate.
 constexpr std::size_t least_arrivals = 3;
+/// The rise of the rate is read from two spans of this length: long enough to hold dozens of jobs at the
+/// rates that need many machines, short against the four seconds in which a turn rises.
+constexpr milliseconds trend_span = 1000ms;
+/// How far ahead the rate is carried on: half a span back to its middle, a round of the owner of machines,
+/// and the 1.8 s from the order to a VM's first task.
+constexpr double trend_reach_s = 2.4;
+/// A rise counts beyond this many standard deviations of what independent arrivals differ by; at one, a level
+/// rate would be taken for a rise in one of six readings, and ask for machines each time.
+constexpr double trend_doubt = 1.5;
+/// A rate is carried on to this many times itself at most.
+constexpr double largest_rise = 3;
 /// Until a machine that is asked for now takes work, and what is left of that on average for one on its way.
 constexpr milliseconds lending_time = 2000ms;
 constexpr milliseconds arriving_time = 1000ms;
@@ -66,15 +77,32 @@
     m_arrivals[job] = {work, now};
 }
 
+/// The rate of arriving work by the time at which machines that are asked for now take work.
+double demand_meter::rate_ahead(timestamp now) const {
+    double recent = 0;
+    double earlier = 0;
+    double variance = 0;
+    for (const auto& [job, item] : m_arrivals) {
+        const auto work = static_cast<double>(item.work);
+        (now - item.at <= trend_span ? recent : earlier) += work;
+        variance += work * work;
+    }
+    const double span_ms = static_cast<double>(trend_span.count());
+    const double rise = std::max(0.0, recent - earlier - trend_doubt * std::sqrt(variance));
+    const double ahead = recent + rise * trend_reach_s * 1000 / span_ms;
+    return std::min(ahead, largest_rise * recent) / span_ms;
+}
+
 void demand_meter::update(std::int64_t wanted, std::int64_t endless, timestamp now) {
-    std::erase_if(m_arrivals, [&](const auto& item) { return now - item.second.at > arrival_window; });
+    std::erase_if(m_arrivals, [&](const auto& item) { return now - item.second.at > 2 * trend_span; });
     double rate = 0;
     for (const auto& [job, item] : m_arrivals) {
-        rate += static_cast<double>(item.work) / static_cast<double>(arrival_window.count());
+        const bool counts = now - item.at <= arrival_window;
+        rate += counts ? static_cast<double>(item.work) / static_cast<double>(arrival_window.count()) : 0;
     }
     m_present = static_cast<double>(wanted);
     if (m_arrivals.size() >= least_arrivals) {
-        m_present = std::max(m_present, rate + static_cast<double>(endless));
+        m_present = std::max(m_present, std::max(rate, rate_ahead(now)) + static_cast<double>(endless));
     }
     const double passed = static_cast<double>((now - m_updated_at).count());
     m_kept = std::max(m_present, m_present + (m_kept - m_present) * std::exp(-passed / need_decay_ms));
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -49,7 +49,8 @@
 /// Follows the capacity that a pool needs: at once upwards, slowly downwards, so that the gaps between two
 /// bursts don't send machines away that are needed again a second later. Upwards it goes by the rate at which
 /// work arrives: machines take two seconds to come, and by the time that the queue shows what a new turn of
-/// demand needs, its first callers are late.
+/// demand needs, its first callers are late. A rate that rises is carried on to when the machines come: a
+/// turn that rises evenly over four seconds is half over by then.
 class demand_meter {
   public:
     /// A job was handed in, accepted or turned away; `work` in millicore-milliseconds.
@@ -68,6 +69,8 @@
         timestamp at{0};
     };
 
+    [[nodiscard]] double rate_ahead(timestamp now) const;
+
     std::map<std::string, arrival> m_arrivals; ///< By job: a client's retries count once.
     double m_present = 0;
     double m_kept = 0;
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -121,3 +121,28 @@
     CHECK(late <= in_time / 3);
     CHECK(accepted.empty());
 }
+
+TEST_CASE("a turn that rises over seconds has its machines asked for ahead") {
+    // Quotes of the first seconds of each turn were late: the rate rises from nothing to 160 jobs a second in
+    // four seconds, machines take two to come, and what was asked for was the rate of the last 1.5 s.
+    demand_meter meter;
+    int number = 0;
+    timestamp now(10'000);
+    std::map<int, double> need; // By tenth of a second, in cores.
+    const auto rate_at = [](int tenth) { return std::clamp(4.0 * (tenth - 10), 2.0, 160.0); };
+    double due = 0;
+    for (int tenth = 0; tenth < 100; ++tenth) {
+        due += rate_at(tenth) / 10;
+        for (; due >= 1; due -= 1) {
+            meter.arrived("j" + std::to_string(number++), 30'000'000, now); // Thirty core-seconds.
+        }
+        now += 100ms;
+        meter.update(0, 0, now);
+        need[tenth] = static_cast<double>(meter.present()) / 1000;
+    }
+    // Two seconds ahead: with the plain rate 0.3 of it at 30 tenths.
+    CHECK(need[30] >= 0.75 * 30 * rate_at(50));
+    CHECK(need[30] <= 1.3 * 30 * rate_at(50));
+    CHECK(need[9] <= 1.5 * 30 * rate_at(9)); // Level before the turn,
+    CHECK(need[90] <= 1.1 * 30 * 160);       // and at its height.
+}
--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -75,7 +75,8 @@
         }
         b.report("v1", {}, ended);
     }
-    for (int i = 0; i < 30; ++i) { // Twenty jobs of eight core-seconds a second, as declared.
+    for (int i = 0; i < 60;
+         ++i) { // For three seconds, twenty jobs of eight core-seconds a second, as declared.
         b.pool().job_arrived(pool_bench::record("n" + std::to_string(i), {pool_bench::step(8)}).spec,
                              b.now());
         b.pass(50ms);
