A pool asks for all the VMs that its long-running tasks need, at once

Cause: tasks of a long-running step may be bound to distinct VMs. Their pool's demand counted room by work, of which they have none; VMs came one at a time, each after the one before.

Ruled out: refused starts (none), VMs that were gone, the order in which the wave empties VMs.

--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -79,7 +79,7 @@
     }
     const auto hosts = static_cast<std::size_t>(
         std::ranges::count_if(demand.vms, [](const vm_load& vm) { return vm.usable && vm.endless; }));
-    account.least = std::max(settings.least_vms, hosts);
+    account.least = std::max({settings.least_vms, hosts, static_cast<std::size_t>(demand.least_vms)});
     account.wanted = std::max(account.least, vms_for(demand.need_millicores, each, settings));
     account.keep = std::max(account.wanted, vms_for(demand.keep_millicores, each, settings));
     return account;
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -29,11 +29,13 @@
     std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives now.
     std::int64_t keep_millicores =
         0; ///< The same, falling only slowly: what is worth keeping for what may come.
+    /// VMs that its long-running tasks need at least: few of a step may share one, however small they are.
+    std::uint64_t least_vms = 0;
     std::vector<vm_load> vms;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(need_millicores, keep_millicores, vms);
+        archive(need_millicores, keep_millicores, least_vms, vms);
     }
 };
 
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -9,6 +9,20 @@
 /// Queues that the configuration no longer names keep their jobs; these get the mildest terms.
 const queue_settings unknown_queue{};
 
+/// Tasks of the step that could start now, were there room for them. Those that an earlier owner may have
+/// started are not among them.
+std::uint64_t waiting_tasks(const job_state& job, step_place place) {
+    if (job.idle(place) == 0 || !job.unlocked(place)) {
+        return 0;
+    }
+    std::uint64_t count = 0;
+    for (std::uint32_t index = 0; index < job.spec().steps[place.step].count; ++index) {
+        const task_state& task = job.task(job.id_of(place, index));
+        count += !task.done && task.runs.empty() && !task.unaccounted ? 1 : 0;
+    }
+    return count;
+}
+
 } // namespace
 
 scheduler::scheduler(scheduler_settings settings, std::uint32_t epoch, timestamp now)
@@ -69,6 +83,7 @@
     m_demand.update(present.wanted_millicores(), present.endless_millicores, now);
     result.need_millicores = m_demand.present();
     result.keep_millicores = m_demand.kept();
+    result.least_vms = vms_for_endless();
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
         item.vm = name;
@@ -82,6 +97,31 @@
     return result;
 }
 
+/// VMs that would let all long-running tasks run that wait now: those there, and as many more as the step
+/// needs that is short of most. Counted by VMs, not by room: a step of 25 tasks of which two may share a VM
+/// needs 13. Counted by room its pool asked for one VM at a time, each after the one before had come, and a
+/// job that was accepted 7 s before the traffic had its last task started 41 s into it. Meanwhile no upkeep
+/// could move one of its tasks, since those that had never started used its disruption budget up.
+std::uint64_t scheduler::vms_for_endless() const {
+    const auto each = static_cast<std::uint64_t>(std::max<std::int64_t>(1, m_gauge.vm().cpu_millicores));
+    std::uint64_t missing = 0;
+    std::uint64_t room = 0;
+    for (const auto& [id, job] : m_jobs) {
+        if (is_final(job.phase()) || job.idle_total() == 0 || !job.spec().endless()) {
+            continue;
+        }
+        job.each_step([&](step_place place) {
+            const step_spec& step = job.spec().steps[place.step];
+            const std::uint64_t tasks = waiting_tasks(job, place);
+            const std::uint64_t most = step.max_per_vm == 0 ? tasks : step.max_per_vm;
+            missing = std::max(missing, tasks == 0 ? 0 : (tasks + most - 1) / most);
+            room += tasks * static_cast<std::uint64_t>(m_gauge.millicores(counted_need(step)));
+        });
+    }
+    missing = std::max(missing, (room + each - 1) / each);
+    return missing == 0 ? 0 : load().usable_vms + missing;
+}
+
 void scheduler::job_arrived(const job_spec& spec, timestamp now) {
     if (!spec.endless() && !spec.timed) {
         m_demand.arrived(spec.id, whole_work(spec, m_gauge), now);
--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -85,3 +85,42 @@
     CHECK(need > 280'000);
     CHECK(need < 340'000);
 }
+
+TEST_CASE("a pool asks for all the VMs that its long-running tasks need, at once") {
+    // A night's sweep of 25 tasks is accepted and half of it still does not run twenty seconds later, beside
+    // two hundred spare machines; an upkeep waits for it in vain. Two tasks at most may share a VM, and a
+    // pool of two asked for one more VM at a time.
+    pool_bench b;
+    b.vm("v1");
+    b.vm("v2");
+    struct sweep_case {
+        const char* what = "";
+        std::uint32_t tasks = 0;
+        std::uint32_t per_vm = 0;
+        std::int64_t memory_mb = 0;
+        std::uint64_t least_vms = 0;
+    };
+    int number = 0;
+    std::map<std::string, std::int64_t> sequences;
+    for (const sweep_case& item :
+         {sweep_case{"all fit", 4, 2, 100, 0}, sweep_case{"spread", 25, 2, 100, 13},
+          sweep_case{"spread, one each", 10, 1, 100, 10}, sweep_case{"room", 24, 0, 16'384, 6}}) {
+        INFO(item.what);
+        step_spec step = pool_bench::step(item.tasks, 100, 0);
+        step.endless = true;
+        step.max_per_vm = item.per_vm;
+        step.need.memory_mb = item.memory_mb;
+        const std::string id = "s" + std::to_string(number++);
+        b.job(id, {step});
+        const std::vector<start_order> starts = b.start_all();
+        CHECK(b.pool().demand(b.now()).least_vms == item.least_vms);
+        b.pool().cancel(id, b.now());
+        std::map<std::string, std::vector<end_report>> ended;
+        for (const start_order& order : starts) {
+            ended[order.vm].push_back(pool_bench::end(++sequences[order.vm], order, run_end::stopped));
+        }
+        for (const auto& [vm, ends] : ended) {
+            b.report(vm, {}, ends);
+        }
+    }
+}
