Waves take as many machines at a time as their end asks for; machines on the move don't hold them up

Change: a pace by the time that is left, with a reserve; hosts of long-running tasks are emptied first; only machines in upkeep count against the bound.

Ruled out: the rate of orders, failing lists of machines, the disruption budgets (for these gaps).

--- a/jobs/upkeep.hpp
+++ b/jobs/upkeep.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,11 +15,13 @@
 struct upkeep_machine {
     std::string machine;
     std::string pool;
-    std::string vm;        ///< Incarnation that it runs; empty while it runs none.
-    bool up = true;        ///< It runs, and is not being moved or kept up.
-    bool idle = false;     ///< Nothing runs there, and its pool's owner keeps it so.
-    bool quiet = false;    ///< Nothing runs there just now.
-    bool clearing = false; ///< Its pool's owner is emptying it already.
+    std::string vm;         ///< Incarnation that it runs; empty while it runs none.
+    bool up = true;         ///< It runs, and is not being moved or kept up.
+    bool in_upkeep = false; ///< It is down for an upkeep, or may be by an earlier owner's order.
+    bool idle = false;      ///< Nothing runs there, and its pool's owner keeps it so.
+    bool quiet = false;     ///< Nothing runs there just now.
+    bool clearing = false;  ///< Its pool's owner is emptying it already.
+    bool endless = false;   ///< It runs tasks that don't end by themselves.
 };
 
 /// An upkeep that was ordered and is not known to be over.
@@ -33,6 +36,8 @@
     std::int64_t number = 0;
     std::vector<std::string> machines;
     std::size_t at_once = 1;
+    /// When all should be done; nothing if the wave was begun by an earlier owner.
+    std::optional<timestamp> due_at;
     std::set<std::string> confirmed; ///< The platform has answered that their upkeep is carried out.
     std::map<std::string, pending_upkeep> waiting; ///< Ordered, and not known to be back.
 };
@@ -48,6 +53,13 @@
 /// and no more of the pool's room is given up than that.
 inline constexpr std::size_t clear_ahead = 1;
 
+/// How many machines of the wave may be down or on the way there, so that it ends in time with a reserve.
+/// Answers waves that come in a turn of demand: with all that the operator allows taken at once, a fifth of
+/// the fleet is missing for the turn's first seconds, and idle for the rest of the wave's time. A wave whose
+/// begin is not known goes at the operator's bound.
+[[nodiscard]] std::size_t wave_pace(const wave_state& wave, std::size_t left, milliseconds upkeep_time,
+                                    timestamp now);
+
 /// Plans a wave's next step. An order without an answer is given again, which the platform takes for the same
 /// one; only confirmed ones count for the wave's end. Never more than `at_once` machines are down for it,
 /// counting every machine whose order may have been carried out; machines that are idle go first, since they
--- a/node/fleet_upkeep.cpp
+++ b/node/fleet_upkeep.cpp
@@ -10,11 +10,15 @@
 std::map<std::string, jobs::upkeep_machine> fleet_task::upkeep_view() const {
     std::map<std::string, jobs::upkeep_machine> view;
     std::set<std::string> quiet;
+    std::set<std::string> endless;
     for (const auto& [pool, demand] : m_demands) {
         for (const jobs::vm_load& vm : demand.vms) {
             if (vm.idle) {
                 quiet.insert(vm.vm);
             }
+            if (vm.endless) {
+                endless.insert(vm.vm);
+            }
         }
     }
     for (const auto& [name, info] : m_machines) {
@@ -24,9 +28,11 @@
         item.vm = info.incarnation;
         item.up =
             info.phase == platform::machine_phase::up && !m_moves.contains(name) && !m_recent.contains(name);
+        item.in_upkeep = info.phase == platform::machine_phase::upkeep || m_recent.contains(name);
         const bool off = info.pool == spare_pool();
         item.idle = off || m_empty_vms.contains(info.incarnation);
         item.quiet = off || quiet.contains(info.incarnation);
+        item.endless = endless.contains(info.incarnation);
         item.clearing = m_asked_empty.contains(info.incarnation);
         view[name] = std::move(item);
     }
@@ -78,7 +84,11 @@
     wave& item = m_waves[number];
     item.reading = false;
     if (answer.status == platform::store_status::absent) {
-        item.loaded = true;
+        item.loaded = true; // Nobody has begun it.
+        const auto wanted = m_parts.configuration.waves().find(number);
+        if (wanted != m_parts.configuration.waves().end()) {
+            item.state.due_at = event_loop::now() + wanted->second.duration;
+        }
     } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
         item.loaded = true;
         if (const auto confirmed = decode_archive<std::set<std::string>>(answer.items.front().value)) {
--- a/tests/jobs/upkeep_test.cpp
+++ b/tests/jobs/upkeep_test.cpp
@@ -16,7 +16,7 @@
     explicit wave_bench(std::size_t at_once) { wave.at_once = at_once; }
 
     void machine(const std::string& name, bool idle, const std::string& vm) {
-        machines[name] = {name, "p", vm, true, idle, idle, false};
+        machines[name] = {name, "p", vm, true, false, idle, idle, false, false};
         wave.machines.push_back(name);
     }
 
@@ -79,9 +79,11 @@
     wave_bench b(1);
     b.machine("down", false, "");
     b.machines["down"].up = false;
+    b.machines["down"].in_upkeep = true;
     b.machine("m", true, "v");
     CHECK(b.step().order.empty());
     b.machines["down"].up = true;
+    b.machines["down"].in_upkeep = false;
     CHECK(b.step().order == std::vector<std::string>{"m"});
 }
 
@@ -105,3 +107,50 @@
     const wave_step step = b.step();
     CHECK(std::ranges::find(step.clear, "busy") != step.clear.end());
 }
+
+TEST_CASE("a wave takes no more machines at a time than its end asks for") {
+    // In a turn's first seconds callers are turned away: a wave of 190 machines may take 79 at once, takes
+    // them, and is through in a third of its time.
+    struct pace_case {
+        const char* what = "";
+        std::optional<milliseconds> due_in;
+        std::size_t left = 0;
+        std::size_t pace = 0;
+    };
+    for (const pace_case& item :
+         {pace_case{"at its begin", 27s, 190, 29}, pace_case{"a few are left", 17s, 3, 1},
+          pace_case{"it is behind", 10s, 190, 79}, pace_case{"it is late", 2s, 5, 79},
+          pace_case{"its begin is not known", std::nullopt, 190, 79}}) {
+        INFO(item.what);
+        wave_state wave;
+        wave.at_once = 79;
+        if (item.due_in) {
+            wave.due_at = timestamp(50'000) + *item.due_in;
+        }
+        CHECK(wave_pace(wave, item.left, 2s, timestamp(50'000)) == item.pace);
+    }
+}
+
+TEST_CASE("machines with long-running tasks are emptied before those that are only busy") {
+    // A wave ends late by its last machine: its tasks leave one by one under their disruption budget, and it
+    // was begun last.
+    wave_bench b(1);
+    b.machine("busy", false, "v1");
+    b.machine("also-busy", false, "v2");
+    b.machine("host", false, "v3");
+    b.machines["host"].endless = true;
+    CHECK(b.step().clear.front() == "host");
+}
+
+TEST_CASE("machines that are moved or have crashed don't hold a wave up") {
+    // A wave stands still for five seconds and ends late. A turn of demand ends, its machines go back to the
+    // spare pool, and each that was on its way counted as one that is down for its upkeep.
+    wave_bench b(2);
+    for (const char* name : {"moved", "crashed"}) {
+        b.machine(name, false, "");
+        b.machines[name].up = false;
+    }
+    b.machine("m1", true, "v1");
+    b.machine("m2", true, "v2");
+    CHECK(b.step().order == std::vector<std::string>{"m1", "m2"});
+}
