VMs leave the record before their machines are ordered away, and when they are silent past their lease

Cause: a new owner waits for every VM of the record that its predecessor left. Machines leave a pool by the dozen when a turn ends; the record named their VMs until the platform had taken them off its list.

Change: a VM that is kept empty leaves the record before its machine may be ordered away; a silent one leaves it when its lease has run out, and comes back when it answers (jobs/vm_record). A write of the record holds only against the record as its owner knows it, so that one that is carried out late can't bring an older record back.

--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -13,14 +13,15 @@
 /// One VM as its pool's owner sees it.
 struct vm_load {
     std::string vm;
-    bool usable = false;  ///< It takes work.
-    bool idle = false;    ///< Nothing runs there, or may yet start, and what ended there is stored.
-    bool endless = false; ///< It has runs that don't end by themselves.
+    bool usable = false;   ///< It takes work.
+    bool idle = false;     ///< Nothing runs there, or may yet start, and what ended there is stored.
+    bool released = false; ///< It is kept empty, and a new owner would not wait for it.
+    bool endless = false;  ///< It has runs that don't end by themselves.
     std::int64_t used_millicores = 0;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(vm, usable, idle, endless, used_millicores);
+        archive(vm, usable, idle, released, endless, used_millicores);
     }
 };
 
--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -14,5 +14,6 @@
 #include "jobs/scheduler.hpp"
 #include "jobs/upkeep.hpp"
 #include "jobs/vm.hpp"
+#include "jobs/vm_record.hpp"
 #include "jobs/vm_state.hpp"
 #include "jobs/work_gauge.hpp"
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -14,8 +14,9 @@
 constexpr milliseconds round_interval = 160ms;
 /// A round goes on without the owners that have not answered by then.
 constexpr milliseconds answers_bound = 150ms;
-/// A VM that was asked for is ordered away in a round of its own, right after its owner could answer.
-constexpr milliseconds at_once = 10ms;
+/// A VM that was asked for is ordered away in a round of its own, right after its owner could take it out of
+/// its record: one write to the store, 6 ms.
+constexpr milliseconds at_once = 15ms;
 /// An order that has shown no effect for this long beyond the move's own time is forgotten; the list tells
 /// where the machine is.
 constexpr milliseconds move_patience = 2500ms;
@@ -107,7 +108,7 @@
     }
     m_demands[pool] = answer.demand;
     for (const jobs::vm_load& vm : answer.demand.vms) {
-        if (vm.idle && kept_empty.contains(vm.vm)) {
+        if (vm.idle && vm.released && kept_empty.contains(vm.vm)) {
             m_empty_vms.insert(vm.vm);
         }
     }
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -82,6 +82,9 @@
         }
         link->second.failures = 0;
         m_scheduler.take_report(vm, *answer.report, now);
+        if (!m_cleared_vms.contains(vm) && !may_be_recorded(vm)) {
+            m_record_timer->start(0ms); // It had been silent and left the record.
+        }
         decide_soon();
         renew(vm);
         return;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -215,23 +215,36 @@
     });
 }
 
-void pool_task::fleet_look(const peer_request& request, const reply& done) {
-    const std::set<std::string> wanted(request.vms.begin(), request.vms.end());
-    for (const std::string& vm : m_cleared_vms) {
-        if (!wanted.contains(vm)) {
+/// VMs that no longer need to be empty take work again, those that have left the record once it names them.
+void pool_task::use_again(const std::set<std::string>& vms) {
+    for (const std::string& vm : vms) {
+        if (m_cleared_vms.contains(vm)) {
+            continue;
+        }
+        if (is_recorded(vm)) {
             m_scheduler.cordon(vm, false);
+        } else {
+            m_record_timer->start(0ms);
         }
     }
+}
+
+void pool_task::fleet_look(const peer_request& request, const reply& done) {
+    const std::set<std::string> wanted(request.vms.begin(), request.vms.end());
+    const bool changed = wanted != m_cleared_vms;
+    const std::set<std::string> before = std::exchange(m_cleared_vms, wanted);
     for (const std::string& vm : wanted) {
         m_scheduler.cordon(vm, true);
     }
-    const bool changed = wanted != m_cleared_vms;
-    m_cleared_vms = wanted;
+    use_again(before);
     m_cleared_at = event_loop::now();
     m_scheduler.expect_vms(request.arriving);
     m_directory.expect_changes(request.arriving > 0);
     peer_answer answer = answer_of(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
+    for (jobs::vm_load& vm : answer.demand.vms) {
+        vm.released = wanted.contains(vm.vm) && !may_be_recorded(vm.vm);
+    }
     if (changed) {
         decide_soon();
     }
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -157,10 +157,7 @@
     }
     m_forgot_at = now;
     if (!m_cleared_vms.empty() && now - m_cleared_at > cleared_bound) {
-        for (const std::string& vm : m_cleared_vms) {
-            m_scheduler.cordon(vm, false);
-        }
-        m_cleared_vms.clear();
+        use_again(std::exchange(m_cleared_vms, {}));
     }
     for (const auto& [id, phase] : m_scheduler.forget_final(now, ended_in_scheduler)) {
         m_ended[id] = phase;
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -98,6 +98,7 @@
             if (recorded) {
                 m_recorded = recorded.value();
             }
+            m_record_revision = answer.items.front().revision;
         }
         // Cancellings that did not reach an owner lie in the inbox: none of their tasks may be started first.
         m_inbox.start([this] { finish_loading(); });
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -122,6 +122,7 @@
     if (m_scheduler.has_changes()) {
         store_soon();
     }
+    review_record();
     forget_old();
     log_load(now);
 }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -78,8 +78,13 @@
     // VMs.
     void vm_changed(const std::string& vm, const std::optional<jobs::vm_info>& info);
     void record_vms();
+    void record_written(const std::vector<jobs::vm_info>& wanted, const platform::store_answer& answer,
+                        std::int64_t token);
+    void review_record();
     [[nodiscard]] std::vector<jobs::vm_info> vms_to_record() const;
+    [[nodiscard]] bool belongs_in_record(const std::string& vm, bool listed) const;
     [[nodiscard]] bool is_recorded(const std::string& vm) const;
+    [[nodiscard]] bool may_be_recorded(const std::string& vm) const;
     void look_for_unheard();
     void take_machines(const platform::machine_list& list);
     void use_recorded();
@@ -105,6 +110,7 @@
     void cancel(const peer_request& request, const reply& done);
     void status(const peer_request& request, const reply& done) const;
     void fleet_look(const peer_request& request, const reply& done);
+    void use_again(const std::set<std::string>& vms);
     void settle_cancels();
     void settle_submit(const std::string& job, const reply& done, peer_outcome outcome);
     void write_submits();
@@ -143,6 +149,8 @@
     std::map<std::string, jobs::job_phase> m_ended; ///< Jobs that ended and are no longer in the scheduler.
     std::map<std::string, timestamp> m_ended_at;
     std::vector<jobs::vm_info> m_recorded; ///< VMs that may hold runs, as stored.
+    std::int64_t m_record_revision = 0;    ///< Of the stored record; 0: there is none.
+    bool m_record_unsure = false; ///< A write of the record was not answered: it may yet be carried out.
     bool m_recording = false;
     std::vector<jobs::vm_info> m_record_on_its_way;
 
@@ -174,6 +182,7 @@
     std::set<std::string> m_cleared_vms; ///< VMs that are to be empty ...
     timestamp m_cleared_at{0};           ///< ... as was last asked for then.
     timestamp m_forgot_at{0};
+    timestamp m_record_reviewed_at{0};
     timestamp m_inbox_tried_at{0};
     timestamp m_load_logged_at{0};
     lifetime m_lifetime;
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -10,6 +10,8 @@
 
 /// VMs that left the pool are taken out of the record together.
 constexpr milliseconds record_pause = 300ms;
+/// Between two looks for VMs that have been silent for longer than their lease.
+constexpr milliseconds record_review = 500ms;
 /// Between two looks at the platform's machines for VMs that an earlier owner used and that don't answer.
 constexpr milliseconds unheard_interval = 400ms;
 
@@ -47,58 +49,117 @@
     return holds(m_recorded) && (!m_recording || holds(m_record_on_its_way));
 }
 
-/// VMs that may hold runs, now or after the next decision: those that the platform lists, and those that it
-/// does not list any more while something may run there.
+bool pool_task::may_be_recorded(const std::string& vm) const {
+    const auto holds = [&](const std::vector<jobs::vm_info>& list) {
+        return std::ranges::find(list, vm, &jobs::vm_info::incarnation) != list.end();
+    };
+    return holds(m_recorded) || (m_recording && holds(m_record_on_its_way));
+}
+
+bool pool_task::belongs_in_record(const std::string& vm, bool listed) const {
+    jobs::record_view view;
+    view.listed = listed;
+    view.settled = m_scheduler.is_settled(vm);
+    view.clearing = m_cleared_vms.contains(vm);
+    view.recorded = may_be_recorded(vm);
+    if (const auto known = m_scheduler.vms().find(vm); known != m_scheduler.vms().end()) {
+        const jobs::vm_state& state = known->second;
+        view.reachable = state.reachable;
+        view.lapsed = !state.ever_heard() || event_loop::now() > state.lapses_at();
+    }
+    return jobs::belongs_in_record(view);
+}
+
+/// VMs that may hold runs, now or after the next decision.
 std::vector<jobs::vm_info> pool_task::vms_to_record() const {
     std::vector<jobs::vm_info> wanted;
     for (const auto& [vm, info] : m_directory.vms()) {
-        if (info.pool == m_pool) {
+        if (info.pool == m_pool && belongs_in_record(vm, true)) {
             wanted.push_back(info);
         }
     }
     for (const jobs::vm_info& info : m_recorded) {
         const auto listed = m_directory.vms().find(info.incarnation);
         const bool here = listed != m_directory.vms().end() && listed->second.pool == m_pool;
-        if (!here && !m_scheduler.is_settled(info.incarnation)) {
+        if (!here && belongs_in_record(info.incarnation, false)) {
             wanted.push_back(info);
         }
     }
     return wanted;
 }
 
+/// Looks now and then whether VMs are to leave the record, and at once for those that are to be empty: their
+/// machines are wanted elsewhere.
+void pool_task::review_record() {
+    const timestamp now = event_loop::now();
+    const bool released = std::ranges::any_of(m_cleared_vms, [this](const std::string& vm) {
+        return is_recorded(vm) && m_scheduler.is_settled(vm);
+    });
+    if (released || now - m_record_reviewed_at >= record_review) {
+        m_record_reviewed_at = now;
+        record_vms();
+    }
+}
+
 /// A VM gets its first run only once it is stored that it may hold some, so that a successor knows whom to
-/// ask; and it leaves the record when it is gone and empty, since a successor waits for every VM of the
-/// record.
+/// ask. Those that are to leave the record get no run from the moment when the write is sent. The write holds
+/// only against the record as this owner knows it: one that is carried out late must not bring an older
+/// record back.
 void pool_task::record_vms() {
     if (m_recording || m_lost) {
         return;
     }
     const std::vector<jobs::vm_info> wanted = vms_to_record();
-    if (wanted == m_recorded) {
+    if (wanted == m_recorded && !m_record_unsure) {
         use_recorded();
         return;
     }
+    for (const jobs::vm_info& info : m_recorded) {
+        if (std::ranges::find(wanted, info.incarnation, &jobs::vm_info::incarnation) == wanted.end()) {
+            m_scheduler.cordon(info.incarnation, true);
+        }
+    }
     m_recording = true;
     m_record_on_its_way = wanted;
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
+    change.conditions.push_back({vms_key(m_pool), m_record_revision});
     change.writes.push_back({vms_key(m_pool), encode_archive(wanted), 0});
     m_parts.store.commit(change, [this, wanted, token = m_held.token,
                                   alive = m_lifetime.watch()](const platform::store_answer& answer) {
-        if (alive.expired()) {
-            return;
+        if (!alive.expired()) {
+            record_written(wanted, answer, token);
         }
-        m_recording = false;
-        if (answer.status == platform::store_status::ok) {
-            m_recorded = wanted;
-            use_recorded();
-        } else if (answer.status == platform::store_status::conflict) {
+    });
+}
+
+void pool_task::record_written(const std::vector<jobs::vm_info>& wanted, const platform::store_answer& answer,
+                               std::int64_t token) {
+    m_recording = false;
+    milliseconds pause = record_pause;
+    if (answer.status == platform::store_status::ok) {
+        m_recorded = wanted;
+        m_record_revision = answer.revision;
+        m_record_unsure = false;
+        pause = 0ms;
+        use_recorded();
+    } else if (answer.status == platform::store_status::conflict) {
+        const auto owner =
+            std::ranges::find(answer.items, owner_prefix + m_held.duty, &platform::store_item::key);
+        if (owner == answer.items.end() || owner->revision != token) {
             ownership_lost("vm record", token);
+            return;
         }
-        if (vms_to_record() != m_recorded) {
-            m_record_timer->start(answer.status == platform::store_status::ok ? 0ms : record_pause);
-        }
-    });
+        // An earlier write of ours was carried out after all.
+        const auto record = std::ranges::find(answer.items, vms_key(m_pool), &platform::store_item::key);
+        m_record_revision = record == answer.items.end() ? 0 : record->revision;
+        m_record_unsure = true;
+    } else if (answer.status == platform::store_status::unknown) {
+        m_record_unsure = true;
+    }
+    if (m_record_unsure || vms_to_record() != m_recorded) {
+        m_record_timer->start(pause);
+    }
 }
 
 void pool_task::use_recorded() {
--- a/tests/jobs/balance_test.cpp
+++ b/tests/jobs/balance_test.cpp
@@ -42,7 +42,7 @@
         auto busy = static_cast<std::size_t>((cores + 31) / 32);
         for (const balance_machine& machine : machines) {
             if (machine.pool == pool) {
-                demand.vms.push_back({machine.vm, true, busy == 0, false, busy == 0 ? 0 : 32'000});
+                demand.vms.push_back({machine.vm, true, busy == 0, false, false, busy == 0 ? 0 : 32'000});
                 busy -= busy > 0 ? 1 : 0;
             }
         }
