A fault soak of our own: real node processes, faults from outside, checks while it runs

Node processes on loopback among stand-ins of the store and of VMs, proxies on the links to store, VMs and clients that delay, reset, cut one way or silence; kills, stops, pauses; a store that is silent, busy, late, forgetful, or loses answers and leases; slow clocks of VMs; crashes; new configurations. A seed gives one plan. Checked from what clients and VMs see: one run at a time, none after a noted end, refusals true, accepted jobs kept and completed, cancelled ones not started, room, configurations that don't go back, processes that end only when told to.

--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,179 @@
+#include "soak/callers.hpp"
+
+#include <iomanip>
+#include <sstream>
+
+namespace siskinpaddle::soak {
+
+namespace {
+
+constexpr milliseconds turn_time = 60ms;
+constexpr milliseconds client_deadline = 3s;
+/// A submit without a definite answer is sent again this often, at any node.
+constexpr std::uint32_t most_tries = 6;
+constexpr std::uint64_t probe_every = 5;
+constexpr std::uint32_t most_tasks = 4;
+constexpr std::uint32_t cancel_one_in = 8;
+/// How long after a job's acceptance every node that answers for its pool must know it.
+constexpr milliseconds visible_within = 3s;
+constexpr int ok = 200;
+constexpr int not_known = 410;
+constexpr int no_such_queue = 404;
+constexpr int too_many = 429;
+constexpr int unavailable = 503;
+
+std::string body_of(std::uint32_t tasks) {
+    return R"({"spec":"s","phases":[{"count":)" + std::to_string(tasks) +
+           R"(,"cpu":500,"mem_mb":64,"estimate_ms":500}]})";
+}
+
+} // namespace
+
+callers::callers(event_loop& loop, world& deployment, std::uint64_t seed)
+    : m_loop(loop), m_world(deployment), m_client(loop, {.max_idle_per_endpoint = 4, .max_idle_time = 60s}),
+      m_timer(loop.make_timer([this] { turn(); })), m_random(seed), m_seen(deployment.nodes()) {}
+
+void callers::start() {
+    turn();
+}
+
+std::size_t callers::nodes_up_to_date() const {
+    std::size_t count = 0;
+    for (const seen_configuration& item : m_seen) {
+        count += item.version == m_world.version() ? 1 : 0;
+    }
+    return count;
+}
+
+void callers::send(std::uint32_t node, const std::string& method, const std::string& target, std::string body,
+                   std::function<void(const http_answer&)> done) {
+    http_call call;
+    call.to = m_world.clients_of(node);
+    call.method = method;
+    call.target = target;
+    call.headers.add("Host", "h.example");
+    call.headers.add("Deadline-Ms", std::to_string(client_deadline.count()));
+    call.body = std::move(body);
+    call.timeout = client_deadline;
+    m_client.send(std::move(call), [this, done = std::move(done)](const http_answer& answer) {
+        ++m_answers[answer.status == exchange_status::answered ? answer.code : 0];
+        done(answer);
+    });
+}
+
+void callers::turn() {
+    m_timer->start(turn_time);
+    ++m_turns;
+    if (m_submitting) {
+        std::ostringstream id;
+        id << std::hex << std::setw(16) << std::setfill('0') << m_random();
+        m_jobs[id.str()].tasks = 1 + static_cast<std::uint32_t>(m_random() % most_tasks);
+        submit(id.str(), 1);
+    }
+    if (m_turns % probe_every == 0) {
+        for (std::uint32_t node = 0; node < m_world.nodes(); ++node) {
+            probe(node);
+        }
+    }
+    // One job a turn is asked for, and all of them again and again.
+    std::vector<std::string> open = unfinished(m_jobs);
+    if (!open.empty()) {
+        ask(open[m_random() % open.size()]);
+    }
+}
+
+void callers::submit(const std::string& id, std::uint32_t tries) {
+    m_jobs[id].asking = true;
+    send(some_node(), "POST", "/quotes/" + id, body_of(m_jobs[id].tasks),
+         [this, id, tries](const http_answer& answer) { submit_answered(id, tries, answer); });
+}
+
+void callers::submit_answered(const std::string& id, std::uint32_t tries, const http_answer& answer) {
+    job_history& job = m_jobs[id];
+    job.asking = false;
+    const bool answered = answer.status == exchange_status::answered;
+    if (answered && answer.code == ok) {
+        job.may_run = true;
+        job.accepted = job.accepted == timestamp(0) ? event_loop::now() : job.accepted;
+        if (m_random() % cancel_one_in == 0) {
+            cancel(id);
+        }
+        return;
+    }
+    const bool refused = answered && (answer.code == too_many || answer.code == unavailable);
+    // Connections that break before a byte is sent carry nothing.
+    job.may_run = job.may_run || (!refused && answer.status != exchange_status::connect_failed);
+    if (!refused && tries < most_tries) {
+        submit(id, tries + 1);
+    }
+}
+
+void callers::cancel(const std::string& id) {
+    m_jobs[id].cancel_sent = true;
+    send(some_node(), "DELETE", "/quotes/" + id, {}, [this, id](const http_answer& answer) {
+        if (answer.status == exchange_status::answered && answer.code == ok) {
+            m_jobs[id].cancelled = event_loop::now();
+        }
+    });
+}
+
+void callers::ask(const std::string& id) {
+    send(some_node(), "GET", "/quotes/" + id, {},
+         [this, id](const http_answer& answer) { asked(id, answer); });
+}
+
+void callers::asked(const std::string& id, const http_answer& answer) {
+    job_history& job = m_jobs[id];
+    if (answer.status != exchange_status::answered) {
+        return;
+    }
+    if (answer.code == not_known && event_loop::now() - job.accepted > visible_within + client_deadline) {
+        m_problems.push_back("accepted and not known: " + id);
+    }
+    job.completed = job.completed || answer.body.find("\"completed\"") != std::string::npos;
+    const bool lost = answer.body.find("\"cancelled\"") != std::string::npos ||
+                      answer.body.find("\"failed\"") != std::string::npos;
+    if (lost && !job.cancel_sent) {
+        m_problems.push_back("neither cancelled nor failed, and shown so: " + id + " " + answer.body);
+    }
+}
+
+/// Asks a node for the queue that only the newest version has, and, once that was seen, for one that only the
+/// version before had.
+void callers::probe(std::uint32_t node) {
+    seen_configuration& seen = m_seen[node];
+    if (seen.incarnation != m_world.incarnation_of(node)) {
+        seen = {m_world.incarnation_of(node), 0, seen.asking};
+    }
+    if (seen.asking) {
+        return;
+    }
+    seen.asking = true;
+    const bool old = seen.version == m_world.version() && m_random() % 2 == 0;
+    const std::int64_t version = m_world.version() - (old ? 2 : 0);
+    send(node, "GET", world::extra_prefix(version), {},
+         [this, node, version, before = seen](const http_answer& answer) {
+             probed(node, version, before, answer.status == exchange_status::answered ? answer.code : 0);
+         });
+}
+
+void callers::probed(std::uint32_t node, std::int64_t version, seen_configuration before, int code) {
+    seen_configuration& seen = m_seen[node];
+    seen.asking = false;
+    if (before.incarnation != m_world.incarnation_of(node) || seen.incarnation != before.incarnation) {
+        return;
+    }
+    const bool there = code == ok;
+    const bool missing = code == no_such_queue;
+    const bool went_back = (there && version < before.version) || (missing && version == before.version);
+    if (went_back) {
+        m_problems.push_back("n" + std::to_string(node + 1) + " went back from configuration " +
+                             std::to_string(before.version) + ": asked for " + std::to_string(version) +
+                             ", got " + std::to_string(code));
+    }
+    if (there) {
+        seen.version = std::max(seen.version, version);
+    }
+}
+
+} // namespace siskinpaddle::soak
--- /dev/null
+++ b/soak/callers.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "soak/world.hpp"
+
+#include <random>
+
+namespace siskinpaddle::soak {
+
+/// Clients of the nodes: they hand jobs in, ask for them, cancel some, and ask which configuration is in
+/// force. They keep their connections open and use them until they break. Not thread-safe.
+class callers {
+  public:
+    callers(event_loop& loop, world& deployment, std::uint64_t seed);
+
+    /// Hands jobs in from now on.
+    void start();
+    /// Hands no more in; goes on asking for what was accepted.
+    void stop_submitting() { m_submitting = false; }
+
+    [[nodiscard]] const std::map<std::string, job_history>& jobs() const noexcept { return m_jobs; }
+    [[nodiscard]] const std::vector<std::string>& problems() const noexcept { return m_problems; }
+    /// Nodes on which the newest configuration was seen.
+    [[nodiscard]] std::size_t nodes_up_to_date() const;
+    /// Answers by their code; 0: none.
+    [[nodiscard]] const std::map<int, std::size_t>& answers() const noexcept { return m_answers; }
+
+  private:
+    /// What was seen of one process of a node.
+    struct seen_configuration {
+        std::uint32_t incarnation = 0;
+        std::int64_t version = 0;
+        bool asking = false;
+    };
+
+    void turn();
+    void submit(const std::string& id, std::uint32_t tries);
+    void submit_answered(const std::string& id, std::uint32_t tries, const http_answer& answer);
+    void ask(const std::string& id);
+    void asked(const std::string& id, const http_answer& answer);
+    void cancel(const std::string& id);
+    void probe(std::uint32_t node);
+    void probed(std::uint32_t node, std::int64_t version, seen_configuration before, int code);
+    void send(std::uint32_t node, const std::string& method, const std::string& target, std::string body,
+              std::function<void(const http_answer&)> done);
+    [[nodiscard]] std::uint32_t some_node() {
+        return static_cast<std::uint32_t>(m_random() % m_world.nodes());
+    }
+
+    event_loop& m_loop;
+    world& m_world;
+    http_client m_client;
+    std::unique_ptr<timer> m_timer;
+    std::mt19937_64 m_random;
+    std::map<std::string, job_history> m_jobs;
+    std::vector<seen_configuration> m_seen;
+    std::map<int, std::size_t> m_answers;
+    std::vector<std::string> m_problems;
+    std::uint64_t m_turns = 0;
+    bool m_submitting = true;
+};
+
+} // namespace siskinpaddle::soak
--- /dev/null
+++ b/soak/fault_plan.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace siskinpaddle::soak {
+
+enum class fault_kind : std::uint8_t {
+    node_kill,
+    node_term,
+    node_pause,
+    store_link_delay,
+    store_link_reset,
+    store_link_cut_out,
+    store_link_cut_back,
+    store_link_silent,
+    vm_link_delay,
+    vm_link_reset,
+    vm_link_cut_out,
+    vm_link_cut_back,
+    vm_link_silent,
+    client_link_reset,
+    vm_crash,
+    store_silent,
+    store_busy,
+    store_lost_answers,
+    store_late_writes,
+    store_compact,
+    store_leases_lapse,
+    new_configuration
+};
+
+/// One fault of a plan.
+struct planned_fault {
+    milliseconds at{0};    ///< From the begin of the load.
+    milliseconds lasts{0}; ///< Until it is mended; 0 where it happens at a moment.
+    fault_kind kind = fault_kind::node_kill;
+    std::uint32_t target = 0; ///< Which node or VM, modulo their number.
+
+    bool operator==(const planned_fault&) const = default;
+};
+
+/// Faults in series, some of them several at a time, over `length`. The same seed gives the same plan.
+[[nodiscard]] std::vector<planned_fault> make_plan(std::uint64_t seed, milliseconds length);
+
+} // namespace siskinpaddle::soak
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::soak::fault_kind>{
+    std::pair{siskinpaddle::soak::fault_kind::node_kill, std::string_view("node-kill")},
+    std::pair{siskinpaddle::soak::fault_kind::node_term, std::string_view("node-term")},
+    std::pair{siskinpaddle::soak::fault_kind::node_pause, std::string_view("node-pause")},
+    std::pair{siskinpaddle::soak::fault_kind::store_link_delay, std::string_view("store-link-delay")},
+    std::pair{siskinpaddle::soak::fault_kind::store_link_reset, std::string_view("store-link-reset")},
+    std::pair{siskinpaddle::soak::fault_kind::store_link_cut_out, std::string_view("store-link-cut-out")},
+    std::pair{siskinpaddle::soak::fault_kind::store_link_cut_back, std::string_view("store-link-cut-back")},
+    std::pair{siskinpaddle::soak::fault_kind::store_link_silent, std::string_view("store-link-silent")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_link_delay, std::string_view("vm-link-delay")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_link_reset, std::string_view("vm-link-reset")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_link_cut_out, std::string_view("vm-link-cut-out")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_link_cut_back, std::string_view("vm-link-cut-back")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_link_silent, std::string_view("vm-link-silent")},
+    std::pair{siskinpaddle::soak::fault_kind::client_link_reset, std::string_view("client-link-reset")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_crash, std::string_view("vm-crash")},
+    std::pair{siskinpaddle::soak::fault_kind::store_silent, std::string_view("store-silent")},
+    std::pair{siskinpaddle::soak::fault_kind::store_busy, std::string_view("store-busy")},
+    std::pair{siskinpaddle::soak::fault_kind::store_lost_answers, std::string_view("store-lost-answers")},
+    std::pair{siskinpaddle::soak::fault_kind::store_late_writes, std::string_view("store-late-writes")},
+    std::pair{siskinpaddle::soak::fault_kind::store_compact, std::string_view("store-compact")},
+    std::pair{siskinpaddle::soak::fault_kind::store_leases_lapse, std::string_view("store-leases-lapse")},
+    std::pair{siskinpaddle::soak::fault_kind::new_configuration, std::string_view("new-configuration")}};
--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,113 @@
+#include "soak/ledger.hpp"
+
+#include <algorithm>
+
+namespace siskinpaddle::soak {
+
+namespace {
+
+std::string job_of(const std::string& task) {
+    return task.substr(0, task.find('.'));
+}
+
+timestamp end_of(const fakes::task_vm::run_record& run, timestamp now) {
+    return run.ended == timestamp(0) ? now : run.ended;
+}
+
+std::string text_of(const vm_run& item) {
+    return item.run.task + "#" + std::to_string(item.run.attempt) + "@" + item.vm + " [" +
+           std::to_string(item.run.began.count()) + ".." + std::to_string(item.run.ended.count()) + " " +
+           item.run.how + " ack " + std::to_string(item.run.acknowledged.count()) + "]";
+}
+
+/// No task runs twice at a time, or again after an end as done that was acknowledged.
+void check_once(const std::vector<vm_run>& of_task, timestamp now, std::vector<std::string>& broken) {
+    for (std::size_t i = 0; i < of_task.size(); ++i) {
+        for (std::size_t k = 0; k < of_task.size(); ++k) {
+            const fakes::task_vm::run_record& first = of_task[i].run;
+            const fakes::task_vm::run_record& second = of_task[k].run;
+            if (i < k && first.began < end_of(second, now) && second.began < end_of(first, now)) {
+                broken.push_back("two runs at a time: " + text_of(of_task[i]) + " and " +
+                                 text_of(of_task[k]));
+            }
+            const bool noted = first.how == "done" && first.acknowledged != timestamp(0);
+            if (i != k && noted && second.began > first.acknowledged) {
+                broken.push_back("run again after its end: " + text_of(of_task[i]) + " and " +
+                                 text_of(of_task[k]));
+            }
+        }
+    }
+}
+
+void check_wanted(const job_history& job, const vm_run& item, const ledger_bounds& bounds,
+                  std::vector<std::string>& broken) {
+    if (!job.may_run && !job.asking) {
+        broken.push_back("refused, and yet run: " + text_of(item));
+    }
+    if (job.cancelled != timestamp(0) && item.run.began > job.cancelled + bounds.after_cancelling) {
+        broken.push_back("started after its cancelling: " + text_of(item));
+    }
+}
+
+void check_room(const std::vector<vm_run>& of_vm, const ledger_bounds& bounds, timestamp now,
+                std::vector<std::string>& broken) {
+    for (const vm_run& item : of_vm) {
+        const auto beside = std::ranges::count_if(of_vm, [&](const vm_run& other) {
+            return other.run.began <= item.run.began && end_of(other.run, now) > item.run.began;
+        });
+        if (static_cast<std::size_t>(beside) > bounds.runs_at_once) {
+            broken.push_back("more runs than fit: " + std::to_string(beside) + " at " + text_of(item));
+            return;
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
+                                    const std::vector<vm_run>& runs, const ledger_bounds& bounds,
+                                    timestamp now) {
+    std::vector<std::string> broken;
+    std::map<std::string, std::vector<vm_run>> by_task;
+    std::map<std::string, std::vector<vm_run>> by_vm;
+    std::map<std::string, std::set<std::string>> done;
+    for (const vm_run& item : runs) {
+        by_task[item.run.task].push_back(item);
+        by_vm[item.vm].push_back(item);
+        const std::string id = job_of(item.run.task);
+        if (item.run.how == "done") {
+            done[id].insert(item.run.task);
+        }
+        const auto job = jobs.find(id);
+        if (job == jobs.end()) {
+            broken.push_back("nobody asked for it: " + text_of(item));
+        } else {
+            check_wanted(job->second, item, bounds, broken);
+        }
+    }
+    for (const auto& [task, of_task] : by_task) {
+        check_once(of_task, now, broken);
+    }
+    for (const auto& [vm, of_vm] : by_vm) {
+        check_room(of_vm, bounds, now, broken);
+    }
+    for (const auto& [id, job] : jobs) {
+        if (job.completed && done[id].size() != job.tasks) {
+            broken.push_back("shown as completed with " + std::to_string(done[id].size()) + " of " +
+                             std::to_string(job.tasks) + " tasks done: " + id);
+        }
+    }
+    return broken;
+}
+
+std::vector<std::string> unfinished(const std::map<std::string, job_history>& jobs) {
+    std::vector<std::string> result;
+    for (const auto& [id, job] : jobs) {
+        if (job.accepted != timestamp(0) && !job.cancel_sent && !job.completed) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+} // namespace siskinpaddle::soak
--- /dev/null
+++ b/soak/soak.cpp
@@ -0,0 +1,210 @@
+#include "net/loop_until.hpp"
+#include "soak/callers.hpp"
+
+#include <filesystem>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::soak;
+
+namespace {
+
+constexpr int exit_broken = 1;
+constexpr int exit_bad_usage = 2;
+constexpr milliseconds tend_interval = 50ms;
+constexpr milliseconds check_interval = 1s;
+/// From the end of the last fault until all accepted jobs must be done and the newest configuration in force:
+/// the longest that a new owner waits for VMs (10.7 s), the leases of both owners before it, the work, and as
+/// much again for a busy machine.
+constexpr milliseconds settle_bound = 60s;
+constexpr std::size_t most_problems_shown = 20;
+
+/// The stand-in VMs have 4000 millicores, a task needs 500.
+constexpr ledger_bounds bounds{.runs_at_once = 8, .after_cancelling = 15s};
+
+struct soak_options {
+    world_settings world;
+    std::uint64_t seed = 1;
+    milliseconds length{0};
+};
+
+/// One run of a plan.
+class soak_run {
+  public:
+    soak_run(event_loop& loop, soak_options options)
+        : m_loop(loop), m_options(std::move(options)), m_world(loop, m_options.world),
+          m_callers(loop, m_world, m_options.seed) {}
+
+    /// Returns the problems found; none if all promises held.
+    std::vector<std::string> play() {
+        if (!m_world.start()) {
+            return {"the deployment can't be started"};
+        }
+        m_callers.start();
+        run_faults();
+        m_callers.stop_submitting();
+        const bool settled = watch_until([this] { return is_settled(); }, settle_bound);
+        check();
+        if (!settled) {
+            for (const std::string& id : unfinished(m_callers.jobs())) {
+                add("accepted and not completed: " + id);
+            }
+            if (m_callers.nodes_up_to_date() < m_world.nodes()) {
+                add("the newest configuration is not in force everywhere");
+            }
+        }
+        return m_problems;
+    }
+
+    [[nodiscard]] std::string summary() const {
+        std::size_t accepted = 0;
+        std::size_t completed = 0;
+        for (const auto& [id, job] : m_callers.jobs()) {
+            accepted += job.accepted != timestamp(0) ? 1 : 0;
+            completed += job.completed ? 1 : 0;
+        }
+        std::string text = "jobs " + std::to_string(m_callers.jobs().size()) + " accepted " +
+                           std::to_string(accepted) + " completed " + std::to_string(completed) + " runs " +
+                           std::to_string(m_world.runs().size()) + " answers";
+        for (const auto& [code, count] : m_callers.answers()) {
+            text +=
+                " " + (code == 0 ? std::string("none") : std::to_string(code)) + ":" + std::to_string(count);
+        }
+        return text;
+    }
+
+  private:
+    void run_faults() {
+        const std::vector<planned_fault> plan = make_plan(m_options.seed, m_options.length);
+        const timestamp begin = event_loop::now();
+        std::vector<bool> begun(plan.size());
+        std::vector<bool> ended(plan.size());
+        const auto advance = [&] {
+            const milliseconds age = event_loop::now() - begin;
+            bool left = age < m_options.length;
+            for (std::size_t i = 0; i < plan.size(); ++i) {
+                if (!begun[i] && age >= plan[i].at) {
+                    begun[i] = true;
+                    m_world.apply(plan[i]);
+                }
+                if (begun[i] && !ended[i] && age >= plan[i].at + plan[i].lasts) {
+                    ended[i] = true;
+                    m_world.mend(plan[i]);
+                }
+                left = left || !ended[i];
+            }
+            return !left;
+        };
+        watch_until(advance, m_options.length + settle_bound);
+    }
+
+    [[nodiscard]] bool is_settled() const {
+        return unfinished(m_callers.jobs()).empty() && m_callers.nodes_up_to_date() == m_world.nodes();
+    }
+
+    bool watch_until(const std::function<bool()>& condition, milliseconds bound) {
+        timestamp tended(0);
+        timestamp checked = event_loop::now();
+        return tests::loop_until(
+            m_loop,
+            [&] {
+                const timestamp now = event_loop::now();
+                if (now - tended >= tend_interval) {
+                    tended = now;
+                    m_world.tend();
+                }
+                if (now - checked >= check_interval) {
+                    checked = now;
+                    check();
+                }
+                return condition();
+            },
+            bound);
+    }
+
+    void check() {
+        for (const std::string& item :
+             check_runs(m_callers.jobs(), m_world.runs(), bounds, event_loop::now())) {
+            add(item);
+        }
+        for (const std::string& item : m_world.problems()) {
+            add(item);
+        }
+        for (const std::string& item : m_callers.problems()) {
+            add(item);
+        }
+    }
+
+    /// The same finding is met again at each check.
+    void add(const std::string& problem) {
+        const std::string kind = problem.substr(0, problem.find(" ["));
+        if (m_known.insert(kind).second) {
+            m_problems.push_back(problem);
+        }
+    }
+
+    event_loop& m_loop;
+    soak_options m_options;
+    world m_world;
+    callers m_callers;
+    std::vector<std::string> m_problems;
+    std::set<std::string> m_known;
+};
+
+void print_plan(const soak_options& options) {
+    for (const planned_fault& item : make_plan(options.seed, options.length)) {
+        std::cout << item.at.count() << " ms for " << item.lasts.count() << " ms " << name_of(item.kind)
+                  << " " << item.target << "\n";
+    }
+}
+
+int play(const soak_options& options) {
+    std::filesystem::create_directories(options.world.folder);
+    event_loop loop;
+    soak_run run(loop, options);
+    const std::vector<std::string> problems = run.play();
+    std::cout << "seed " << options.seed << ": " << (problems.empty() ? "good" : "BROKEN") << ", "
+              << run.summary() << "\n";
+    for (std::size_t i = 0; i < problems.size() && i < most_problems_shown; ++i) {
+        std::cout << "  " << problems[i] << "\n";
+    }
+    return problems.empty() ? 0 : exit_broken;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine line(
+            "Runs node processes of siskinpaddle on loopback, breaks things around them by a plan "
+            "that its seed gives, and checks what clients, VMs and the store see. Exit codes: 0 all "
+            "promises held, 1 one was broken, 2 bad usage.",
+            ' ', SISKINPADDLE_VERSION);
+        TCLAP::ValueArg<std::string> program("", "node", "The node program.", true, "", "FILE", line);
+        TCLAP::ValueArg<std::string> folder("", "folder", "Settings and logs of the nodes go there.", true,
+                                            "", "FOLDER", line);
+        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the plan.", false, 1, "N", line);
+        TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "How long faults begin.", false, 15, "S", line);
+        TCLAP::ValueArg<std::uint32_t> nodes("", "nodes", "Node processes.", false, 3, "N", line);
+        TCLAP::ValueArg<std::uint32_t> vms("", "vms", "Stand-in VMs.", false, 4, "N", line);
+        TCLAP::SwitchArg plan("", "plan", "Only print the plan.", line);
+        line.parse(argc, argv);
+        soak_options options;
+        options.world = {program.getValue(), folder.getValue(), nodes.getValue(), vms.getValue()};
+        options.seed = seed.getValue();
+        options.length = std::chrono::seconds(seconds.getValue());
+        if (options.world.nodes == 0 || options.world.vms == 0) {
+            std::cerr << "--nodes and --vms must be at least 1\n";
+            return exit_bad_usage;
+        }
+        if (plan.getValue()) {
+            print_plan(options);
+            return 0;
+        }
+        return play(options);
+    } catch (const std::exception& error) {
+        std::cerr << "siskinpaddle-soak: " << error.what() << "\n";
+        return exit_bad_usage;
+    }
+}
--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,334 @@
+#include "soak/world.hpp"
+
+#include "net/free_port.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <set>
+
+namespace siskinpaddle::soak {
+
+namespace {
+
+constexpr std::string_view pool = "p";
+/// The grace period in the nodes' settings, and what a process may be late by on a busy machine before that
+/// counts as a finding.
+constexpr milliseconds grace = 6s;
+constexpr milliseconds end_slack = 6s;
+constexpr milliseconds link_delay = 300ms;
+/// The platform takes a VM that went silent off its list after three heartbeats.
+constexpr milliseconds delist_after = 4500ms;
+constexpr int lost_answers = 4;
+constexpr int late_writes = 2;
+/// VMs' clocks: the slowest that the platform allows, and a plain one, by turns.
+constexpr double slow_clock = 0.98;
+constexpr milliseconds short_run = 200ms;
+constexpr milliseconds run_step = 400ms;
+
+bool is_node_fault(fault_kind kind) {
+    return kind == fault_kind::node_kill || kind == fault_kind::node_term || kind == fault_kind::node_pause;
+}
+
+link_mode mode_of(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::store_link_delay:
+    case fault_kind::vm_link_delay:
+        return link_mode::delay;
+    case fault_kind::store_link_cut_out:
+    case fault_kind::vm_link_cut_out:
+        return link_mode::cut_out;
+    case fault_kind::store_link_cut_back:
+    case fault_kind::vm_link_cut_back:
+        return link_mode::cut_back;
+    case fault_kind::store_link_silent:
+    case fault_kind::vm_link_silent:
+        return link_mode::silent;
+    default:
+        return link_mode::reset;
+    }
+}
+
+std::string address(std::uint16_t port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+world::world(event_loop& loop, world_settings settings)
+    : m_loop(loop), m_settings(std::move(settings)), m_store(loop) {}
+
+std::string world::extra_prefix(std::int64_t version) {
+    return "/extra-" + std::to_string(version) + "/";
+}
+
+bool world::start() {
+    if (!m_store.listen({"127.0.0.1", 0})) {
+        return false;
+    }
+    configure();
+    m_vms.resize(m_settings.vms);
+    for (std::uint32_t i = 0; i < m_settings.vms; ++i) {
+        start_vm(i);
+    }
+    for (std::uint32_t i = 0; i < m_settings.nodes; ++i) {
+        if (!place_node(i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Each version replaces the extra queue of the one before, so that every version shows from outside.
+void world::configure() {
+    const auto queue = [](const std::string& name, const std::string& prefix) {
+        return boost::json::object{
+            {"name", name},       {"host", "h.example"},    {"prefix", prefix},           {"service", pool},
+            {"max_attempts", 50}, {"stretch_factor", 20.0}, {"target_latency_ms", 20'000}};
+    };
+    m_store.put("op/config",
+                boost::json::serialize(boost::json::object{
+                    {"version", m_version},
+                    {"routes", {queue("quotes", "/quotes/"), queue("extra", extra_prefix(m_version))}},
+                    {"services", {boost::json::object{{"name", pool}, {"admission_control", true}}}},
+                    {"limits", boost::json::object{{"max_body_bytes", 65'536}}}}));
+}
+
+bool world::place_node(std::uint32_t number) {
+    auto place = std::make_unique<node_place>();
+    place->id = "n" + std::to_string(number + 1);
+    place->clients = {"127.0.0.1", tests::free_port()};
+    place->store_link = std::make_unique<fault_proxy>(m_loop, endpoint{"127.0.0.1", m_store.port()});
+    place->client_link = std::make_unique<fault_proxy>(m_loop, place->clients);
+    place->client_port = place->client_link->listen();
+    place->settings_file = m_settings.folder + "/" + place->id + ".json";
+    place->log = m_settings.folder + "/" + place->id + ".log";
+    const boost::json::object document{{"id", place->id},
+                                       {"availability_zone", "z" + std::to_string(number % 2)},
+                                       {"clients", address(place->clients.port)},
+                                       {"readiness", address(tests::free_port())},
+                                       {"address", "127.0.0.1"},
+                                       {"peer_port", tests::free_port()},
+                                       {"metrics_port", tests::free_port()},
+                                       {"store", address(place->store_link->listen())},
+                                       {"machines", address(tests::free_port())},
+                                       {"advice", ""},
+                                       {"vm_lease_ms", 6000},
+                                       {"order_quiet_ms", 3000},
+                                       {"grace_s", grace / 1s},
+                                       {"keep_ended_s", 600},
+                                       {"upkeep_s", 2},
+                                       {"move_s", 1.5},
+                                       {"machine_orders_per_s", 64.0},
+                                       {"processor_share", 0.25}};
+    std::ofstream(place->settings_file) << boost::json::serialize(document);
+    start_node(*place);
+    m_nodes.push_back(std::move(place));
+    return m_nodes.back()->process->running();
+}
+
+void world::start_node(node_place& place) {
+    place.process = std::make_unique<child_process>(
+        m_settings.program, std::vector<std::string>{"--settings", place.settings_file}, place.log);
+    place.ending = false;
+    place.terminated = timestamp(0);
+    ++place.starts;
+}
+
+endpoint world::clients_of(std::uint32_t node) const {
+    return {"127.0.0.1", m_nodes[node]->client_port};
+}
+
+// --- VMs ---
+
+void world::start_vm(std::uint32_t number) {
+    vm_place& place = m_vms[number];
+    const std::string name = "v" + std::to_string(number + 1) + "-" + std::to_string(++place.lives);
+    place.vm = std::make_unique<fakes::task_vm>(m_loop, name, short_run + run_step * (number % 4));
+    place.vm->set_clock_rate(number % 2 == 0 ? slow_clock : 1);
+    if (!place.vm->listen({"127.0.0.1", 0})) {
+        m_problems.push_back("a stand-in VM can't listen");
+    }
+    const endpoint server{"127.0.0.1", place.vm->port()};
+    if (place.link == nullptr) {
+        place.link = std::make_unique<fault_proxy>(m_loop, server);
+        place.port = place.link->listen();
+    }
+    place.link->set_server(server);
+    m_store.put("servers/" + name, place.vm->registration(std::string(pool), place.port));
+}
+
+void world::crash_vm(std::uint32_t number) {
+    vm_place& place = m_vms[number];
+    if (place.vm == nullptr) {
+        return;
+    }
+    for (fakes::task_vm::run_record run : place.vm->runs()) {
+        if (run.ended == timestamp(0)) {
+            run.ended = event_loop::now();
+            run.how = "crashed";
+        }
+        m_past_runs.push_back({place.vm->incarnation(), run});
+    }
+    m_to_delist[place.vm->incarnation()] = event_loop::now() + delist_after;
+    place.vm.reset();
+}
+
+std::vector<vm_run> world::runs() const {
+    std::vector<vm_run> result = m_past_runs;
+    for (const vm_place& place : m_vms) {
+        if (place.vm != nullptr) {
+            for (const fakes::task_vm::run_record& run : place.vm->runs()) {
+                result.push_back({place.vm->incarnation(), run});
+            }
+        }
+    }
+    return result;
+}
+
+// --- Faults ---
+
+fault_proxy* world::link_of(const planned_fault& fault) {
+    switch (fault.kind) {
+    case fault_kind::store_link_delay:
+    case fault_kind::store_link_reset:
+    case fault_kind::store_link_cut_out:
+    case fault_kind::store_link_cut_back:
+    case fault_kind::store_link_silent:
+        return m_nodes[fault.target % m_settings.nodes]->store_link.get();
+    case fault_kind::client_link_reset:
+        return m_nodes[fault.target % m_settings.nodes]->client_link.get();
+    case fault_kind::vm_link_delay:
+    case fault_kind::vm_link_reset:
+    case fault_kind::vm_link_cut_out:
+    case fault_kind::vm_link_cut_back:
+    case fault_kind::vm_link_silent:
+        return m_vms[fault.target % m_settings.vms].link.get();
+    default:
+        return nullptr;
+    }
+}
+
+void world::apply_to_node(node_place& place, fault_kind kind) {
+    if (kind == fault_kind::node_pause) {
+        ++place.paused;
+        place.process->signal(SIGSTOP);
+        return;
+    }
+    ++place.held_down;
+    place.ending = true;
+    if (kind == fault_kind::node_kill) {
+        place.process->kill();
+    } else {
+        place.terminated = place.terminated == timestamp(0) ? event_loop::now() : place.terminated;
+        place.process->signal(SIGTERM);
+    }
+}
+
+void world::mend_node(node_place& place, fault_kind kind) {
+    if (kind != fault_kind::node_pause) {
+        --place.held_down;
+        return;
+    }
+    if (--place.paused == 0) {
+        place.process->signal(SIGCONT);
+        place.terminated = place.terminated == timestamp(0) ? timestamp(0) : event_loop::now();
+    }
+}
+
+void world::set_store(fault_kind kind, bool on) {
+    std::uint32_t& count = kind == fault_kind::store_silent ? m_silent : m_busy;
+    count += on ? 1 : -1;
+    if (kind == fault_kind::store_silent) {
+        m_store.set_silent(m_silent > 0);
+    } else {
+        m_store.set_busy(m_busy > 0);
+    }
+}
+
+void world::apply(const planned_fault& fault) {
+    if (fault_proxy* link = link_of(fault)) {
+        link->set_mode(mode_of(fault.kind), link_delay);
+        return;
+    }
+    if (is_node_fault(fault.kind)) {
+        apply_to_node(*m_nodes[fault.target % m_settings.nodes], fault.kind);
+        return;
+    }
+    switch (fault.kind) {
+    case fault_kind::vm_crash:
+        ++m_vms[fault.target % m_settings.vms].held_down;
+        crash_vm(fault.target % m_settings.vms);
+        return;
+    case fault_kind::store_silent:
+    case fault_kind::store_busy:
+        set_store(fault.kind, true);
+        return;
+    case fault_kind::store_lost_answers:
+        m_store.lose_answers(lost_answers);
+        return;
+    case fault_kind::store_late_writes:
+        m_store.delay_writes(late_writes);
+        return;
+    case fault_kind::store_compact:
+        m_store.compact();
+        return;
+    case fault_kind::store_leases_lapse:
+        m_store.lapse_leases();
+        return;
+    default:
+        m_version += 2;
+        configure();
+        return;
+    }
+}
+
+void world::mend(const planned_fault& fault) {
+    if (fault_proxy* link = link_of(fault)) {
+        link->set_mode(link_mode::pass);
+    } else if (is_node_fault(fault.kind)) {
+        mend_node(*m_nodes[fault.target % m_settings.nodes], fault.kind);
+    } else if (fault.kind == fault_kind::vm_crash) {
+        const std::uint32_t number = fault.target % m_settings.vms;
+        if (--m_vms[number].held_down == 0) {
+            start_vm(number);
+        }
+    } else if (fault.kind == fault_kind::store_silent || fault.kind == fault_kind::store_busy) {
+        set_store(fault.kind, false);
+    } else if (fault.kind == fault_kind::store_lost_answers) {
+        m_store.lose_answers(0);
+    } else if (fault.kind == fault_kind::store_late_writes) {
+        m_store.delay_writes(0);
+    }
+}
+
+void world::tend() {
+    const timestamp now = event_loop::now();
+    std::erase_if(m_to_delist, [&](const auto& item) {
+        if (now < item.second) {
+            return false;
+        }
+        m_store.remove("servers/" + item.first);
+        return true;
+    });
+    for (const auto& place : m_nodes) {
+        const bool running = place->process->running();
+        if (!running && !place->ending) {
+            m_problems.push_back(place->id + " ended by itself, code " +
+                                 std::to_string(place->process->exit_code()));
+        }
+        const bool overdue = place->terminated != timestamp(0) && place->paused == 0 &&
+                             now - place->terminated > grace + end_slack;
+        if (running && overdue) {
+            m_problems.push_back(place->id + " did not stop within its grace period");
+            place->process->kill();
+        }
+        if (!running && place->held_down == 0) {
+            start_node(*place);
+            if (place->paused > 0) {
+                place->process->signal(SIGSTOP);
+            }
+        }
+    }
+}
+
+} // namespace siskinpaddle::soak
--- /dev/null
+++ b/soak/world.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "fakes/platform_store.hpp"
+#include "soak/child_process.hpp"
+#include "soak/fault_plan.hpp"
+#include "soak/fault_proxy.hpp"
+#include "soak/ledger.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::soak {
+
+struct world_settings {
+    std::string program; ///< The node program.
+    std::string folder;  ///< Settings and logs of the nodes go there.
+    std::uint32_t nodes = 3;
+    std::uint32_t vms = 4;
+};
+
+/// Real node processes on loopback among stand-ins of the store and of VMs, with a proxy on each link from a
+/// node to the store, to a node's clients and to a VM. Carries faults out. Not thread-safe.
+class world {
+  public:
+    world(event_loop& loop, world_settings settings);
+
+    /// Starts everything. Returns false if something could not be started.
+    [[nodiscard]] bool start();
+    void apply(const planned_fault& fault);
+    /// Ends the fault. Faults of one kind and target overlap; the last one mended ends them.
+    void mend(const planned_fault& fault);
+
+    /// Restarts nodes that were killed; call often. Ends that nobody ordered are added to problems().
+    void tend();
+    /// Clients' address of a node, over its proxy.
+    [[nodiscard]] endpoint clients_of(std::uint32_t node) const;
+    /// Counts a node's processes.
+    [[nodiscard]] std::uint32_t incarnation_of(std::uint32_t node) const { return m_nodes[node]->starts; }
+    [[nodiscard]] std::uint32_t nodes() const noexcept { return m_settings.nodes; }
+    /// Version of the newest configuration, and the prefix of the queue that came with it.
+    [[nodiscard]] std::int64_t version() const noexcept { return m_version; }
+    [[nodiscard]] static std::string extra_prefix(std::int64_t version);
+
+    /// All runs that VMs have had, those of crashed VMs too.
+    [[nodiscard]] std::vector<vm_run> runs() const;
+    [[nodiscard]] const std::vector<std::string>& problems() const noexcept { return m_problems; }
+
+  private:
+    struct node_place {
+        std::string id;
+        std::string settings_file;
+        std::string log;
+        endpoint clients;
+        std::unique_ptr<fault_proxy> store_link;
+        std::unique_ptr<fault_proxy> client_link;
+        std::uint16_t client_port = 0;
+        std::unique_ptr<child_process> process;
+        std::uint32_t starts = 0;
+        std::uint32_t held_down = 0; ///< Faults that keep it from being restarted.
+        std::uint32_t paused = 0;
+        bool ending = false; ///< Its end was ordered.
+        timestamp terminated{0};
+    };
+    struct vm_place {
+        std::unique_ptr<fakes::task_vm> vm;
+        std::unique_ptr<fault_proxy> link;
+        std::uint16_t port = 0;
+        std::uint32_t lives = 0;
+        std::uint32_t held_down = 0;
+    };
+
+    [[nodiscard]] bool place_node(std::uint32_t number);
+    void start_node(node_place& place);
+    void start_vm(std::uint32_t number);
+    void crash_vm(std::uint32_t number);
+    void register_vms();
+    void configure();
+    void apply_to_node(node_place& place, fault_kind kind);
+    void mend_node(node_place& place, fault_kind kind);
+    void set_store(fault_kind kind, bool on);
+    [[nodiscard]] fault_proxy* link_of(const planned_fault& fault);
+
+    event_loop& m_loop;
+    world_settings m_settings;
+    fakes::platform_store m_store;
+    std::vector<std::unique_ptr<node_place>> m_nodes;
+    std::vector<vm_place> m_vms;
+    std::vector<vm_run> m_past_runs; ///< Of VMs that have crashed.
+    std::map<std::string, timestamp> m_to_delist;
+    std::int64_t m_version = 2;
+    std::uint32_t m_silent = 0;
+    std::uint32_t m_busy = 0;
+    std::vector<std::string> m_problems;
+};
+
+} // namespace siskinpaddle::soak
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr milliseconds tick_interval = 20ms;
+/// Above the time after which a caller takes a call for unanswered and sends it again.
+constexpr milliseconds late_write_delay = 3s;
 
 std::string decoded(const std::string& text) {
     size_t size = 0;
@@ -195,14 +197,15 @@
 
 void platform_store::transact(const request_handle& request) {
     const boost::json::object body = boost::json::parse(request->body()).as_object();
-    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
-        const std::string key(row.at("key").as_string());
-        const auto found = m_items.find(key);
-        const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
-        if (revision != number(row.as_object(), "revision")) {
-            reply(request, 412, {{"items", boost::json::array{}}});
-            return;
-        }
+    if (m_late_writes > 0) {
+        --m_late_writes;
+        m_unanswered.push_back(request); // Its sender hears nothing of it.
+        m_late.push_back({body, event_loop::now() + late_write_delay});
+        return;
+    }
+    if (!holds(body)) {
+        reply(request, 412, {{"items", present_items(body)}});
+        return;
     }
     for (const boost::json::value& row : body.at("writes").as_array()) {
         const std::int64_t lease = number(row.as_object(), "lease");
@@ -211,6 +214,42 @@
             return;
         }
     }
+    carry_out(body);
+    if (m_lost_answers > 0) {
+        --m_lost_answers;
+        m_unanswered.push_back(request);
+    } else {
+        reply(request, 200, {{"revision", m_revision}});
+    }
+    answer_watches();
+}
+
+bool platform_store::holds(const boost::json::object& body) const {
+    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
+        const auto found = m_items.find(row.at("key").as_string());
+        const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
+        if (revision != number(row.as_object(), "revision")) {
+            return false;
+        }
+    }
+    return true;
+}
+
+boost::json::array platform_store::present_items(const boost::json::object& body) const {
+    boost::json::array items;
+    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
+        const std::string key(row.at("key").as_string());
+        if (const auto found = m_items.find(key); found != m_items.end()) {
+            items.push_back(boost::json::object{{"key", key},
+                                                {"value", found->second.value},
+                                                {"revision", found->second.revision},
+                                                {"lease", found->second.lease}});
+        }
+    }
+    return items;
+}
+
+void platform_store::carry_out(const boost::json::object& body) {
     ++m_revision;
     for (const boost::json::value& row : body.at("writes").as_array()) {
         const item written{std::string(row.at("value").as_string()), m_revision,
@@ -220,13 +259,6 @@
     for (const boost::json::value& key : body.at("remove").as_array()) {
         apply(std::string(key.as_string()), nullptr);
     }
-    if (m_lost_answers > 0) {
-        --m_lost_answers;
-        m_unanswered.push_back(request);
-    } else {
-        reply(request, 200, {{"revision", m_revision}});
-    }
-    answer_watches();
 }
 
 void platform_store::lease(const request_handle& request) {
@@ -259,6 +291,13 @@
 void platform_store::tick() {
     m_timer->start(tick_interval);
     const timestamp now = event_loop::now();
+    while (!m_late.empty() && m_late.front().second <= now) {
+        const boost::json::object body = std::move(m_late.front().first);
+        m_late.pop_front();
+        if (holds(body)) {
+            carry_out(body);
+        }
+    }
     std::vector<std::string> ended;
     for (const auto& [key, value] : m_items) {
         const auto lease = m_leases.find(value.lease);
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -3,6 +3,7 @@
 #include "net/net.hpp"
 
 #include <boost/json.hpp>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -34,6 +35,9 @@
     void set_busy(bool busy) { m_busy = busy; }
     /// Carries the next so many transactions out without answering them.
     void lose_answers(int transactions) { m_lost_answers = transactions; }
+    /// Carries the next so many transactions out seconds later, if their conditions still hold, without an
+    /// answer.
+    void delay_writes(int transactions) { m_late_writes = transactions; }
     /// Forgets its history: watches of older revisions are told so.
     void compact() { m_compacted = m_revision; }
     /// Lets all leases run out at once.
@@ -66,6 +70,9 @@
     void watch(const request_handle& request);
     void transact(const request_handle& request);
     void lease(const request_handle& request);
+    [[nodiscard]] bool holds(const boost::json::object& body) const;
+    [[nodiscard]] boost::json::array present_items(const boost::json::object& body) const;
+    void carry_out(const boost::json::object& body);
     void apply(const std::string& key, const item* value);
     void answer_watches();
     [[nodiscard]] boost::json::array events_for(const waiting_watch& watch) const;
@@ -75,7 +82,7 @@
     event_loop& m_loop;
     http_server m_server;
     std::unique_ptr<timer> m_timer;
-    std::map<std::string, item> m_items;
+    std::map<std::string, item, std::less<>> m_items;
     std::vector<event> m_events;
     std::list<waiting_watch> m_watches;
     std::vector<request_handle> m_unanswered;
@@ -87,6 +94,8 @@
     bool m_silent = false;
     bool m_busy = false;
     int m_lost_answers = 0;
+    int m_late_writes = 0;
+    std::deque<std::pair<boost::json::object, timestamp>> m_late; ///< Transactions, and when they are due.
 };
 
 } // namespace siskinpaddle::fakes
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -25,13 +25,14 @@
 }
 
 std::int64_t task_vm::clock_ms() const {
-    return event_loop::now().count() + clock_offset_ms;
+    return static_cast<std::int64_t>(static_cast<double>(event_loop::now().count()) * m_clock_rate) +
+           clock_offset_ms;
 }
 
-std::string task_vm::registration(const std::string& pool) const {
+std::string task_vm::registration(const std::string& pool, std::uint16_t port) const {
     return boost::json::serialize(
         boost::json::object{{"service", pool},
-                            {"address", "127.0.0.1:" + std::to_string(m_server.port())},
+                            {"address", "127.0.0.1:" + std::to_string(port)},
                             {"zone", "z"},
                             {"state", "ready"},
                             {"machine", "m-" + m_incarnation},
@@ -84,7 +85,7 @@
     }
     m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
     m_highest[task] = attempt;
-    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}});
+    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0)});
     reply(request, 200, {});
 }
 
@@ -103,6 +104,11 @@
 void task_vm::renew(const request_handle& request, const boost::json::object& body) {
     m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
     const std::int64_t acknowledged = number(body, "ack_seq");
+    for (const end& item : m_ends) {
+        if (item.sequence <= acknowledged) {
+            m_runs[item.run].acknowledged = event_loop::now();
+        }
+    }
     m_ends.remove_if([&](const end& item) { return item.sequence <= acknowledged; });
     m_renewals.push_back({request, event_loop::now() + milliseconds(number(body, "wait_ms"))});
     answer_renewals();
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -24,6 +24,7 @@
         timestamp began{0};
         timestamp ended{0}; ///< 0: it goes on.
         std::string how;
+        timestamp acknowledged{0}; ///< When its end was acknowledged; 0: it was not.
     };
 
     task_vm(event_loop& loop, std::string incarnation, milliseconds run_time);
@@ -31,12 +32,18 @@
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
     /// Its entry in the platform's directory.
-    [[nodiscard]] std::string registration(const std::string& pool) const;
+    [[nodiscard]] std::string registration(const std::string& pool) const {
+        return registration(pool, m_server.port());
+    }
+    /// The same for a VM that is reached through another port.
+    [[nodiscard]] std::string registration(const std::string& pool, std::uint16_t port) const;
     [[nodiscard]] const std::string& incarnation() const noexcept { return m_incarnation; }
     [[nodiscard]] const std::vector<run_record>& runs() const noexcept { return m_runs; }
 
     /// Answers nothing more; what runs goes on until its lease ends.
     void set_silent(bool silent) { m_silent = silent; }
+    /// How fast its clock runs against ours.
+    void set_clock_rate(double rate) noexcept { m_clock_rate = rate; }
 
   private:
     using request_handle = std::shared_ptr<server_request>;
@@ -74,6 +81,7 @@
     std::int64_t m_lease_until = 0;
     std::int64_t m_next_end = 1;
     bool m_silent = false;
+    double m_clock_rate = 1;
 };
 
 } // namespace siskinpaddle::fakes
