Jobs in the inbox survive a new claim of their own pool's owner, and late writes about them

Cause: the owner's lease had lapsed and it claimed anew; before it knew that it had succeeded it took the jobs from the inbox under its old token, met a conflict, and did not try again; events of the inbox that came while it took itself for lost were dropped. Reading on: a take that is carried out late, after the job had ended, brought its record back.

Change: a take that conflicts is tried again; it holds only against the inbox entry as it was read; an entry that is gone under our own token was taken by an earlier write of ours.

Two tests, both fail before (the job stays queued; the record is there again) and pass after.

--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -254,7 +254,11 @@
 // --- Requests that did not reach an owner ---
 
 void pool_task::take_inbox(const platform::store_item& item) {
-    if (item.deleted || m_lost) {
+    if (item.deleted) {
+        return;
+    }
+    if (m_lost) {
+        m_inbox_again.push_back(item); // For when a new claim of our own has succeeded.
         return;
     }
     const std::string submit_prefix = submit_key(m_pool, "");
@@ -284,28 +288,48 @@
     log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", job}, {"by", "inbox"}});
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
+    // A write that is carried out late must not bring back a job that has ended since.
+    change.conditions.push_back({item.key, item.revision});
     change.writes.push_back({job_prefix(m_pool) + job, item.value, 0});
     change.removals.push_back(item.key);
-    m_parts.store.commit(change, [this, item, job, record = record.value(), token = m_held.token,
+    m_parts.store.commit(change, [this, item, record = record.value(), token = m_held.token,
                                   alive = m_lifetime.watch()](const platform::store_answer& answer) {
-        if (alive.expired()) {
-            return;
+        if (!alive.expired()) {
+            inbox_submit_written(item, record, answer, token);
         }
-        if (answer.status == platform::store_status::ok) {
-            if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
-                m_scheduler.add_job(record, accepted_at(record.accepted_ms));
-            }
-            if (m_inbox.items().contains(cancel_key(m_pool, job))) {
-                // Read before its submit, the cancelling found no job. Nothing of the job may start first.
-                m_scheduler.cancel(job, event_loop::now());
-            }
-            decide_soon();
-        } else if (answer.status == platform::store_status::conflict) {
+    });
+}
+
+void pool_task::inbox_submit_written(const platform::store_item& item, const jobs::job_record& record,
+                                     const platform::store_answer& answer, std::int64_t token) {
+    bool taken = answer.status == platform::store_status::ok;
+    if (answer.status == platform::store_status::conflict) {
+        const auto is_there = [&](const std::string& key, std::int64_t revision) {
+            const auto found = std::ranges::find(answer.items, key, &platform::store_item::key);
+            return found != answer.items.end() && found->revision == revision;
+        };
+        const bool ours = is_there(owner_prefix + m_held.duty, token);
+        // Only the owner takes requests away: an earlier write of ours was carried out after all.
+        taken = ours && !is_there(item.key, item.revision);
+        if (!ours) {
             ownership_lost("inbox", token);
-        } else {
-            m_inbox_again.push_back(item);
         }
-    });
+    }
+    if (!taken) {
+        // Also after a conflict: it may have been sent under a token that a new claim of our own has
+        // replaced, and nobody else would take the request before the next owner.
+        m_inbox_again.push_back(item);
+        return;
+    }
+    const std::string& job = record.spec.id;
+    if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
+        m_scheduler.add_job(record, accepted_at(record.accepted_ms));
+    }
+    if (m_inbox.items().contains(cancel_key(m_pool, job))) {
+        // Read before its submit, the cancelling found no job. Nothing of the job may start first.
+        m_scheduler.cancel(job, event_loop::now());
+    }
+    decide_soon();
 }
 
 void pool_task::remove_inbox(const std::string& key) {
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -119,6 +119,8 @@
                          std::int64_t token);
     void take_inbox(const platform::store_item& item);
     void take_inbox_submit(const platform::store_item& item, const std::string& job);
+    void inbox_submit_written(const platform::store_item& item, const jobs::job_record& record,
+                              const platform::store_answer& answer, std::int64_t token);
     void remove_inbox(const std::string& key);
 
     // Storing.
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -154,6 +154,10 @@
 
 void platform_store::answer_watches() {
     for (auto item = m_watches.begin(); item != m_watches.end();) {
+        if (!m_held_watches.empty() && item->prefix.starts_with(m_held_watches)) {
+            ++item;
+            continue;
+        }
         boost::json::array events = events_for(*item);
         if (events.empty() && event_loop::now() < item->until) {
             ++item;
@@ -168,10 +172,13 @@
     if (value == nullptr) {
         m_items.erase(key);
         m_events.push_back({key, m_revision, true, {}, 0});
-        return;
+    } else {
+        m_items[key] = *value;
+        m_events.push_back({key, m_revision, false, value->value, value->lease});
+    }
+    if (m_on_change) {
+        m_on_change(key);
     }
-    m_items[key] = *value;
-    m_events.push_back({key, m_revision, false, value->value, value->lease});
 }
 
 void platform_store::put(const std::string& key, const std::string& value, std::int64_t lease) {
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -38,6 +39,12 @@
     /// Carries the next so many transactions out seconds later, if their conditions still hold, without an
     /// answer.
     void delay_writes(int transactions) { m_late_writes = transactions; }
+    /// Transactions that are still to be carried out late.
+    [[nodiscard]] std::size_t late_writes() const noexcept { return m_late.size(); }
+    /// Answers no watch under `prefix`; empty: answers all.
+    void hold_watches(std::string prefix) { m_held_watches = std::move(prefix); }
+    /// Calls back after each change, before anybody hears of it.
+    void on_change(std::function<void(const std::string& key)> handler) { m_on_change = std::move(handler); }
     /// Forgets its history: watches of older revisions are told so.
     void compact() { m_compacted = m_revision; }
     /// Lets all leases run out at once.
@@ -95,6 +102,8 @@
     bool m_busy = false;
     int m_lost_answers = 0;
     int m_late_writes = 0;
+    std::function<void(const std::string&)> m_on_change;
+    std::string m_held_watches;
     std::deque<std::pair<boost::json::object, timestamp>> m_late; ///< Transactions, and when they are due.
 };
 
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -112,6 +112,12 @@
         });
     }
 
+    /// Lets the loop run for a while.
+    void wait_for(milliseconds time) {
+        const timestamp end = event_loop::now() + time;
+        until([&] { return event_loop::now() >= end; });
+    }
+
     /// Waits until the node takes jobs.
     void wait_until_serving(const std::string& node) {
         REQUIRE(until([&] { return call(node, "GET", "/quotes/").code == 200; }));
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -163,3 +163,49 @@
     CHECK(d.vms[0]->runs().empty());
     CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
 }
+
+TEST_CASE("a job that an entry left in the inbox while its pool's owner claimed anew is not forgotten") {
+    // A booking is accepted and stays queued for ever. The owner's lease had lapsed and it claimed anew;
+    // before it heard that its claim had succeeded it took the job from the inbox under its old token, was
+    // refused, and never tried again.
+    node_deployment d;
+    d.serve_with_one_vm(100ms);
+    jobs::job_record record;
+    record.spec.id = job_a;
+    record.spec.queue = "quotes";
+    record.spec.steps.resize(1);
+    record.spec.steps[0].need = {500, 64, 0};
+    bool claimed = false;
+    d.store.on_change([&](const std::string& key) {
+        if (key.starts_with("sp/ctl/own/pool/") && !std::exchange(claimed, true)) {
+            d.store.lose_answers(1);
+            d.store.hold_watches("sp/ctl/");
+            d.loop.post([&] { d.store.put("sp/inbox/p/submit/" + job_a, encode_archive(record)); });
+        }
+    });
+    d.store.lapse_leases();
+    REQUIRE(d.until([&] { return claimed; }));
+    d.wait_for(500ms); // The inbox is read under the old token meanwhile.
+    d.store.hold_watches({});
+    CHECK(d.shows("n1", job_a, "completed"));
+    CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
+}
+
+TEST_CASE("a write about an inbox job that is carried out late does not bring the job back") {
+    // Seconds after a booking was done its record is there again, and the next owner that outlives the memory
+    // of its end books a second time. The first write that took it from the inbox was not answered; it was
+    // repeated, and the first one was carried out after the job had ended.
+    node_deployment d;
+    d.serve_with_one_vm(100ms);
+    jobs::job_record record;
+    record.spec.id = job_a;
+    record.spec.queue = "quotes";
+    record.spec.steps.resize(1);
+    record.spec.steps[0].need = {500, 64, 0};
+    d.store.delay_writes(1);
+    d.store.put("sp/inbox/p/submit/" + job_a, encode_archive(record));
+    CHECK(d.shows("n1", job_a, "completed"));
+    REQUIRE(d.until([&] { return d.store.late_writes() == 0; }));
+    CHECK(d.until([&] { return d.store.count("sp/job/p/") == 0; }));
+    CHECK(d.done_runs() == 1);
+}
