Pause after a claim that the store refuses

Cause: while the store is busy every node claimed each vacant duty ten times a second (seen in the soak's logs), calls that the store counts and refuses. Now 2.5 a second. No other effect: a claim that succeeds or is not answered goes as before.

--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds renew_timeout = 700ms;
 /// Our clock and the store's run apart, and the answer may be late.
 constexpr milliseconds certainty_margin = 200ms;
+/// After a claim that the store refused. Short against the lease that a vacant duty has waited for.
+constexpr milliseconds refused_claim_pause = 400ms;
 /// Between two looks at vacant duties.
 constexpr milliseconds claim_interval = 100ms;
 /// After the first start nodes appear within this of each other; whoever claims earlier takes everything.
@@ -336,6 +338,11 @@
     if (answer.status == platform::store_status::conflict) {
         m_watch.refresh(); // What we know is old: the watch may hang on a connection that went silent.
     }
+    if (answer.status == platform::store_status::refused) {
+        // The store counts refused calls as well. Without the pause each vacant duty is claimed ten times a
+        // second by every node for as long as the store is busy.
+        m_vacant_since[duty] = event_loop::now() + refused_claim_pause;
+    }
     if (answer.status != platform::store_status::ok) {
         return; // If it was carried out after all, the watch tells.
     }
