Soaks side by side have an address each; lint

Cause: their nodes had the same ports (their settings files show it), so one could not listen and its clients reached the other's node.

--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -106,7 +106,8 @@
     const auto each = static_cast<std::uint64_t>(std::max<std::int64_t>(1, m_gauge.vm().cpu_millicores));
     std::uint64_t missing = 0;
     std::uint64_t room = 0;
-    for (const auto& [id, job] : m_jobs) {
+    for (const auto& item : m_jobs) {
+        const job_state& job = item.second;
         if (is_final(job.phase()) || job.idle_total() == 0 || !job.spec().endless()) {
             continue;
         }
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <fstream>
 #include <set>
+#include <unistd.h>
 
 namespace siskinpaddle::soak {
 
@@ -52,6 +53,19 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// A loopback address of this process alone. Soaks run side by side; on one address two of them could give
+/// their nodes the same ports, and a node that is restarted would find another soak's node on its own, or be
+/// taken for it.
+std::string own_address() {
+    const auto number = static_cast<std::uint32_t>(getpid());
+    return "127." + std::to_string(1 + (number >> 16U) % 250) + "." + std::to_string((number >> 8U) & 255U) +
+           "." + std::to_string(number & 255U);
+}
+
+std::string own_address(std::uint16_t port) {
+    return own_address() + ":" + std::to_string(port);
+}
+
 } // namespace
 
 world::world(event_loop& loop, world_settings settings)
@@ -96,7 +110,7 @@
 bool world::place_node(std::uint32_t number) {
     auto place = std::make_unique<node_place>();
     place->id = "n" + std::to_string(number + 1);
-    place->clients = {"127.0.0.1", tests::free_port()};
+    place->clients = {own_address(), tests::free_port()};
     place->store_link = std::make_unique<fault_proxy>(m_loop, endpoint{"127.0.0.1", m_store.port()});
     place->client_link = std::make_unique<fault_proxy>(m_loop, place->clients);
     place->client_port = place->client_link->listen();
@@ -104,9 +118,9 @@
     place->log = m_settings.folder + "/" + place->id + ".log";
     const boost::json::object document{{"id", place->id},
                                        {"availability_zone", "z" + std::to_string(number % 2)},
-                                       {"clients", address(place->clients.port)},
-                                       {"readiness", address(tests::free_port())},
-                                       {"address", "127.0.0.1"},
+                                       {"clients", own_address(place->clients.port)},
+                                       {"readiness", own_address(tests::free_port())},
+                                       {"address", own_address()},
                                        {"peer_port", tests::free_port()},
                                        {"metrics_port", tests::free_port()},
                                        {"store", address(place->store_link->listen())},
--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -69,6 +69,7 @@
         const std::vector<start_order> starts = b.start_all();
         b.pass(2000ms);
         std::vector<end_report> ended;
+        ended.reserve(starts.size());
         for (const start_order& order : starts) {
             ended.push_back(
                 pool_bench::end(i * 8 + static_cast<std::int64_t>(ended.size()) + 1, order, run_end::done));
