--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -9,8 +9,8 @@
 
 /// A job that ends within this many times its objective is still of some use to its client.
 constexpr int late_factor = 3;
-/// Share of the objective that the expected end may take up. Above 1, since estimates of single jobs are
-/// rough and an empty queue must never turn a job away for its own length.
+/// Share of the objective that the expected end may take up. Above 1 jobs are taken that most likely end
+/// late, below it machines idle whenever the estimate of the queue is too long.
 constexpr double admission_slack = 1.0;
 /// Clients are told whole seconds. Longer than the queue takes to drain makes no sense for a client whose own
 /// objective is a few seconds.
@@ -33,9 +33,6 @@
 constexpr double trend_doubt = 1.5;
 /// A rate is carried on to this many times itself at most.
 constexpr double largest_rise = 3;
-/// Until a machine that is asked for now takes work, and what is left of that on average for one on its way.
-constexpr milliseconds lending_time = 2000ms;
-constexpr milliseconds arriving_time = 1000ms;
 /// The need falls to a third within this time. The demand's turns last several seconds.
 constexpr double need_decay_ms = 1200;
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -9,6 +9,16 @@
 const std::string job_a = "00000000000000aa";
 const std::string job_b = "00000000000000bb";
 
+/// A job of one task as an entry leaves it in the pool's inbox.
+jobs::job_record one_task_record(const std::string& id) {
+    jobs::job_record record;
+    record.spec.id = id;
+    record.spec.queue = "quotes";
+    record.spec.steps.resize(1);
+    record.spec.steps[0].need = {500, 64, 0};
+    return record;
+}
+
 } // namespace
 
 TEST_CASE("a job is accepted, run and told through any node") {
@@ -150,11 +160,7 @@
     // started it.
     node_deployment d;
     d.add_vm("v1", 60'000ms);
-    jobs::job_record record;
-    record.spec.id = job_a;
-    record.spec.queue = "quotes";
-    record.spec.steps.resize(1);
-    record.spec.steps[0].need = {500, 64, 0};
+    const jobs::job_record record = one_task_record(job_a);
     d.store.put("sp/inbox/p/submit/" + job_a, encode_archive(record));
     d.store.put("sp/inbox/p/cancel/" + job_a, "1");
     d.start_node("n1");
@@ -170,11 +176,7 @@
     // refused, and never tried again.
     node_deployment d;
     d.serve_with_one_vm(100ms);
-    jobs::job_record record;
-    record.spec.id = job_a;
-    record.spec.queue = "quotes";
-    record.spec.steps.resize(1);
-    record.spec.steps[0].need = {500, 64, 0};
+    const jobs::job_record record = one_task_record(job_a);
     bool claimed = false;
     d.store.on_change([&](const std::string& key) {
         if (key.starts_with("sp/ctl/own/pool/") && !std::exchange(claimed, true)) {
@@ -197,11 +199,7 @@
     // repeated, and the first one was carried out after the job had ended.
     node_deployment d;
     d.serve_with_one_vm(100ms);
-    jobs::job_record record;
-    record.spec.id = job_a;
-    record.spec.queue = "quotes";
-    record.spec.steps.resize(1);
-    record.spec.steps[0].need = {500, 64, 0};
+    const jobs::job_record record = one_task_record(job_a);
     d.store.delay_writes(1);
     d.store.put("sp/inbox/p/submit/" + job_a, encode_archive(record));
     CHECK(d.shows("n1", job_a, "completed"));
