A VM counts as recorded only if every record that may be stored names it

Change: the record is a class of its own without I/O (jobs/vm_record), which knows all writes that may still hold; a VM gets runs only if all of them name it and is ordered away only if none does.

Ruled out: that the store's order of writes protects (the writes that are open hold against one revision, so any one of them may be the one). Tests: jobs/vm_record_test, 2 new cases; the state after a write without an answer was wrong before.

--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -108,20 +108,20 @@
 
 admission_verdict admit(const job_spec& spec, const queue_settings& queue, std::int64_t longest_chain_ms,
                         const pool_load& load) {
+    const milliseconds queue_time = load.wait();
     if (spec.endless() || spec.timed) {
-        return {};
+        return {true, 0ms, queue_time};
     }
     if (load.usable_millicores <= 0) {
-        return {false, longest_retry_after};
+        return {false, longest_retry_after, queue_time};
     }
-    const milliseconds queue_time = load.wait();
     const milliseconds allowed = allowed_time(longest_chain_ms, queue);
     const milliseconds expected = queue_time + milliseconds(longest_chain_ms);
     if (queue_time.count() == 0 ||
         static_cast<double>(expected.count()) <= admission_slack * static_cast<double>(allowed.count())) {
-        return {};
+        return {true, 0ms, queue_time};
     }
-    return {false, std::clamp(expected - allowed, least_retry_after, longest_retry_after)};
+    return {false, std::clamp(expected - allowed, least_retry_after, longest_retry_after), queue_time};
 }
 
 } // namespace siskinpaddle::jobs
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -81,6 +81,7 @@
 struct admission_verdict {
     bool accepted = true;
     milliseconds retry_after{0};
+    milliseconds queue_time{0}; ///< How long the work that waits takes; what decided.
 };
 
 /// Accepts a job if it can reach its objective behind the work that waits, so that accepted work is finished
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -53,7 +53,7 @@
 admission_verdict scheduler::judge(const job_spec& spec) const {
     const auto found = std::ranges::find(m_queues, spec.queue, &queue_settings::name);
     if (found == m_queues.end()) {
-        return {};
+        return {true, 0ms, load().wait()};
     }
     const job_state probe(spec, timestamp(0));
     return admit(spec, *found, probe.longest_chain_ms(), load());
@@ -83,7 +83,7 @@
     m_demand.update(present.wanted_millicores(), present.endless_millicores, now);
     result.need_millicores = m_demand.present();
     result.keep_millicores = m_demand.kept();
-    result.least_vms = vms_for_endless();
+    result.least_vms = vms_for_endless(present.usable_vms);
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
         item.vm = name;
@@ -102,7 +102,7 @@
 /// needs 13. Counted by room its pool asked for one VM at a time, each after the one before had come, and a
 /// job that was accepted 7 s before the traffic had its last task started 41 s into it. Meanwhile no upkeep
 /// could move one of its tasks, since those that had never started used its disruption budget up.
-std::uint64_t scheduler::vms_for_endless() const {
+std::uint64_t scheduler::vms_for_endless(std::size_t usable_vms) const {
     const auto each = static_cast<std::uint64_t>(std::max<std::int64_t>(1, m_gauge.vm().cpu_millicores));
     std::uint64_t missing = 0;
     std::uint64_t room = 0;
@@ -120,7 +120,7 @@
         });
     }
     missing = std::max(missing, (room + each - 1) / each);
-    return missing == 0 ? 0 : load().usable_vms + missing;
+    return missing == 0 ? 0 : usable_vms + missing;
 }
 
 void scheduler::job_arrived(const job_spec& spec, timestamp now) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -196,7 +196,7 @@
     void pace(vm_state& vm);
     void place_waiting(timestamp now, std::int64_t wall_ms);
     void measure_waiting(timestamp now);
-    [[nodiscard]] std::uint64_t vms_for_endless() const;
+    [[nodiscard]] std::uint64_t vms_for_endless(std::size_t usable_vms) const;
     void place_step(job_state& job, step_place place, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& near_rack,
                     timestamp now);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -14,9 +14,7 @@
 } // namespace
 
 void scheduler::list_vm(const vm_info& info) {
-    if (info.capacity.cpu_millicores >= m_gauge.vm().cpu_millicores) {
-        m_gauge.set_vm(info.capacity);
-    }
+    m_gauge.saw_vm(info.capacity);
     const auto found = m_vms.find(info.incarnation);
     if (found == m_vms.end()) {
         m_vms.emplace(info.incarnation, vm_state(info));
--- a/jobs/vm_record.hpp
+++ b/jobs/vm_record.hpp
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "jobs/vm.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
 namespace siskinpaddle::jobs {
 
 /// What an owner knows of a VM when it decides whether the record of VMs is to name it.
@@ -29,4 +35,47 @@
     return vm.reachable || (vm.recorded && !vm.lapsed);
 }
 
+/// The record of VMs as its owner knows it: what is stored, and what may be stored instead because a write of
+/// it was not answered. All writes that are open together hold against the same revision, so at most one of
+/// them is ever carried out. Not thread-safe.
+///
+/// A VM may get a run only while every record that may be stored names it, and a new owner would not wait for
+/// it only when none does. Answers writes whose answer is lost: a VM that one of them takes out looked
+/// recorded again as soon as its machine was no longer wanted elsewhere, got tasks, and a successor would not
+/// have asked it.
+class vm_record {
+  public:
+    using entries = std::map<std::string, vm_info>; ///< By incarnation.
+
+    /// What the store holds.
+    void load(const std::vector<vm_info>& vms, std::int64_t revision);
+
+    [[nodiscard]] const entries& stored() const noexcept { return m_stored; }
+    /// Revision of the stored record; 0 while there is none.
+    [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
+    /// Whether a write is on its way.
+    [[nodiscard]] bool writing() const noexcept { return m_writing; }
+    /// Whether it is known what is stored.
+    [[nodiscard]] bool certain() const noexcept { return m_open.empty(); }
+    /// Whether the record certainly names the VM.
+    [[nodiscard]] bool names(const std::string& vm) const;
+    [[nodiscard]] bool may_name(const std::string& vm) const;
+
+    /// A write of `wanted` is sent, under the condition that revision() stands. Precondition: !writing().
+    void begin(entries wanted);
+    // How the write ended. Precondition: writing().
+    void succeeded(std::int64_t revision);
+    void refused();    ///< It was certainly not carried out.
+    void unanswered(); ///< It may have been, or may yet be, carried out.
+    /// The store holds another revision: an earlier write was carried out. What it holds is known again once
+    /// a write succeeds.
+    void conflicted(std::int64_t revision);
+
+  private:
+    entries m_stored;
+    std::vector<entries> m_open; ///< Writes that may be, or become, the stored record; the newest last.
+    std::int64_t m_revision = 0;
+    bool m_writing = false;
+};
+
 } // namespace siskinpaddle::jobs
--- a/jobs/work_gauge.cpp
+++ b/jobs/work_gauge.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+void work_gauge::saw_vm(const resources& capacity) noexcept {
+    if (capacity.cpu_millicores >= m_vm.cpu_millicores) {
+        m_vm = capacity;
+    }
+}
+
 std::int64_t work_gauge::millicores(const resources& need) const noexcept {
     const std::int64_t by_memory = scaled(need.memory_mb, m_vm.memory_mb, m_vm.cpu_millicores);
     const std::int64_t by_accelerators = scaled(need.accelerators, m_vm.accelerators, m_vm.cpu_millicores);
--- a/jobs/work_gauge.hpp
+++ b/jobs/work_gauge.hpp
@@ -18,8 +18,8 @@
 ///   declared, so a turn of demand asks for too few machines for as long as it lasts.
 class work_gauge {
   public:
-    /// Capacity of the pool's VMs; of the largest where they differ.
-    void set_vm(const resources& capacity) noexcept { m_vm = capacity; }
+    /// A VM of the pool has this capacity. Where they differ, the largest counts.
+    void saw_vm(const resources& capacity) noexcept;
     [[nodiscard]] const resources& vm() const noexcept { return m_vm; }
 
     /// Room that a need takes on a VM, as millicores of that VM: the share of whichever it takes most of.
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -82,7 +82,7 @@
         }
         link->second.failures = 0;
         m_scheduler.take_report(vm, *answer.report, now);
-        if (!m_cleared_vms.contains(vm) && !may_be_recorded(vm)) {
+        if (!m_cleared_vms.contains(vm) && !m_record.may_name(vm)) {
             m_record_timer->start(0ms); // It had been silent and left the record.
         }
         decide_soon();
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -64,9 +64,8 @@
         return;
     }
     m_scheduler.job_arrived(request.spec, event_loop::now());
-    const jobs::pool_load load = m_scheduler.load();
     const jobs::admission_verdict verdict = m_scheduler.judge(request.spec);
-    const std::int64_t waiting_ms = load.wait().count();
+    const std::int64_t waiting_ms = verdict.queue_time.count();
     if (!verdict.accepted) {
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
@@ -221,7 +220,7 @@
         if (m_cleared_vms.contains(vm)) {
             continue;
         }
-        if (is_recorded(vm)) {
+        if (m_record.names(vm)) {
             m_scheduler.cordon(vm, false);
         } else {
             m_record_timer->start(0ms);
@@ -243,7 +242,7 @@
     peer_answer answer = answer_of(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
     for (jobs::vm_load& vm : answer.demand.vms) {
-        vm.released = wanted.contains(vm.vm) && !may_be_recorded(vm.vm);
+        vm.released = wanted.contains(vm.vm) && !m_record.may_name(vm.vm);
     }
     if (changed) {
         decide_soon();
@@ -304,13 +303,9 @@
                                      const platform::store_answer& answer, std::int64_t token) {
     bool taken = answer.status == platform::store_status::ok;
     if (answer.status == platform::store_status::conflict) {
-        const auto is_there = [&](const std::string& key, std::int64_t revision) {
-            const auto found = std::ranges::find(answer.items, key, &platform::store_item::key);
-            return found != answer.items.end() && found->revision == revision;
-        };
-        const bool ours = is_there(owner_prefix + m_held.duty, token);
+        const bool ours = revision_of(answer, owner_prefix + m_held.duty) == token;
         // Only the owner takes requests away: an earlier write of ours was carried out after all.
-        taken = ours && !is_there(item.key, item.revision);
+        taken = ours && revision_of(answer, item.key) != item.revision;
         if (!ours) {
             ownership_lost("inbox", token);
         }
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -96,9 +96,10 @@
         if (!answer.items.empty()) {
             const auto recorded = decode_archive<std::vector<jobs::vm_info>>(answer.items.front().value);
             if (recorded) {
-                m_recorded = recorded.value();
+                m_record.load(recorded.value(), answer.items.front().revision);
+            } else {
+                log_event(event_id::run_noted, {{"what", "record-damaged"}, {"key", vms_key(m_pool)}});
             }
-            m_record_revision = answer.items.front().revision;
         }
         // Cancellings that did not reach an owner lie in the inbox: none of their tasks may be started first.
         m_inbox.start([this] { finish_loading(); });
@@ -113,15 +114,15 @@
     }
     m_loaded_progress.clear();
     m_ready = true;
-    for (const jobs::vm_info& info : m_recorded) {
+    for (const auto& [vm, info] : m_record.stored()) {
         m_scheduler.expect_vm(info);
-        renew(info.incarnation);
+        renew(vm);
     }
     log_event(event_id::pool_taken_over, {{"pool", m_pool},
                                           {"epoch", m_held.epoch},
                                           {"jobs", m_scheduler.job_count()},
                                           {"ended", m_ended.size()},
-                                          {"vms", m_recorded.size()}});
+                                          {"vms", m_record.stored().size()}});
     for (const auto& [vm, info] : m_directory.vms()) {
         vm_changed(vm, info);
     }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -78,13 +78,10 @@
     // VMs.
     void vm_changed(const std::string& vm, const std::optional<jobs::vm_info>& info);
     void record_vms();
-    void record_written(const std::vector<jobs::vm_info>& wanted, const platform::store_answer& answer,
-                        std::int64_t token);
+    void record_written(const platform::store_answer& answer, std::int64_t token);
     void review_record();
-    [[nodiscard]] std::vector<jobs::vm_info> vms_to_record() const;
+    [[nodiscard]] jobs::vm_record::entries vms_to_record() const;
     [[nodiscard]] bool belongs_in_record(const std::string& vm, bool listed) const;
-    [[nodiscard]] bool is_recorded(const std::string& vm) const;
-    [[nodiscard]] bool may_be_recorded(const std::string& vm) const;
     void look_for_unheard();
     void take_machines(const platform::machine_list& list);
     void use_recorded();
@@ -150,11 +147,7 @@
     std::map<std::string, jobs::job_progress> m_loaded_progress;
     std::map<std::string, jobs::job_phase> m_ended; ///< Jobs that ended and are no longer in the scheduler.
     std::map<std::string, timestamp> m_ended_at;
-    std::vector<jobs::vm_info> m_recorded; ///< VMs that may hold runs, as stored.
-    std::int64_t m_record_revision = 0;    ///< Of the stored record; 0: there is none.
-    bool m_record_unsure = false; ///< A write of the record was not answered: it may yet be carried out.
-    bool m_recording = false;
-    std::vector<jobs::vm_info> m_record_on_its_way;
+    jobs::vm_record m_record; ///< VMs that may hold runs, as stored.
 
     std::map<std::string, vm_link> m_links;
     std::unique_ptr<timer> m_record_timer;
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -32,7 +32,7 @@
                                     {"machine", info->machine},
                                     {"zone", info->availability_zone},
                                     {"draining", static_cast<int>(info->draining)}});
-    if (is_recorded(vm) && m_scheduler.vms().contains(vm)) {
+    if (m_record.names(vm) && m_scheduler.vms().contains(vm)) {
         m_scheduler.list_vm(*info);
         renew(vm);
         decide_soon();
@@ -41,27 +41,12 @@
     m_record_timer->start(0ms); // Those that change together are recorded together.
 }
 
-/// Whether the VM stands in the record, and in the one that may be stored any moment.
-bool pool_task::is_recorded(const std::string& vm) const {
-    const auto holds = [&](const std::vector<jobs::vm_info>& list) {
-        return std::ranges::find(list, vm, &jobs::vm_info::incarnation) != list.end();
-    };
-    return holds(m_recorded) && (!m_recording || holds(m_record_on_its_way));
-}
-
-bool pool_task::may_be_recorded(const std::string& vm) const {
-    const auto holds = [&](const std::vector<jobs::vm_info>& list) {
-        return std::ranges::find(list, vm, &jobs::vm_info::incarnation) != list.end();
-    };
-    return holds(m_recorded) || (m_recording && holds(m_record_on_its_way));
-}
-
 bool pool_task::belongs_in_record(const std::string& vm, bool listed) const {
     jobs::record_view view;
     view.listed = listed;
     view.settled = m_scheduler.is_settled(vm);
     view.clearing = m_cleared_vms.contains(vm);
-    view.recorded = may_be_recorded(vm);
+    view.recorded = m_record.may_name(vm);
     if (const auto known = m_scheduler.vms().find(vm); known != m_scheduler.vms().end()) {
         const jobs::vm_state& state = known->second;
         view.reachable = state.reachable;
@@ -71,18 +56,18 @@
 }
 
 /// VMs that may hold runs, now or after the next decision.
-std::vector<jobs::vm_info> pool_task::vms_to_record() const {
-    std::vector<jobs::vm_info> wanted;
+jobs::vm_record::entries pool_task::vms_to_record() const {
+    jobs::vm_record::entries wanted;
     for (const auto& [vm, info] : m_directory.vms()) {
         if (info.pool == m_pool && belongs_in_record(vm, true)) {
-            wanted.push_back(info);
+            wanted.emplace(vm, info);
         }
     }
-    for (const jobs::vm_info& info : m_recorded) {
-        const auto listed = m_directory.vms().find(info.incarnation);
+    for (const auto& [vm, info] : m_record.stored()) {
+        const auto listed = m_directory.vms().find(vm);
         const bool here = listed != m_directory.vms().end() && listed->second.pool == m_pool;
-        if (!here && belongs_in_record(info.incarnation, false)) {
-            wanted.push_back(info);
+        if (!here && belongs_in_record(vm, false)) {
+            wanted.emplace(vm, info);
         }
     }
     return wanted;
@@ -93,7 +78,7 @@
 void pool_task::review_record() {
     const timestamp now = event_loop::now();
     const bool released = std::ranges::any_of(m_cleared_vms, [this](const std::string& vm) {
-        return is_recorded(vm) && m_scheduler.is_settled(vm);
+        return m_record.names(vm) && m_scheduler.is_settled(vm);
     });
     if (released || now - m_record_reviewed_at >= record_review) {
         m_record_reviewed_at = now;
@@ -106,69 +91,69 @@
 /// only against the record as this owner knows it: one that is carried out late must not bring an older
 /// record back.
 void pool_task::record_vms() {
-    if (m_recording || m_lost) {
+    if (m_record.writing() || m_lost) {
         return;
     }
-    const std::vector<jobs::vm_info> wanted = vms_to_record();
-    if (wanted == m_recorded && !m_record_unsure) {
+    jobs::vm_record::entries wanted = vms_to_record();
+    if (m_record.certain() && wanted == m_record.stored()) {
         use_recorded();
         return;
     }
-    for (const jobs::vm_info& info : m_recorded) {
-        if (std::ranges::find(wanted, info.incarnation, &jobs::vm_info::incarnation) == wanted.end()) {
-            m_scheduler.cordon(info.incarnation, true);
+    std::vector<jobs::vm_info> named;
+    named.reserve(wanted.size());
+    for (const auto& [vm, info] : wanted) {
+        named.push_back(info);
+    }
+    for (const auto& [vm, info] : m_record.stored()) {
+        if (!wanted.contains(vm)) {
+            m_scheduler.cordon(vm, true);
         }
     }
-    m_recording = true;
-    m_record_on_its_way = wanted;
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
-    change.conditions.push_back({vms_key(m_pool), m_record_revision});
-    change.writes.push_back({vms_key(m_pool), encode_archive(wanted), 0});
-    m_parts.store.commit(change, [this, wanted, token = m_held.token,
+    change.conditions.push_back({vms_key(m_pool), m_record.revision()});
+    change.writes.push_back({vms_key(m_pool), encode_archive(named), 0});
+    m_record.begin(std::move(wanted));
+    m_parts.store.commit(change, [this, token = m_held.token,
                                   alive = m_lifetime.watch()](const platform::store_answer& answer) {
         if (!alive.expired()) {
-            record_written(wanted, answer, token);
+            record_written(answer, token);
         }
     });
 }
 
-void pool_task::record_written(const std::vector<jobs::vm_info>& wanted, const platform::store_answer& answer,
-                               std::int64_t token) {
-    m_recording = false;
-    milliseconds pause = record_pause;
-    if (answer.status == platform::store_status::ok) {
-        m_recorded = wanted;
-        m_record_revision = answer.revision;
-        m_record_unsure = false;
-        pause = 0ms;
+void pool_task::record_written(const platform::store_answer& answer, std::int64_t token) {
+    switch (answer.status) {
+    case platform::store_status::ok:
+        m_record.succeeded(answer.revision);
         use_recorded();
-    } else if (answer.status == platform::store_status::conflict) {
-        const auto owner =
-            std::ranges::find(answer.items, owner_prefix + m_held.duty, &platform::store_item::key);
-        if (owner == answer.items.end() || owner->revision != token) {
+        break;
+    case platform::store_status::conflict:
+        m_record.conflicted(revision_of(answer, vms_key(m_pool)));
+        if (revision_of(answer, owner_prefix + m_held.duty) != token) {
             ownership_lost("vm record", token);
             return;
         }
-        // An earlier write of ours was carried out after all.
-        const auto record = std::ranges::find(answer.items, vms_key(m_pool), &platform::store_item::key);
-        m_record_revision = record == answer.items.end() ? 0 : record->revision;
-        m_record_unsure = true;
-    } else if (answer.status == platform::store_status::unknown) {
-        m_record_unsure = true;
+        break;
+    case platform::store_status::unknown:
+        m_record.unanswered();
+        break;
+    default:
+        m_record.refused();
+        break;
     }
-    if (m_record_unsure || vms_to_record() != m_recorded) {
-        m_record_timer->start(pause);
+    if (!m_record.certain() || vms_to_record() != m_record.stored()) {
+        m_record_timer->start(answer.status == platform::store_status::ok ? 0ms : record_pause);
     }
 }
 
 void pool_task::use_recorded() {
-    for (const jobs::vm_info& info : m_recorded) {
-        const auto listed = m_directory.vms().find(info.incarnation);
+    for (const auto& [vm, info] : m_record.stored()) {
+        const auto listed = m_directory.vms().find(vm);
         if (listed != m_directory.vms().end() && listed->second.pool == m_pool) {
             m_scheduler.list_vm(listed->second);
-            m_scheduler.cordon(info.incarnation, m_cleared_vms.contains(info.incarnation));
-            renew(info.incarnation);
+            m_scheduler.cordon(vm, m_cleared_vms.contains(vm));
+            renew(vm);
         }
     }
     decide_soon();
@@ -191,20 +176,20 @@
 }
 
 void pool_task::take_machines(const platform::machine_list& list) {
-    for (const jobs::vm_info& info : m_recorded) {
+    for (const auto& [vm, info] : m_record.stored()) {
         const auto found = std::ranges::find(list.machines, info.machine, &platform::machine_info::machine);
         // The list may be a second old, so what is still registered as a VM may be newer than the list. That
         // another life of the machine is registered proves nothing: an ended life's last heartbeat can bring
         // its entry back.
-        const bool registered = m_directory.vms().contains(info.incarnation);
-        if (registered || found == list.machines.end() || !m_scheduler.unheard().contains(info.incarnation)) {
+        const bool registered = m_directory.vms().contains(vm);
+        if (registered || found == list.machines.end() || !m_scheduler.unheard().contains(vm)) {
             continue;
         }
         const bool taken_down = found->phase == platform::machine_phase::moving ||
                                 found->phase == platform::machine_phase::upkeep;
         const bool elsewhere = found->pool != m_pool;
         if (taken_down || elsewhere) {
-            m_scheduler.vm_gone(info.incarnation, event_loop::now());
+            m_scheduler.vm_gone(vm, event_loop::now());
         }
     }
     decide_soon();
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -36,15 +36,18 @@
 /// What is given up is given up on the wire, too: large values that nobody waits for any more would fill a
 /// slow link and make the next reading late as well.
 void watch_task::refresh() {
-    const timestamp now = event_loop::now();
-    if (m_listing_now && now - m_listing_begun_at < listing_patience) {
+    if (m_listing_now && event_loop::now() - m_listing_begun_at < listing_patience) {
         return;
     }
-    m_listing_now = true;
-    m_listing_begun_at = now;
     if (m_waiting_watch) {
         m_store.abandon_watch(*std::exchange(m_waiting_watch, std::nullopt));
     }
+    begin_listing();
+}
+
+void watch_task::begin_listing() {
+    m_listing_now = true;
+    m_listing_begun_at = event_loop::now();
     ++m_round;
     list({}, m_round);
 }
@@ -173,9 +176,7 @@
     }
     m_waiting_watch.reset();
     if (answer.status == platform::store_status::compacted) {
-        m_listing_now = true;
-        m_listing_begun_at = event_loop::now();
-        list({}, round);
+        begin_listing();
         return;
     }
     if (answer.status != platform::store_status::ok) {
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -40,6 +40,7 @@
     void refresh();
 
   private:
+    void begin_listing();
     void list(const std::string& after, std::uint64_t round);
     void take_page(const platform::store_answer& answer, std::uint64_t round);
     void finish_listing();
--- a/tests/jobs/vm_record_test.cpp
+++ b/tests/jobs/vm_record_test.cpp
@@ -35,3 +35,84 @@
         CHECK(belongs_in_record(item.vm) == item.recorded);
     }
 }
+
+namespace {
+
+vm_record::entries record_of(std::initializer_list<const char*> names) {
+    vm_record::entries result;
+    for (const char* name : names) {
+        vm_info info;
+        info.incarnation = name;
+        result.emplace(name, info);
+    }
+    return result;
+}
+
+vm_record stored(std::initializer_list<const char*> names) {
+    std::vector<vm_info> vms;
+    for (const auto& [name, info] : record_of(names)) {
+        vms.push_back(info);
+    }
+    vm_record record;
+    record.load(vms, 7);
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("a VM counts as recorded only if every record that may be stored names it") {
+    // A task of a dead owner runs twice. The write that took its VM out of the record was not answered; the
+    // VM was no longer wanted elsewhere, looked recorded and got the task; then the write was carried out,
+    // and the next owner did not wait for the VM.
+    vm_record record = stored({"a", "b"});
+    record.begin(record_of({"b", "c"}));
+    for (const bool answered : {false, true}) { // On its way, and then without an answer.
+        CHECK_FALSE(record.names("a"));
+        CHECK(record.may_name("a"));
+        CHECK(record.names("b"));
+        CHECK_FALSE(record.names("c"));
+        CHECK(record.may_name("c"));
+        CHECK_FALSE(record.certain());
+        if (!answered) {
+            record.unanswered();
+        }
+    }
+    record.begin(record_of({"a", "b"}));
+    CHECK_FALSE(record.names("a")); // The first write may still be the one that holds.
+    CHECK(record.may_name("c"));
+    CHECK(record.revision() == 7);
+    record.succeeded(9);
+    CHECK(record.names("a"));
+    CHECK_FALSE(record.may_name("c"));
+    CHECK(record.certain());
+    CHECK(record.revision() == 9);
+}
+
+TEST_CASE("how a write of the record ends") {
+    struct end_case {
+        const char* what = "";
+        void (*end)(vm_record&);
+        bool certain = false;
+        bool names_new = false;
+        bool may_name_old = false;
+        std::int64_t revision = 0;
+    };
+    for (const end_case& item : {
+             end_case{"carried out", [](vm_record& r) { r.succeeded(8); }, true, true, false, 8},
+             end_case{"refused", [](vm_record& r) { r.refused(); }, true, false, true, 7},
+             end_case{"not answered", [](vm_record& r) { r.unanswered(); }, false, false, true, 7},
+             end_case{"an earlier one was carried out", [](vm_record& r) { r.conflicted(8); }, false, false,
+                      true, 8},
+         }) {
+        INFO(item.what);
+        vm_record record = stored({"old"});
+        record.begin(record_of({"new"}));
+        CHECK(record.writing());
+        item.end(record);
+        CHECK_FALSE(record.writing());
+        CHECK(record.certain() == item.certain);
+        CHECK(record.names("new") == item.names_new);
+        CHECK(record.may_name("old") == item.may_name_old);
+        CHECK(record.revision() == item.revision);
+    }
+}
--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -5,7 +5,8 @@
 
 TEST_CASE("a need counts by the resource that it takes the largest share of") {
     work_gauge gauge;
-    gauge.set_vm({32'000, 64'000, 4});
+    gauge.saw_vm({32'000, 64'000, 4});
+    gauge.saw_vm({16'000, 64'000, 4}); // A smaller one changes nothing.
     struct need_case {
         const char* what = "";
         resources need;
