The platform's names stand once, in platform/; stand-ins speak through the same encoders; two tests without a clock

Cause: the stand-ins of the tests and the soak spelled the platform's paths and fields again, outside platform/; a name that changed would have passed all tests that only meet the stand-ins.

Change: platform/wire.hpp names calls and fields for clients and stand-ins; platform/encoding.cpp is the inverse of the decoders (round trips tested); stand-ins, node tests and soak use them. In the soak overlapping faults of one link end with the last of them, as its comment said, and one VM's tasks run for five seconds, so that runs of a dead owner are there to find.

Ruled out: generating the names; there are fifty and no second user.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "soak/callers.hpp"
 
+#include "platform/platform.hpp"
+
 #include <iomanip>
 #include <sstream>
 
@@ -23,8 +25,17 @@
 constexpr int unavailable = 503;
 
 std::string body_of(std::uint32_t tasks) {
-    return R"({"spec":"s","phases":[{"count":)" + std::to_string(tasks) +
-           R"(,"cpu":500,"mem_mb":64,"estimate_ms":500}]})";
+    jobs::job_spec spec;
+    spec.payload = "s";
+    spec.steps.resize(1);
+    spec.steps[0].count = tasks;
+    spec.steps[0].need = {500, 64, 0};
+    spec.steps[0].estimate_ms = 500;
+    return platform::encode_job(spec);
+}
+
+std::string target_of(const std::string& job) {
+    return std::string(quotes_prefix) + job;
 }
 
 } // namespace
@@ -51,7 +62,7 @@
     call.to = m_world.clients_of(node);
     call.method = method;
     call.target = target;
-    call.headers.add("Host", "h.example");
+    call.headers.add("Host", std::string(client_host));
     call.headers.add("Deadline-Ms", std::to_string(client_deadline.count()));
     call.body = std::move(body);
     call.timeout = client_deadline;
@@ -84,7 +95,7 @@
 
 void callers::submit(const std::string& id, std::uint32_t tries) {
     m_jobs[id].asking = true;
-    send(some_node(), "POST", "/quotes/" + id, body_of(m_jobs[id].tasks),
+    send(some_node(), "POST", target_of(id), body_of(m_jobs[id].tasks),
          [this, id, tries](const http_answer& answer) { submit_answered(id, tries, answer); });
 }
 
@@ -110,7 +121,7 @@
 
 void callers::cancel(const std::string& id) {
     m_jobs[id].cancel_sent = true;
-    send(some_node(), "DELETE", "/quotes/" + id, {}, [this, id](const http_answer& answer) {
+    send(some_node(), "DELETE", target_of(id), {}, [this, id](const http_answer& answer) {
         if (answer.status == exchange_status::answered && answer.code == ok) {
             m_jobs[id].cancelled = event_loop::now();
         }
@@ -118,8 +129,7 @@
 }
 
 void callers::ask(const std::string& id) {
-    send(some_node(), "GET", "/quotes/" + id, {},
-         [this, id](const http_answer& answer) { asked(id, answer); });
+    send(some_node(), "GET", target_of(id), {}, [this, id](const http_answer& answer) { asked(id, answer); });
 }
 
 void callers::asked(const std::string& id, const http_answer& answer) {
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,7 +1,9 @@
 #include "soak/world.hpp"
 
 #include "net/free_port.hpp"
+#include "platform/platform.hpp"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <set>
@@ -23,8 +25,9 @@
 constexpr int late_writes = 2;
 /// VMs' clocks: the slowest that the platform allows, and a plain one, by turns.
 constexpr double slow_clock = 0.98;
-constexpr milliseconds short_run = 200ms;
-constexpr milliseconds run_step = 400ms;
+/// How long tasks run, by VM. The last outlives the change of a pool's owner, so that runs of a dead owner
+/// are there for its successor to find, and stays below a lease.
+constexpr std::array run_times{200ms, 600ms, 1400ms, 5000ms};
 
 bool is_node_fault(fault_kind kind) {
     return kind == fault_kind::node_kill || kind == fault_kind::node_term || kind == fault_kind::node_pause;
@@ -95,16 +98,23 @@
 /// Each version replaces the extra queue of the one before, so that every version shows from outside.
 void world::configure() {
     const auto queue = [](const std::string& name, const std::string& prefix) {
-        return boost::json::object{
-            {"name", name},       {"host", "h.example"},    {"prefix", prefix},           {"service", pool},
-            {"max_attempts", 50}, {"stretch_factor", 20.0}, {"target_latency_ms", 20'000}};
+        jobs::queue_settings item;
+        item.name = name;
+        item.host = client_host;
+        item.prefix = prefix;
+        item.pool = pool;
+        item.max_attempts = 50;
+        item.stretch_factor = 20;
+        item.target_latency = 20s;
+        return item;
     };
-    m_store.put("op/config",
-                boost::json::serialize(boost::json::object{
-                    {"version", m_version},
-                    {"routes", {queue("quotes", "/quotes/"), queue("extra", extra_prefix(m_version))}},
-                    {"services", {boost::json::object{{"name", pool}, {"admission_control", true}}}},
-                    {"limits", boost::json::object{{"max_body_bytes", 65'536}}}}));
+    jobs::fleet_configuration configuration;
+    configuration.version = m_version;
+    configuration.queues = {queue("quotes", std::string(quotes_prefix)),
+                            queue("extra", extra_prefix(m_version))};
+    configuration.pools = {{std::string(pool), false}};
+    configuration.max_body_bytes = 65'536;
+    m_store.put(std::string(platform::configuration_key), platform::encode_configuration(configuration));
 }
 
 bool world::place_node(std::uint32_t number) {
@@ -157,7 +167,7 @@
 void world::start_vm(std::uint32_t number) {
     vm_place& place = m_vms[number];
     const std::string name = "v" + std::to_string(number + 1) + "-" + std::to_string(++place.lives);
-    place.vm = std::make_unique<fakes::task_vm>(m_loop, name, short_run + run_step * (number % 4));
+    place.vm = std::make_unique<fakes::task_vm>(m_loop, name, run_times.at(number % run_times.size()));
     place.vm->set_clock_rate(number % 2 == 0 ? slow_clock : 1);
     if (!place.vm->listen({"127.0.0.1", 0})) {
         m_problems.push_back("a stand-in VM can't listen");
@@ -168,7 +178,7 @@
         place.port = place.link->listen();
     }
     place.link->set_server(server);
-    m_store.put("servers/" + name, place.vm->registration(std::string(pool), place.port));
+    m_store.put(platform::vm_key(name), place.vm->registration(std::string(pool), place.port));
 }
 
 void world::crash_vm(std::uint32_t number) {
@@ -261,6 +271,7 @@
 
 void world::apply(const planned_fault& fault) {
     if (fault_proxy* link = link_of(fault)) {
+        ++m_link_faults[link];
         link->set_mode(mode_of(fault.kind), link_delay);
         return;
     }
@@ -298,7 +309,9 @@
 
 void world::mend(const planned_fault& fault) {
     if (fault_proxy* link = link_of(fault)) {
-        link->set_mode(link_mode::pass);
+        if (--m_link_faults[link] == 0) {
+            link->set_mode(link_mode::pass);
+        }
     } else if (is_node_fault(fault.kind)) {
         mend_node(*m_nodes[fault.target % m_settings.nodes], fault.kind);
     } else if (fault.kind == fault_kind::vm_crash) {
@@ -321,7 +334,7 @@
         if (now < item.second) {
             return false;
         }
-        m_store.remove("servers/" + item.first);
+        m_store.remove(platform::vm_key(item.first));
         return true;
     });
     for (const auto& place : m_nodes) {
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -12,6 +12,10 @@
 
 namespace siskinpaddle::soak {
 
+/// How clients address the queue that is always there.
+inline constexpr std::string_view client_host = "h.example";
+inline constexpr std::string_view quotes_prefix = "/quotes/";
+
 struct world_settings {
     std::string program; ///< The node program.
     std::string folder;  ///< Settings and logs of the nodes go there.
@@ -28,7 +32,8 @@
     /// Starts everything. Returns false if something could not be started.
     [[nodiscard]] bool start();
     void apply(const planned_fault& fault);
-    /// Ends the fault. Faults of one kind and target overlap; the last one mended ends them.
+    /// Ends the fault. Of faults that overlap on one link, VM, node or the store the newest shows, and the
+    /// target is well again when the last of them is mended.
     void mend(const planned_fault& fault);
 
     /// Restarts nodes that were killed; call often. Ends that nobody ordered are added to problems().
@@ -88,6 +93,7 @@
     std::vector<vm_place> m_vms;
     std::vector<vm_run> m_past_runs; ///< Of VMs that have crashed.
     std::map<std::string, timestamp> m_to_delist;
+    std::map<fault_proxy*, std::uint32_t> m_link_faults; ///< Open faults of each link.
     std::int64_t m_version = 2;
     std::uint32_t m_silent = 0;
     std::uint32_t m_busy = 0;
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -1,11 +1,15 @@
 #include "fakes/platform_store.hpp"
 
+#include "platform/wire.hpp"
+
 #include <cstdlib>
 #include <event2/http.h>
 #include <openssl/evp.h>
 
 namespace siskinpaddle::fakes {
 
+namespace wire = platform::wire;
+
 namespace {
 
 constexpr milliseconds tick_interval = 20ms;
@@ -71,13 +75,13 @@
         m_unanswered.push_back(request);
     } else if (m_busy) {
         reply(request, 503, {});
-    } else if (path == "/v1/kv-key") {
+    } else if (path == wire::get_path) {
         get(request);
-    } else if (path == "/v1/kv-range") {
+    } else if (path == wire::range_path) {
         range(request);
-    } else if (path == "/v1/kv-watch") {
+    } else if (path == wire::watch_path) {
         watch(request);
-    } else if (path == "/v1/kv-txn") {
+    } else if (path == wire::commit_path) {
         transact(request);
     } else {
         lease(request);
@@ -85,24 +89,24 @@
 }
 
 void platform_store::get(const request_handle& request) {
-    const std::string key = parameter(*request, "key");
+    const std::string key = parameter(*request, wire::key);
     const auto found = m_items.find(key);
     if (found == m_items.end()) {
-        reply(request, 404, {{"current_rev", m_revision}});
+        reply(request, 404, {{wire::store_revision, m_revision}});
         return;
     }
     reply(request, 200,
-          {{"key", key},
-           {"value", found->second.value},
-           {"revision", found->second.revision},
-           {"lease", found->second.lease},
-           {"current_rev", m_revision}});
+          {{wire::key, key},
+           {wire::value, found->second.value},
+           {wire::revision, found->second.revision},
+           {wire::lease, found->second.lease},
+           {wire::store_revision, m_revision}});
 }
 
 void platform_store::range(const request_handle& request) {
     constexpr std::size_t page = 50; // Small, so that pages are met with few items.
-    const std::string prefix = parameter(*request, "prefix");
-    const std::string after = parameter(*request, "after");
+    const std::string prefix = parameter(*request, wire::prefix);
+    const std::string after = parameter(*request, wire::after);
     boost::json::array items;
     bool more = false;
     for (const auto& [key, value] : m_items) {
@@ -113,10 +117,13 @@
             more = true;
             break;
         }
-        items.push_back(boost::json::object{
-            {"key", key}, {"value", value.value}, {"revision", value.revision}, {"lease", value.lease}});
+        items.push_back(boost::json::object{{wire::key, key},
+                                            {wire::value, value.value},
+                                            {wire::revision, value.revision},
+                                            {wire::lease, value.lease}});
     }
-    reply(request, 200, {{"items", std::move(items)}, {"has_more", more}, {"current_rev", m_revision}});
+    reply(request, 200,
+          {{wire::items, std::move(items)}, {wire::more, more}, {wire::store_revision, m_revision}});
 }
 
 boost::json::array platform_store::events_for(const waiting_watch& watch) const {
@@ -125,12 +132,12 @@
         if (item.revision <= watch.after || !item.key.starts_with(watch.prefix)) {
             continue;
         }
-        boost::json::object told{{"key", item.key}, {"revision", item.revision}};
+        boost::json::object told{{wire::key, item.key}, {wire::revision, item.revision}};
         if (item.deleted) {
-            told["deleted"] = true;
+            told[wire::deleted] = true;
         } else {
-            told["value"] = item.value;
-            told["lease"] = item.lease;
+            told[wire::value] = item.value;
+            told[wire::lease] = item.lease;
         }
         events.push_back(std::move(told));
     }
@@ -140,10 +147,10 @@
 void platform_store::watch(const request_handle& request) {
     waiting_watch item;
     item.request = request;
-    item.prefix = parameter(*request, "prefix");
-    item.after = std::strtoll(parameter(*request, "after").c_str(), nullptr, 10);
+    item.prefix = parameter(*request, wire::prefix);
+    item.after = std::strtoll(parameter(*request, wire::after).c_str(), nullptr, 10);
     item.until =
-        event_loop::now() + milliseconds(std::strtoll(parameter(*request, "wait_ms").c_str(), nullptr, 10));
+        event_loop::now() + milliseconds(std::strtoll(parameter(*request, wire::wait).c_str(), nullptr, 10));
     if (item.after < m_compacted) {
         reply(request, 410, {});
         return;
@@ -163,7 +170,7 @@
             ++item;
             continue;
         }
-        reply(item->request, 200, {{"events", std::move(events)}, {"current_rev", m_revision}});
+        reply(item->request, 200, {{wire::events, std::move(events)}, {wire::store_revision, m_revision}});
         item = m_watches.erase(item);
     }
 }
@@ -211,11 +218,12 @@
         return;
     }
     if (!holds(body)) {
-        reply(request, 412, {{"items", present_items(body)}});
+        ++m_conflicts;
+        reply(request, 412, {{wire::items, present_items(body)}});
         return;
     }
-    for (const boost::json::value& row : body.at("writes").as_array()) {
-        const std::int64_t lease = number(row.as_object(), "lease");
+    for (const boost::json::value& row : body.at(wire::writes).as_array()) {
+        const std::int64_t lease = number(row.as_object(), wire::lease);
         if (lease != 0 && !m_leases.contains(lease)) {
             reply(request, 404, {});
             return;
@@ -226,16 +234,16 @@
         --m_lost_answers;
         m_unanswered.push_back(request);
     } else {
-        reply(request, 200, {{"revision", m_revision}});
+        reply(request, 200, {{wire::revision, m_revision}});
     }
     answer_watches();
 }
 
 bool platform_store::holds(const boost::json::object& body) const {
-    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
-        const auto found = m_items.find(row.at("key").as_string());
+    for (const boost::json::value& row : body.at(wire::conditions).as_array()) {
+        const auto found = m_items.find(row.at(wire::key).as_string());
         const std::int64_t revision = found == m_items.end() ? 0 : found->second.revision;
-        if (revision != number(row.as_object(), "revision")) {
+        if (revision != number(row.as_object(), wire::revision)) {
             return false;
         }
     }
@@ -244,13 +252,13 @@
 
 boost::json::array platform_store::present_items(const boost::json::object& body) const {
     boost::json::array items;
-    for (const boost::json::value& row : body.at("expected_rev").as_array()) {
-        const std::string key(row.at("key").as_string());
+    for (const boost::json::value& row : body.at(wire::conditions).as_array()) {
+        const std::string key(row.at(wire::key).as_string());
         if (const auto found = m_items.find(key); found != m_items.end()) {
-            items.push_back(boost::json::object{{"key", key},
-                                                {"value", found->second.value},
-                                                {"revision", found->second.revision},
-                                                {"lease", found->second.lease}});
+            items.push_back(boost::json::object{{wire::key, key},
+                                                {wire::value, found->second.value},
+                                                {wire::revision, found->second.revision},
+                                                {wire::lease, found->second.lease}});
         }
     }
     return items;
@@ -258,12 +266,12 @@
 
 void platform_store::carry_out(const boost::json::object& body) {
     ++m_revision;
-    for (const boost::json::value& row : body.at("writes").as_array()) {
-        const item written{std::string(row.at("value").as_string()), m_revision,
-                           number(row.as_object(), "lease")};
-        apply(std::string(row.at("key").as_string()), &written);
+    for (const boost::json::value& row : body.at(wire::writes).as_array()) {
+        const item written{std::string(row.at(wire::value).as_string()), m_revision,
+                           number(row.as_object(), wire::lease)};
+        apply(std::string(row.at(wire::key).as_string()), &written);
     }
-    for (const boost::json::value& key : body.at("remove").as_array()) {
+    for (const boost::json::value& key : body.at(wire::removals).as_array()) {
         apply(std::string(key.as_string()), nullptr);
     }
 }
@@ -271,16 +279,16 @@
 void platform_store::lease(const request_handle& request) {
     const std::string path(path_of_target(request->target()));
     const std::int64_t id = std::strtoll(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
-    if (path == "/v1/kv-lease") {
-        const milliseconds ttl(number(boost::json::parse(request->body()).as_object(), "ttl_ms"));
+    if (path == wire::grant_path) {
+        const milliseconds ttl(number(boost::json::parse(request->body()).as_object(), wire::lease_time));
         const std::int64_t granted = m_next_lease++;
         m_leases[granted] = {event_loop::now() + ttl, ttl};
-        reply(request, 200, {{"lease", granted}, {"ttl_ms", ttl.count()}});
+        reply(request, 200, {{wire::lease, granted}, {wire::lease_time, ttl.count()}});
     } else if (!m_leases.contains(id)) {
         reply(request, 404, {});
-    } else if (path.starts_with("/v1/kv-keep/")) {
+    } else if (path.starts_with(wire::renew_path)) {
         m_leases[id].first = event_loop::now() + m_leases[id].second;
-        reply(request, 200, {{"ttl_ms", m_leases[id].second.count()}});
+        reply(request, 200, {{wire::lease_time, m_leases[id].second.count()}});
     } else {
         m_leases[id].first = timestamp(0);
         tick();
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -39,6 +39,8 @@
     /// Carries the next so many transactions out seconds later, if their conditions still hold, without an
     /// answer.
     void delay_writes(int transactions) { m_late_writes = transactions; }
+    /// Transactions that were refused since a condition did not hold.
+    [[nodiscard]] std::size_t conflicts() const noexcept { return m_conflicts; }
     /// Transactions that are still to be carried out late.
     [[nodiscard]] std::size_t late_writes() const noexcept { return m_late.size(); }
     /// Answers no watch under `prefix`; empty: answers all.
@@ -102,6 +104,7 @@
     bool m_busy = false;
     int m_lost_answers = 0;
     int m_late_writes = 0;
+    std::size_t m_conflicts = 0;
     std::function<void(const std::string&)> m_on_change;
     std::string m_held_watches;
     std::deque<std::pair<boost::json::object, timestamp>> m_late; ///< Transactions, and when they are due.
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -1,9 +1,14 @@
 #include "fakes/task_vm.hpp"
 
+#include "platform/platform.hpp"
+#include "platform/wire.hpp"
+
 #include <algorithm>
 
 namespace siskinpaddle::fakes {
 
+namespace wire = platform::wire;
+
 namespace {
 
 constexpr milliseconds tick_interval = 10ms;
@@ -30,20 +35,23 @@
 }
 
 std::string task_vm::registration(const std::string& pool, std::uint16_t port) const {
-    return boost::json::serialize(
-        boost::json::object{{"service", pool},
-                            {"address", "127.0.0.1:" + std::to_string(port)},
-                            {"zone", "z"},
-                            {"state", "ready"},
-                            {"machine", "m-" + m_incarnation},
-                            {"capacity", {{"cpu", 4000}, {"mem_mb", 8192}, {"gpu", 0}}},
-                            {"labels", {"a", "r1"}}});
+    jobs::vm_info info;
+    info.incarnation = m_incarnation;
+    info.machine = "m-" + m_incarnation;
+    info.pool = pool;
+    info.address = "127.0.0.1";
+    info.port = port;
+    info.availability_zone = "z";
+    info.kind = "a";
+    info.rack = "r1";
+    info.capacity = {4000, 8192, 0};
+    return platform::encode_vm(info);
 }
 
 void task_vm::reply(const request_handle& request, int code, boost::json::object body) const {
     http_headers headers;
     headers.add("Content-Type", "application/json");
-    body["clock_ms"] = clock_ms();
+    body[wire::clock] = clock_ms();
     request->reply(code, headers, boost::json::serialize(body));
 }
 
@@ -53,19 +61,19 @@
         return;
     }
     const boost::json::object body = boost::json::parse(request->body()).as_object();
-    if (request->headers().get("Expect-Instance") != m_incarnation) {
+    if (request->headers().get(wire::incarnation_header) != m_incarnation) {
         reply(request, 421, {});
         return;
     }
-    if (number(body, "fencing_token") < m_token) {
-        reply(request, 409, {{"reason", "fence"}});
+    if (number(body, wire::fencing_token) < m_token) {
+        reply(request, 409, {{wire::reason, wire::fenced}});
         return;
     }
-    m_token = number(body, "fencing_token");
+    m_token = number(body, wire::fencing_token);
     const std::string path(path_of_target(request->target()));
-    if (path == "/v1/run-start") {
+    if (path == wire::start_path) {
         start(request, body);
-    } else if (path == "/v1/run-stop") {
+    } else if (path == wire::stop_path) {
         stop(request, body);
     } else {
         renew(request, body);
@@ -73,25 +81,25 @@
 }
 
 void task_vm::start(const request_handle& request, const boost::json::object& body) {
-    const std::string task(body.at("task").as_string());
-    const std::int64_t attempt = number(body, "attempt");
-    if (number(body, "deadline_ms") < clock_ms()) {
-        reply(request, 409, {{"reason", "late"}});
+    const std::string task(body.at(wire::task).as_string());
+    const std::int64_t attempt = number(body, wire::attempt);
+    if (number(body, wire::deadline) < clock_ms()) {
+        reply(request, 409, {{wire::reason, wire::too_late}});
         return;
     }
     if (attempt <= m_highest[task]) {
-        reply(request, 409, {{"reason", "old"}});
+        reply(request, 409, {{wire::reason, wire::old_attempt}});
         return;
     }
-    m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
+    m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
     m_highest[task] = attempt;
     m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0)});
     reply(request, 200, {});
 }
 
 void task_vm::stop(const request_handle& request, const boost::json::object& body) {
-    const std::string task(body.at("task").as_string());
-    const std::int64_t attempt = number(body, "attempt");
+    const std::string task(body.at(wire::task).as_string());
+    const std::int64_t attempt = number(body, wire::attempt);
     m_highest[task] = std::max(m_highest[task], attempt);
     for (std::size_t i = 0; i < m_runs.size(); ++i) {
         if (m_runs[i].task == task && m_runs[i].attempt == attempt && m_runs[i].ended == timestamp(0)) {
@@ -102,15 +110,15 @@
 }
 
 void task_vm::renew(const request_handle& request, const boost::json::object& body) {
-    m_lease_until = std::max(m_lease_until, number(body, "deadline_ms"));
-    const std::int64_t acknowledged = number(body, "ack_seq");
+    m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
+    const std::int64_t acknowledged = number(body, wire::acknowledged);
     for (const end& item : m_ends) {
         if (item.sequence <= acknowledged) {
             m_runs[item.run].acknowledged = event_loop::now();
         }
     }
     m_ends.remove_if([&](const end& item) { return item.sequence <= acknowledged; });
-    m_renewals.push_back({request, event_loop::now() + milliseconds(number(body, "wait_ms"))});
+    m_renewals.push_back({request, event_loop::now() + milliseconds(number(body, wire::wait))});
     answer_renewals();
 }
 
@@ -126,7 +134,7 @@
         const run_record& run = m_runs[item.run];
         finished.push_back(boost::json::array{item.sequence, run.task, run.attempt, run.how, ""});
     }
-    return {{"running", std::move(running)}, {"finished", std::move(finished)}};
+    return {{wire::running, std::move(running)}, {wire::ended, std::move(finished)}};
 }
 
 void task_vm::answer_renewals() {
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -28,16 +28,29 @@
     node_deployment() : store(loop), client(loop) {
         start_test_log();
         REQUIRE(store.listen({"127.0.0.1", 0}));
-        store.put("op/config", configuration(2));
+        configure(configuration(2));
     }
 
     static std::string configuration(std::int64_t version, const std::string& prefix = "/quotes/") {
-        return R"({"version":)" + std::to_string(version) +
-               R"(,"routes":[{"name":"quotes","host":"h.example","prefix":")" + prefix +
-               R"(","service":"p","max_attempts":3,"stretch_factor":1.6,"target_latency_ms":5000}],
-               "services":[{"name":"p","admission_control":true}],"limits":{"max_body_bytes":65536}})";
+        jobs::queue_settings queue;
+        queue.name = "quotes";
+        queue.host = "h.example";
+        queue.prefix = prefix;
+        queue.pool = "p";
+        queue.max_attempts = 3;
+        queue.stretch_factor = 1.6;
+        queue.target_latency = 5s;
+        jobs::fleet_configuration result;
+        result.version = version;
+        result.queues = {queue};
+        result.pools = {{"p", false}};
+        result.max_body_bytes = 65'536;
+        return platform::encode_configuration(result);
     }
 
+    /// Writes a configuration as the operator does.
+    void configure(const std::string& text) { store.put(std::string(platform::configuration_key), text); }
+
     void start_node(const std::string& id) {
         running_node item;
         item.settings = std::make_unique<node::node_settings>();
@@ -67,7 +80,7 @@
     fakes::task_vm& add_vm(const std::string& name, milliseconds run_time) {
         vms.push_back(std::make_unique<fakes::task_vm>(loop, name, run_time));
         REQUIRE(vms.back()->listen({"127.0.0.1", 0}));
-        store.put("servers/" + name, vms.back()->registration("p"));
+        store.put(platform::vm_key(name), vms.back()->registration("p"));
         return *vms.back();
     }
 
@@ -98,8 +111,13 @@
     }
 
     static std::string job_body(int tasks) {
-        return R"({"spec":"s","phases":[{"count":)" + std::to_string(tasks) +
-               R"(,"cpu":500,"mem_mb":64,"estimate_ms":200}]})";
+        jobs::job_spec spec;
+        spec.payload = "s";
+        spec.steps.resize(1);
+        spec.steps[0].count = static_cast<std::uint32_t>(tasks);
+        spec.steps[0].need = {500, 64, 0};
+        spec.steps[0].estimate_ms = 200;
+        return platform::encode_job(spec);
     }
 
     bool until(const std::function<bool()>& condition) { return loop_until(loop, condition); }
@@ -112,12 +130,6 @@
         });
     }
 
-    /// Lets the loop run for a while.
-    void wait_for(milliseconds time) {
-        const timestamp end = event_loop::now() + time;
-        until([&] { return event_loop::now() >= end; });
-    }
-
     /// Waits until the node takes jobs.
     void wait_until_serving(const std::string& node) {
         REQUIRE(until([&] { return call(node, "GET", "/quotes/").code == 200; }));
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -122,12 +122,12 @@
 TEST_CASE("a configuration comes into force and never goes back") {
     node_deployment d;
     d.serve_with_one_vm(100ms);
-    d.store.put("op/config", d.configuration(7, "/fares/"));
+    d.configure(d.configuration(7, "/fares/"));
     CHECK(d.until([&] { return d.call("n1", "GET", "/fares/").code != 404; }));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
     d.store.compact();
-    d.store.put("op/config", d.configuration(5, "/quotes/"));
-    d.store.put("op/config", d.configuration(9, "/seats/"));
+    d.configure(d.configuration(5, "/quotes/"));
+    d.configure(d.configuration(9, "/seats/"));
     CHECK(d.until([&] { return d.call("n1", "GET", "/seats/").code != 404; }));
     CHECK(d.call("n1", "GET", "/quotes/").code == 404);
 }
@@ -187,7 +187,7 @@
     });
     d.store.lapse_leases();
     REQUIRE(d.until([&] { return claimed; }));
-    d.wait_for(500ms); // The inbox is read under the old token meanwhile.
+    REQUIRE(d.until([&] { return d.store.conflicts() > 0; })); // The inbox is read under the old token.
     d.store.hold_watches({});
     CHECK(d.shows("n1", job_a, "completed"));
     CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
@@ -201,7 +201,10 @@
     d.serve_with_one_vm(100ms);
     const jobs::job_record record = one_task_record(job_a);
     d.store.delay_writes(1);
-    d.store.put("sp/inbox/p/submit/" + job_a, encode_archive(record));
+    const std::string inbox = "sp/inbox/p/submit/" + job_a;
+    d.store.put(inbox, encode_archive(record));
+    REQUIRE(d.until([&] { return d.store.late_writes() == 1; }));
+    CHECK(d.store.contains(inbox)); // It is the write that takes the job which is late.
     CHECK(d.shows("n1", job_a, "completed"));
     REQUIRE(d.until([&] { return d.store.late_writes() == 0; }));
     CHECK(d.until([&] { return d.store.count("sp/job/p/") == 0; }));
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -86,3 +86,60 @@
     CHECK(encode_wave_status(true) == R"({"state":"completed"})");
     CHECK(wave_status_key(4) == "status/wave/4");
 }
+
+TEST_CASE("what stand-ins encode is decoded to the same") {
+    jobs::vm_info vm;
+    vm.incarnation = "i-7";
+    vm.machine = "m-1";
+    vm.pool = "p";
+    vm.address = "10.0.0.9";
+    vm.port = 8080;
+    vm.availability_zone = "z1";
+    vm.kind = "a";
+    vm.rack = "r1";
+    vm.capacity = {4000, 8192, 2};
+    vm.draining = true;
+    vm.remaining_ms = 1200;
+    CHECK(decode_vm(vm_key("i-7"), encode_vm(vm)) == vm);
+
+    jobs::fleet_configuration configuration;
+    configuration.version = 9;
+    configuration.queues.resize(1);
+    configuration.queues[0].name = "quotes";
+    configuration.queues[0].host = "h";
+    configuration.queues[0].prefix = "/q/";
+    configuration.queues[0].pool = "p";
+    configuration.queues[0].priority = 1;
+    configuration.queues[0].max_attempts = 3;
+    configuration.queues[0].stretch_factor = 1.5;
+    configuration.queues[0].target_latency = 600ms;
+    configuration.queues[0].advice = jobs::advice_settings{20ms, 2ms, 5s};
+    configuration.pools = {{"p", false}, {"spare", true}};
+    configuration.max_body_bytes = 1024;
+    const auto decoded = decode_configuration(encode_configuration(configuration));
+    REQUIRE(decoded);
+    CHECK(encode_configuration(*decoded) == encode_configuration(configuration));
+    CHECK(decoded->queues[0].advice->valid == 5s);
+    CHECK(decoded->pools[1].spare);
+
+    jobs::job_spec job;
+    job.payload = "s";
+    job.steps.resize(2);
+    job.steps[0].count = 3;
+    job.steps[0].need = {500, 64, 1};
+    job.steps[0].estimate_ms = 700;
+    job.steps[0].max_per_vm = 2;
+    job.steps[1].after = {0};
+    job.steps[1].endless = true;
+    job.steps[1].disruption_budget = 1;
+    job.timed = true;
+    job.occurrences = 2;
+    job.start_at_ms = 5;
+    job.period_ms = 7;
+    findings problems;
+    const jobs::job_spec again = decode_job(encode_job(job), "", "", problems);
+    CHECK(problems.empty());
+    CHECK(encode_job(again) == encode_job(job));
+    CHECK(again.steps[1].disruption_budget == 1);
+    CHECK(again.occurrences == 2);
+}
