--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -126,3 +126,29 @@
         }
     }
 }
+
+TEST_CASE("a long-running task that left its VM for an upkeep gets a VM of its own") {
+    // A sweep's task does not run for 35 seconds, beside two hundred spare machines. It was stopped on a VM
+    // that was to have its upkeep; each other VM of its pool had a task of the same step, of which no two may
+    // share one, and the pool's processors were mostly idle, so that it asked for no VM more.
+    pool_bench b;
+    for (const char* vm : {"v1", "v2", "v3"}) {
+        b.vm(vm);
+    }
+    step_spec step = pool_bench::step(3, 100, 0);
+    step.endless = true;
+    step.max_per_vm = 1;
+    step.disruption_budget = 1;
+    b.job("sweep", {step});
+    const std::vector<start_order> starts = b.start_all();
+    REQUIRE(starts.size() == 3);
+    for (const start_order& order : starts) {
+        b.report(order.vm, {pool_bench::running(order)});
+    }
+    CHECK(b.pool().demand(b.now()).least_vms == 0);
+    b.pool().cordon(starts[0].vm, true);
+    CHECK(b.decide().stops.size() == 1);
+    b.report(starts[0].vm, {}, {pool_bench::end(1, starts[0], run_end::stopped)});
+    CHECK(b.decide().starts.empty());
+    CHECK(b.pool().demand(b.now()).least_vms == 3); // The two that may take work, and one for the task.
+}
