--- a/tests/jobs/vm_record_test.cpp
+++ b/tests/jobs/vm_record_test.cpp
@@ -91,7 +91,7 @@
 TEST_CASE("how a write of the record ends") {
     struct end_case {
         const char* what = "";
-        void (*end)(vm_record&);
+        void (*end)(vm_record&) = nullptr;
         bool certain = false;
         bool names_new = false;
         bool may_name_old = false;
