Occurrences count as work from when they are due, and as demand two seconds before

Cause: a job that runs at due times counted with all its occurrences as work that waits, so admission took a pool for full that idled; each occurrence's objective counted from when the job was handed in, so later ones ranked as hopelessly late; and machines were asked for only once an occurrence was due.

--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -125,6 +125,14 @@
     /// Lets every unaccounted task be started again.
     void account_for_all();
 
+    /// When the occurrence may begin, on the owner's clock: when it is due, or, without due times, when the
+    /// job was accepted. `wall_offset`: time of day less the owner's clock.
+    [[nodiscard]] timestamp begins_at(std::uint32_t occurrence, milliseconds wall_offset) const noexcept {
+        if (!m_spec.timed) {
+            return m_accepted_at;
+        }
+        return timestamp(m_spec.start_at_ms + occurrence * m_spec.period_ms) - wall_offset;
+    }
     /// Longest chain of estimated work through the steps, ms.
     [[nodiscard]] std::int64_t longest_chain_ms() const noexcept { return m_chain_ms; }
 
@@ -132,9 +140,14 @@
     template <typename Visit>
     void each_step(Visit visit) const {
         for (std::uint32_t occurrence = 0; occurrence < m_spec.occurrences; ++occurrence) {
-            for (std::uint32_t step = 0; step < m_spec.steps.size(); ++step) {
-                visit(step_place{occurrence, step});
-            }
+            each_step_of(occurrence, visit);
+        }
+    }
+    /// The same for one occurrence.
+    template <typename Visit>
+    void each_step_of(std::uint32_t occurrence, Visit visit) const {
+        for (std::uint32_t step = 0; step < m_spec.steps.size(); ++step) {
+            visit(step_place{occurrence, step});
         }
     }
 
--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -25,8 +25,7 @@
 /// The rise of the rate is read from two spans of this length: long enough to hold dozens of jobs at the
 /// rates that need many machines, short against the four seconds in which a turn rises.
 constexpr milliseconds trend_span = 1000ms;
-/// How far ahead the rate is carried on: half a span back to its middle, a round of the owner of machines,
-/// and the 1.8 s from the order to a VM's first task.
+/// How far ahead the rate is carried on: half a span back to its middle, and until machines have come.
 constexpr double trend_reach_s = 2.4;
 /// A rise counts beyond this many standard deviations of what independent arrivals differ by; at one, a level
 /// rate would be taken for a rise in one of six readings, and ask for machines each time.
@@ -43,20 +42,20 @@
 
 } // namespace
 
-timestamp objective_of(const job_state& job, const queue_settings& queue) {
-    return job.accepted_at() + allowed_time(job.longest_chain_ms(), queue);
+timestamp objective_of(const job_state& job, const queue_settings& queue, timestamp begins_at) {
+    return begins_at + allowed_time(job.longest_chain_ms(), queue);
 }
 
-job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp now) {
+job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp begins_at, timestamp now) {
     job_rank rank;
     rank.priority = queue.priority;
-    rank.objective_at = objective_of(job, queue);
+    rank.objective_at = objective_of(job, queue, begins_at);
     if (job.spec().endless()) {
         rank.group = 0;
         return rank;
     }
-    const milliseconds allowed = rank.objective_at - job.accepted_at();
-    if (now >= job.accepted_at() + allowed * late_factor) {
+    const milliseconds allowed = rank.objective_at - begins_at;
+    if (now >= begins_at + allowed * late_factor) {
         rank.group = 3;
     } else if (now >= rank.objective_at) {
         rank.group = 2;
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -18,18 +18,21 @@
     auto operator<=>(const job_rank&) const = default;
 };
 
-/// When a job should be done for its client to be served in time.
-[[nodiscard]] timestamp objective_of(const job_state& job, const queue_settings& queue);
+/// When what may begin at `begins_at` should be done for the job's client to be served in time.
+[[nodiscard]] timestamp objective_of(const job_state& job, const queue_settings& queue, timestamp begins_at);
 
-/// Ranks a job. Answers a demand that rises to several times the pool's room for seconds: first come, first
-/// served would serve every job late once the queue is longer than the objective, so a job that has missed
-/// its objective makes way for those that can still reach theirs.
-[[nodiscard]] job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp now);
+/// Ranks what may begin at `begins_at`: a job, or one of its occurrences. Answers a demand that rises to
+/// several times the pool's room for seconds: first come, first served would serve every job late once the
+/// queue is longer than the objective, so a job that has missed its objective makes way for those that can
+/// still reach theirs.
+[[nodiscard]] job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp begins_at,
+                               timestamp now);
 
 /// Load of a pool, as admission sees it.
 struct pool_load {
     std::int64_t waiting_work = 0;  ///< Millicore-milliseconds that go before a new job.
     std::int64_t runnable_work = 0; ///< The part of it that could run now; the rest waits for earlier steps.
+    std::int64_t coming_work = 0;   ///< Of occurrences that are due by the time that machines take to come.
     std::int64_t usable_millicores = 0;  ///< Capacity of the VMs that take work ...
     std::int64_t used_millicores = 0;    ///< ... the room that runs take there ...
     std::int64_t endless_millicores = 0; ///< ... and the part of it that long-running tasks keep.
@@ -37,15 +40,18 @@
 
     std::int64_t arriving_millicores = 0; ///< Of VMs that are on their way to the pool.
 
-    /// Capacity that running and waiting work would use if the latter were to be done within a second, well
-    /// within objectives of two seconds and more.
+    /// Capacity that running, waiting and coming work would use if what does not run yet were to be done
+    /// within a second, well within objectives of two seconds and more.
     [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
-        return used_millicores + runnable_work / 1000;
+        return used_millicores + (runnable_work + coming_work) / 1000;
     }
     /// How long the pool takes for the work that waits, with the machines that are or can be on their way.
     [[nodiscard]] milliseconds wait() const noexcept;
 };
 
+/// How long machines take to come: a round of their owner, and the 1.8 s from the order to the first task.
+inline constexpr milliseconds machine_lead = 2s;
+
 /// Follows the capacity that a pool needs: at once upwards, slowly downwards, so that the gaps between two
 /// bursts don't send machines away that are needed again a second later. Upwards it goes by the rate at which
 /// work arrives: machines take two seconds to come, and by the time that the queue shows what a new turn of
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -64,6 +64,7 @@
     std::int64_t largest = 0;
     load.waiting_work = m_waiting_work;
     load.runnable_work = m_runnable_work;
+    load.coming_work = m_coming_work;
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
@@ -131,9 +132,8 @@
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
     const auto [place, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
-    if (added) {
-        m_waiting_work += waiting_work(place->second, m_gauge);
-        m_runnable_work += runnable_work(place->second, m_gauge);
+    if (added && !record.spec.timed) {
+        count_waiting(place->second, 0);
     }
 }
 
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -194,8 +194,9 @@
     [[nodiscard]] std::uint32_t away(const job_state& job, step_place place, timestamp now) const;
     [[nodiscard]] bool at_work(const run& item, timestamp now) const;
     void pace(vm_state& vm);
-    void place_waiting(timestamp now, std::int64_t wall_ms);
+    void place_waiting(timestamp now);
     void measure_waiting(timestamp now);
+    void count_waiting(const job_state& job, std::uint32_t occurrence);
     [[nodiscard]] std::uint64_t vms_for_endless(std::size_t usable_vms) const;
     void place_step(job_state& job, step_place place, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& near_rack,
@@ -217,6 +218,8 @@
     bool m_ends_to_store = false;
     std::int64_t m_waiting_work = 0;
     std::int64_t m_runnable_work = 0;
+    std::int64_t m_coming_work = 0;
+    milliseconds m_wall_offset{0}; ///< Time of day less our clock, as of the last decision.
     work_gauge m_gauge;
     demand_meter m_demand;
     std::size_t m_arriving_vms = 0;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -25,8 +25,9 @@
         give_up_lapsed(now);
         account(now);
     }
+    m_wall_offset = milliseconds(wall_ms) - now;
     tend_runs(now);
-    place_waiting(now, wall_ms);
+    place_waiting(now);
     measure_waiting(now);
     return std::exchange(m_out, {});
 }
@@ -168,44 +169,67 @@
 
 // --- Placing ---
 
+/// One occurrence that has tasks to place.
 struct scheduler::candidate {
     job_rank rank;
     job_state* job;
+    std::uint32_t occurrence;
 };
 
-void scheduler::place_waiting(timestamp now, std::int64_t wall_ms) {
+void scheduler::place_waiting(timestamp now) {
     std::vector<candidate> waiting;
     for (auto& [id, job] : m_jobs) {
-        if (!is_final(job.phase()) && job.idle_total() > 0) {
-            waiting.push_back({rank_of(job, *queue_of(job), now), &job});
+        if (is_final(job.phase()) || job.idle_total() == 0) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+            const timestamp begins_at = job.begins_at(occurrence, m_wall_offset);
+            if (begins_at <= now) {
+                waiting.push_back({rank_of(job, *queue_of(job), begins_at, now), &job, occurrence});
+            }
         }
     }
     std::ranges::sort(waiting, {}, &candidate::rank);
     for (const candidate& item : waiting) {
-        job_state& job = *item.job;
-        job.each_step([&](step_place place) {
-            const bool due = !job.spec().timed ||
-                             wall_ms >= job.spec().start_at_ms + place.occurrence * job.spec().period_ms;
-            if (due && job.idle(place) > 0 && job.unlocked(place)) {
-                place_step(job, place, now);
+        item.job->each_step_of(item.occurrence, [&](step_place place) {
+            if (item.job->idle(place) > 0 && item.job->unlocked(place)) {
+                place_step(*item.job, place, now);
             }
         });
     }
 }
 
-/// What is still waiting after placing: work that is late already doesn't stand before anybody.
+/// What is still waiting after placing. Work that is late already doesn't stand before anybody, and neither
+/// does an occurrence that is not due: with all of them counted, a job of six occurrences in half a minute
+/// kept out every other job of its pool, which idled meanwhile. Machines are asked for ahead of due times.
 void scheduler::measure_waiting(timestamp now) {
     m_waiting_work = 0;
     m_runnable_work = 0;
+    m_coming_work = 0;
     for (const auto& [id, job] : m_jobs) {
-        if (is_final(job.phase()) || job.idle_total() == 0 || rank_of(job, *queue_of(job), now).group > 1) {
+        if (is_final(job.phase()) || job.idle_total() == 0) {
             continue;
         }
-        m_waiting_work += waiting_work(job, m_gauge);
-        m_runnable_work += runnable_work(job, m_gauge);
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+            const timestamp begins_at = job.begins_at(occurrence, m_wall_offset);
+            if (begins_at > now + machine_lead) {
+                break;
+            }
+            if (begins_at > now) {
+                m_coming_work += waiting_of(job, occurrence, m_gauge).runnable;
+            } else if (rank_of(job, *queue_of(job), begins_at, now).group <= 1) {
+                count_waiting(job, occurrence);
+            }
+        }
     }
 }
 
+void scheduler::count_waiting(const job_state& job, std::uint32_t occurrence) {
+    const waiting_work waiting = waiting_of(job, occurrence, m_gauge);
+    m_waiting_work += waiting.all;
+    m_runnable_work += waiting.runnable;
+}
+
 void scheduler::place_step(job_state& job, step_place place, timestamp now) {
     const step_spec& step = job.spec().steps[place.step];
     if (step_advice* advice = advice_for(job, place)) {
--- a/jobs/work_gauge.cpp
+++ b/jobs/work_gauge.cpp
@@ -66,22 +66,18 @@
     return work;
 }
 
-std::int64_t waiting_work(const job_state& job, const work_gauge& gauge) {
-    std::int64_t work = 0;
-    job.each_step([&](step_place place) {
-        work += work_of(job.spec().steps[place.step], job.idle(place), job.spec().queue, gauge);
-    });
-    return work;
-}
-
-std::int64_t runnable_work(const job_state& job, const work_gauge& gauge) {
-    std::int64_t work = 0;
-    job.each_step([&](step_place place) {
-        if (job.idle(place) > 0 && job.unlocked(place)) {
-            work += work_of(job.spec().steps[place.step], job.idle(place), job.spec().queue, gauge);
+waiting_work waiting_of(const job_state& job, std::uint32_t occurrence, const work_gauge& gauge) {
+    waiting_work result;
+    job.each_step_of(occurrence, [&](step_place place) {
+        if (job.idle(place) == 0) {
+            return;
         }
+        const std::int64_t work =
+            work_of(job.spec().steps[place.step], job.idle(place), job.spec().queue, gauge);
+        result.all += work;
+        result.runnable += job.unlocked(place) ? work : 0;
     });
-    return work;
+    return result;
 }
 
 } // namespace siskinpaddle::jobs
--- a/jobs/work_gauge.hpp
+++ b/jobs/work_gauge.hpp
@@ -42,9 +42,14 @@
 
 /// Work of a whole job, millicore-milliseconds. Long-running tasks count as none.
 [[nodiscard]] std::int64_t whole_work(const job_spec& spec, const work_gauge& gauge);
-/// Work left in tasks that have no run yet, millicore-milliseconds.
-[[nodiscard]] std::int64_t waiting_work(const job_state& job, const work_gauge& gauge);
-/// The part of it whose earlier steps are done.
-[[nodiscard]] std::int64_t runnable_work(const job_state& job, const work_gauge& gauge);
+
+/// Work in tasks that have no run yet, millicore-milliseconds.
+struct waiting_work {
+    std::int64_t all = 0;
+    std::int64_t runnable = 0; ///< The part of it whose earlier steps are done.
+};
+/// What waits of one occurrence of the job.
+[[nodiscard]] waiting_work waiting_of(const job_state& job, std::uint32_t occurrence,
+                                      const work_gauge& gauge);
 
 } // namespace siskinpaddle::jobs
--- a/tests/jobs/pool_bench.hpp
+++ b/tests/jobs/pool_bench.hpp
@@ -85,7 +85,10 @@
         return {sequence, order.task, order.attempt, how, ""};
     }
 
-    decisions decide(bool certain = true) { return m_scheduler.decide(m_now, 0, certain); }
+    decisions decide(bool certain = true) { return m_scheduler.decide(m_now, wall_ms(), certain); }
+
+    /// The time of day runs with our clock.
+    [[nodiscard]] std::int64_t wall_ms() const { return m_now.count() + 1'000'000; }
 
     /// Decides and has every start accepted.
     std::vector<start_order> start_all(bool certain = true) {
