--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -10,6 +10,20 @@
 constexpr char done_mark = '1';
 constexpr char open_mark = '0';
 
+std::int64_t chain_of(const job_spec& spec) {
+    std::vector<std::int64_t> ends(spec.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        std::int64_t begin = 0;
+        for (const std::uint32_t before : spec.steps[i].after) {
+            begin = std::max(begin, ends[before]);
+        }
+        ends[i] = begin + spec.steps[i].estimate_ms;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
 } // namespace
 
 findings check_job(const job_spec& spec) {
@@ -36,8 +50,8 @@
     return problems;
 }
 
-job_state::job_state(job_spec spec, timestamp accepted_at, std::int64_t chain_ms)
-    : m_spec(std::move(spec)), m_accepted_at(accepted_at), m_chain_ms(chain_ms) {
+job_state::job_state(job_spec spec, timestamp accepted_at)
+    : m_spec(std::move(spec)), m_accepted_at(accepted_at), m_chain_ms(chain_of(m_spec)) {
     for (const step_spec& step : m_spec.steps) {
         m_offsets.push_back(m_tasks_each);
         m_tasks_each += step.count;
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -86,8 +86,8 @@
 /// that scans cost nothing for jobs that have nothing to do. Not thread-safe.
 class job_state {
   public:
-    /// `accepted_at` is on the owner's clock. `chain_ms`: how long the longest chain through the steps takes.
-    job_state(job_spec spec, timestamp accepted_at, std::int64_t chain_ms);
+    /// `accepted_at` is on the owner's clock.
+    job_state(job_spec spec, timestamp accepted_at);
 
     [[nodiscard]] const job_spec& spec() const noexcept { return m_spec; }
     [[nodiscard]] timestamp accepted_at() const noexcept { return m_accepted_at; }
@@ -135,7 +135,7 @@
         }
         return timestamp(m_spec.start_at_ms + occurrence * m_spec.period_ms) - wall_offset;
     }
-    /// How long the longest chain of work through the steps takes, as expected when the job came, ms.
+    /// Longest chain of estimated work through the steps, ms.
     [[nodiscard]] std::int64_t longest_chain_ms() const noexcept { return m_chain_ms; }
 
     /// Calls `visit(place)` for each step of each occurrence.
--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -12,7 +12,6 @@
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/scheduler.hpp"
-#include "jobs/time_model.hpp"
 #include "jobs/upkeep.hpp"
 #include "jobs/vm.hpp"
 #include "jobs/vm_record.hpp"
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -59,7 +59,8 @@
     if (found == m_queues.end()) {
         return {true, 0ms, load().wait()};
     }
-    return admit(spec, *found, longest_chain_ms(spec, m_gauge), load());
+    const job_state probe(spec, timestamp(0));
+    return admit(spec, *found, probe.longest_chain_ms(), load());
 }
 
 pool_load scheduler::load() const {
@@ -186,8 +187,7 @@
 }
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
-    const auto [place, added] = m_jobs.emplace(
-        record.spec.id, job_state(record.spec, accepted_at, longest_chain_ms(record.spec, m_gauge)));
+    const auto [place, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
     if (added && !record.spec.timed) {
         count_waiting(place->second, 0);
     }
@@ -195,7 +195,7 @@
 
 void scheduler::restore_job(const job_record& record, const std::optional<job_progress>& progress,
                             timestamp accepted_at) {
-    job_state job(record.spec, accepted_at, longest_chain_ms(record.spec, m_gauge));
+    job_state job(record.spec, accepted_at);
     job_progress stored = progress.value_or(job_progress{});
     job.restore(stored);
     job.durable_final = is_final(job.phase());
--- a/jobs/work_gauge.cpp
+++ b/jobs/work_gauge.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+/// Weight of each earlier task against the next: about the last two hundred tasks count, a second or two of a
+/// busy pool.
+constexpr double memory = 0.995;
+/// Estimates count as right with the weight of this many milliseconds of tasks: ten tasks or so.
+constexpr double prior_ms = 10'000;
+/// Beyond these it is not the estimates that are wrong but the VMs that are slow, or the tasks that fail
+/// early.
+constexpr double least_factor = 0.5;
+constexpr double largest_factor = 2.5;
+
 /// Room that `need` takes, as a share of `all`, in millicores of `cpu`. Nothing where there is none at all.
 std::int64_t scaled(std::int64_t need, std::int64_t all, std::int64_t cpu) {
     return all > 0 ? need * cpu / all : 0;
@@ -26,33 +36,26 @@
 }
 
 void work_gauge::book(const std::string& queue, std::int64_t estimate_ms, milliseconds took) {
-    m_times[queue].book(estimate_ms, took);
-}
-
-double work_gauge::expected_ms(const std::string& queue, std::int64_t estimate_ms) const {
-    const auto found = m_times.find(queue);
-    return found == m_times.end() ? static_cast<double>(estimate_ms) : found->second.expected_ms(estimate_ms);
+    sums& item = m_queues[queue];
+    item.estimated_ms = item.estimated_ms * memory + static_cast<double>(estimate_ms);
+    item.taken_ms = item.taken_ms * memory + static_cast<double>(took.count());
 }
 
-std::int64_t longest_chain_ms(const job_spec& spec, const work_gauge& gauge) {
-    std::vector<double> ends(spec.steps.size(), 0);
-    double longest = 0;
-    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-        double begin = 0;
-        for (const std::uint32_t before : spec.steps[i].after) {
-            begin = std::max(begin, ends[before]);
-        }
-        ends[i] = begin + gauge.expected_ms(spec.queue, spec.steps[i].estimate_ms);
-        longest = std::max(longest, ends[i]);
+double work_gauge::time_factor(const std::string& queue) const {
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end()) {
+        return 1;
     }
-    return static_cast<std::int64_t>(longest);
+    const sums& item = found->second;
+    return std::clamp((item.taken_ms + prior_ms) / (item.estimated_ms + prior_ms), least_factor,
+                      largest_factor);
 }
 
 std::int64_t work_of(const step_spec& step, std::uint32_t tasks, const std::string& queue,
                      const work_gauge& gauge) {
-    const std::int64_t millicores = static_cast<std::int64_t>(tasks) * gauge.millicores(step.need);
-    return static_cast<std::int64_t>(static_cast<double>(millicores) *
-                                     gauge.expected_ms(queue, step.estimate_ms));
+    const std::int64_t declared =
+        static_cast<std::int64_t>(tasks) * gauge.millicores(step.need) * step.estimate_ms;
+    return static_cast<std::int64_t>(static_cast<double>(declared) * gauge.time_factor(queue));
 }
 
 std::int64_t whole_work(const job_spec& spec, const work_gauge& gauge) {
--- a/jobs/work_gauge.hpp
+++ b/jobs/work_gauge.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "jobs/job_state.hpp"
-#include "jobs/time_model.hpp"
 
 #include <map>
 #include <string>
@@ -11,8 +10,7 @@
 /// Measures work in the room that it takes on a pool's VMs and in the time that it really takes. Not
 /// thread-safe.
 ///
-/// Answers two ways in which declared figures mislead admission and the demand for machines; a third one,
-/// estimates that are wrong one by one, is `time_model`'s:
+/// Answers two ways in which declared figures mislead admission and the demand for machines:
 /// - Tasks fill a VM by memory before its processor is full. Counted by processor alone such a VM looks half
 ///   empty, its pool asks for no machines, and its queue stands still (seen: 35 of 96 cores used, 4.5 s of
 ///   work waiting, 200 machines spare).
@@ -29,16 +27,19 @@
 
     /// A task of the queue ended as done after `took`, from its start to the word of its end.
     void book(const std::string& queue, std::int64_t estimate_ms, milliseconds took);
-    /// How long a task of the queue with this estimate takes, ms.
-    [[nodiscard]] double expected_ms(const std::string& queue, std::int64_t estimate_ms) const;
+    /// How much longer than estimated the queue's tasks take together; 1 while little is known.
+    [[nodiscard]] double time_factor(const std::string& queue) const;
 
   private:
+    struct sums {
+        double estimated_ms = 0;
+        double taken_ms = 0;
+    };
+
     resources m_vm;
-    std::map<std::string, time_model> m_times; ///< By queue.
+    std::map<std::string, sums> m_queues;
 };
 
-/// Longest chain of work through the steps of a job, ms, as long as its tasks are expected to take.
-[[nodiscard]] std::int64_t longest_chain_ms(const job_spec& spec, const work_gauge& gauge);
 /// Work of so many tasks of a step, millicore-milliseconds.
 [[nodiscard]] std::int64_t work_of(const step_spec& step, std::uint32_t tasks, const std::string& queue,
                                    const work_gauge& gauge);
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -54,8 +54,8 @@
 
 TEST_CASE("jobs that can still be in time go before those that are late") {
     const queue_settings queue = quotes();
-    const job_state early(pool_bench::record("a", {pool_bench::step(1)}).spec, timestamp(0), 1000);
-    const job_state late(pool_bench::record("b", {pool_bench::step(1)}).spec, timestamp(2000), 1000);
+    const job_state early(pool_bench::record("a", {pool_bench::step(1)}).spec, timestamp(0));
+    const job_state late(pool_bench::record("b", {pool_bench::step(1)}).spec, timestamp(2000));
     CHECK(rank_of(early, queue, early.accepted_at(), timestamp(2100)) <
           rank_of(late, queue, late.accepted_at(), timestamp(2100)));
     CHECK(rank_of(late, queue, late.accepted_at(), timestamp(2500)) <
--- a/tests/jobs/work_gauge_test.cpp
+++ b/tests/jobs/work_gauge_test.cpp
@@ -21,6 +21,20 @@
     CHECK(work_gauge().millicores({4000, 16'000, 2}) == 4000); // No VM is known yet.
 }
 
+TEST_CASE("the time factor follows what tasks really take, within bounds") {
+    work_gauge gauge;
+    CHECK(gauge.time_factor("q") == 1);
+    gauge.book("q", 1000, 1500ms);
+    CHECK(gauge.time_factor("q") == doctest::Approx(11'500.0 / 11'000));
+    for (int i = 0; i < 1000; ++i) {
+        gauge.book("q", 1000, 1500ms);
+        gauge.book("slow", 100, 5000ms);
+    }
+    CHECK(gauge.time_factor("q") == doctest::Approx(1.5).epsilon(0.05));
+    CHECK(gauge.time_factor("slow") == 2.5);
+    CHECK(gauge.time_factor("other") == 1);
+}
+
 TEST_CASE("a pool whose VMs are full by memory asks for machines and turns work away") {
     // Quotes of a pool wait four seconds while two hundred machines are spare. Long-running tasks hold the
     // memory of the pool's three VMs; their processors are idle, and the pool looked a third used.
