Requests that are given up are never delivered afterwards: connections close by reset

Cause: a zone is cut off while its node orders a machine away. Ruled out: the announcements of orders (the new owner had waited for them), the shorter lease under trial (the order was sent long before its end; a lease of 3 s leaves the same gap).

Before: the test sees an orderly end, twice. A process that is killed resets its connections as well, since the option is set when the first byte is written.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 namespace siskinpaddle {
 
@@ -47,7 +48,8 @@
 struct http_client::connection {
     endpoint to;
     evhttp_connection* handle = nullptr;
-    bool wrote = false;   ///< Bytes of the present request were handed to the socket.
+    bool wrote = false; ///< Bytes of the present request were handed to the socket.
+    bool resets_on_close = false;
     int socket_error = 0; ///< The error that ended the connecting, if any.
     timestamp idle_since{0};
     http_client* owner = nullptr;
@@ -67,9 +69,24 @@
     /// proves that no byte can have reached the other side.
     static void on_output(evbuffer*, const evbuffer_cb_info* info, void* self) {
         auto* item = static_cast<connection*>(self);
+        if (!item->resets_on_close && info->n_added > 0) {
+            item->reset_on_close();
+        }
         item->wrote = item->wrote || info->n_added > 0;
         item->owner->m_bytes_sent += info->n_added;
     }
+
+    /// However the connection ends, also with the process, what the kernel still holds of it is dropped.
+    /// Answers requests that are held up by a partition: closed in order, the connection would deliver them
+    /// when the partition heals, long after they were given up and what they asked for was done otherwise
+    /// (seen: an order about a machine carried out six seconds late, after one of the next owner's).
+    void reset_on_close() {
+        const linger drop_unsent{1, 0};
+        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(handle));
+        if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &drop_unsent, sizeof(drop_unsent)) == 0) {
+            resets_on_close = true;
+        }
+    }
 };
 
 class http_client::exchange {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -195,3 +195,25 @@
     CHECK(headers.get("retry-after") == "1");
     CHECK_FALSE(headers.has("retry"));
 }
+
+TEST_CASE("a request that was given up is not delivered afterwards") {
+    // A machine is moved twice by two nodes that each believe it is theirs. A zone was cut off while its node
+    // ordered the move; the node timed out, closed the connection in order and lost its duty. Six seconds
+    // later the cut healed, the kernel sent what the closed connection still held, and the order of the old
+    // owner was carried out after one of the new owner's. A reset drops what is held.
+    for (const bool cancelled : {false, true}) {
+        CAPTURE(cancelled);
+        event_loop loop;
+        raw_server server(loop, "", false);
+        http_client client(loop);
+        http_call call = call_to(server.where(), "POST");
+        call.timeout = cancelled ? 20s : 50ms;
+        const std::uint64_t number = client.send(call, [](const http_answer&) {});
+        REQUIRE(loop_until(loop, [&] { return server.requests == 1; }));
+        if (cancelled) {
+            client.cancel(number);
+        }
+        REQUIRE(loop_until(loop, [&] { return server.resets + server.closes == 1; }));
+        CHECK(server.resets == 1);
+    }
+}
--- a/tests/net/raw_server.hpp
+++ b/tests/net/raw_server.hpp
@@ -45,6 +45,8 @@
     }
 
     int requests = 0; ///< Request heads that arrived.
+    int resets = 0;   ///< Connections that the client reset ...
+    int closes = 0;   ///< ... or closed in order, so that all it ever sent still arrives.
     /// Connections after this many are closed at the first byte without an answer; -1: never.
     int answers_left = -1;
 
@@ -60,7 +62,13 @@
                     server->drop(flushed);
                 }
             },
-            [](bufferevent* ended, short, void* self) { static_cast<raw_server*>(self)->drop(ended); }, this);
+            [](bufferevent* ended, short what, void* self) {
+                auto* server = static_cast<raw_server*>(self);
+                const bool reset = (what & BEV_EVENT_ERROR) != 0 || has_error(bufferevent_getfd(ended));
+                reset ? ++server->resets : ++server->closes;
+                server->drop(ended);
+            },
+            this);
         bufferevent_enable(item, EV_READ | EV_WRITE);
     }
 
@@ -85,6 +93,13 @@
         bufferevent_write(item, m_answer.data(), m_answer.size());
     }
 
+    /// An end in order that a reset follows reads as the former; the error stays with the socket.
+    static bool has_error(int socket) {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
+    }
+
     void drop(bufferevent* item) {
         std::erase(m_open, item);
         bufferevent_free(item);
