Look closely at VMs on which several tasks soon end

Cause: a look at a VM waits up to 1.5 s for an end, and one whose answer is lost is given up 0.8 s after that; until then no end there is heard of and no room used again. Ruled out: too few machines (24 to 33 were there), the waiting for starts without an answer (0.8 s). A VM with three or more tasks that end by themselves is looked at for 0.4 s.

Test: three quotes on a VM, not looked at closely before.

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -22,7 +22,8 @@
     milliseconds start_patience = 1500ms;
     /// How long after a takeover runs of the earlier owner may live on VMs that don't answer.
     milliseconds unaccounted_window = 12s;
-    milliseconds stop_repeat = 600ms;        ///< A stop without an answer is sent again after this.
+    milliseconds stop_repeat = 600ms; ///< A stop without an answer is sent again after this.
+    std::size_t busy_runs = 3; ///< Runs that end by themselves; a VM with so many is looked at closely.
     std::uint32_t attempts_per_epoch = 1000; ///< Attempt numbers of one owner; its successor's are higher.
     placement_settings placement;
 };
@@ -133,8 +134,8 @@
     /// not known yet or it does not answer.
     [[nodiscard]] std::int64_t renewal_deadline(const std::string& vm, timestamp now);
     [[nodiscard]] const vm_table& vms() const noexcept { return m_vms; }
-    /// Whether the VM runs something that should be looked at often: a run that is not at work yet, or tasks
-    /// that may disturb each other.
+    /// Whether the VM runs something that should be looked at often: a run that is not at work yet, tasks
+    /// that may disturb each other, or several that soon end.
     [[nodiscard]] bool wants_close_look(const std::string& vm) const;
 
     // --- Deciding ---
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -208,6 +208,11 @@
     return deadline;
 }
 
+/// A VM with as many short tasks hears of an end within the time of a close look anyway, so that close looks
+/// cost few calls more (2 %). A look whose answer is lost is found out about as much sooner: until then no
+/// end on the VM is heard of and no room there is used again. With one look in twenty unanswered a pool in
+/// its turn used 554 of 800 cores while 3.6 s of work waited; worth of that day 0.40 before, 0.455 since
+/// (four plays each).
 bool scheduler::wants_close_look(const std::string& name) const {
     const auto found = m_vms.find(name);
     if (found == m_vms.end()) {
@@ -215,11 +220,13 @@
     }
     bool serving = false;
     bool leftover = false;
+    std::size_t short_runs = 0;
     for (const task_id& id : found->second.tasks()) {
         const job_state& job = m_jobs.find(id.job)->second;
         const step_spec& step = job.spec().steps[id.step];
         serving = serving || step.target_tail_ms > 0;
         leftover = leftover || step.uses_leftover;
+        short_runs += step.endless ? 0 : 1;
         for (const run& item : job.task(id).runs) {
             if (item.vm == name && (item.phase == run_phase::unsettled || item.phase == run_phase::stopping ||
                                     (step.endless && item.percent < 100))) {
@@ -227,7 +234,7 @@
             }
         }
     }
-    return serving && leftover;
+    return (serving && leftover) || short_runs >= m_settings.busy_runs;
 }
 
 } // namespace siskinpaddle::jobs
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -9,7 +9,7 @@
 /// A renewal waits this long for an end. The platform allows two seconds; below that by a margin, so that a
 /// lease of six seconds always has four left when its owner dies.
 constexpr milliseconds renewal_wait = 1500ms;
-/// Where runs may disturb each other or are not at work yet.
+/// Where runs may disturb each other, are not at work yet, or several soon end.
 constexpr milliseconds close_look_wait = 400ms;
 constexpr milliseconds renewal_retry = 150ms;
 constexpr milliseconds longest_retry = 600ms;
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -443,3 +443,35 @@
         CHECK(b.decide().starts.size() == 1);
     }
 }
+
+TEST_CASE("a VM on which several tasks soon end is looked at closely") {
+    // Agencies wait four seconds for quotes while a third of their pool's cores idle. One answer in twenty of
+    // its VMs is lost; a look that waits long for an end is given up long after, and until then the pool
+    // hears of no end on that VM and fills none of its room.
+    struct look_case {
+        const char* what = "";
+        std::uint32_t quotes = 0;
+        std::uint32_t sweeps = 0;
+        bool close = false;
+    };
+    for (const look_case& item :
+         {look_case{"nothing runs", 0, 0, false}, look_case{"two quotes", 2, 0, false},
+          look_case{"three quotes", 3, 0, true}, look_case{"long-running tasks only", 0, 6, false},
+          look_case{"both", 3, 2, true}}) {
+        INFO(item.what);
+        pool_bench b;
+        b.vm("v1");
+        if (item.quotes > 0) {
+            b.job("quotes", {pool_bench::step(item.quotes)});
+        }
+        if (item.sweeps > 0) {
+            b.job("sweeps", {lasting(item.sweeps, 1)});
+        }
+        std::vector<running_report> at_work;
+        for (const start_order& order : b.start_all()) {
+            at_work.push_back(pool_bench::running(order));
+        }
+        b.report("v1", at_work);
+        CHECK(b.pool().wants_close_look("v1") == item.close);
+    }
+}
