--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -9,6 +9,7 @@
 #include "jobs/fleet_configuration.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_state.hpp"
+#include "jobs/label_meters.hpp"
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/scheduler.hpp"
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -28,6 +28,9 @@
 [[nodiscard]] job_rank rank_of(const job_state& job, const queue_settings& queue, timestamp begins_at,
                                timestamp now);
 
+/// Within this time work that waits should be done, ms: well within objectives of two seconds and more.
+inline constexpr std::int64_t drain_time_ms = 1000;
+
 /// Load of a pool, as admission sees it.
 struct pool_load {
     std::int64_t waiting_work = 0;  ///< Millicore-milliseconds that go before a new job.
@@ -41,9 +44,9 @@
     std::int64_t arriving_millicores = 0; ///< Of VMs that are on their way to the pool.
 
     /// Capacity that running, waiting and coming work would use if what does not run yet were to be done
-    /// within a second, well within objectives of two seconds and more.
+    /// within the drain time.
     [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
-        return used_millicores + (runnable_work + coming_work) / 1000;
+        return used_millicores + (runnable_work + coming_work) / drain_time_ms;
     }
     /// How long the pool takes for the work that waits, with the machines that are or can be on their way.
     [[nodiscard]] milliseconds wait() const noexcept;
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -9,10 +9,6 @@
 /// Queues that the configuration no longer names keep their jobs; these get the mildest terms.
 const queue_settings unknown_queue{};
 
-/// How long after a task wanted a label a VM with it is kept: several of the turns in which demand comes and
-/// goes, 4 to 5 s each.
-constexpr milliseconds label_memory = 20s;
-
 /// Tasks of the step that could start now, were there room for them. Those that an earlier owner may have
 /// started are not among them.
 std::uint64_t waiting_tasks(const job_state& job, step_place place) {
@@ -89,7 +85,7 @@
     result.need_millicores = m_demand.present();
     result.keep_millicores = m_demand.kept();
     result.least_vms = vms_for_endless(present.usable_vms);
-    result.labels = label_demands(now);
+    result.labels = m_labels.update(wanted_by_label(now), now);
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
         item.vm = name;
@@ -129,10 +125,11 @@
     return missing == 0 ? 0 : usable_vms + missing;
 }
 
-/// Millicores that tasks of each label have, or would use if what can run were done within a second.
+/// Millicores that tasks of each label have, or would use if what can run were done within the drain time.
 std::map<std::string, std::int64_t> scheduler::wanted_by_label(timestamp now) const {
     std::map<std::string, std::int64_t> wanted;
-    for (const auto& [id, job] : m_jobs) {
+    for (const auto& item : m_jobs) {
+        const job_state& job = item.second;
         if (!job.requires_label() || is_final(job.phase())) {
             continue;
         }
@@ -145,45 +142,19 @@
             const std::uint32_t idle = job.idle(place);
             const std::int64_t each = m_gauge.millicores(counted_need(step));
             const std::int64_t waiting =
-                step.endless ? idle * each : work_of(step, idle, job.spec().queue, m_gauge) / 1000;
+                step.endless ? idle * each : work_of(step, idle, job.spec().queue, m_gauge) / drain_time_ms;
             wanted[step.required_label] += (job.left(place) - idle) * each + waiting;
         });
     }
     return wanted;
 }
 
-/// What VMs with each label are needed for. A label that was asked for lately keeps a VM, as the pool itself
-/// does whatever its demand: the next task that wants it would wait for a machine first.
-std::vector<label_demand> scheduler::label_demands(timestamp now) {
-    const std::map<std::string, std::int64_t> wanted = wanted_by_label(now);
-    for (const auto& [label, millicores] : wanted) {
-        m_labels[label].asked_at = now;
-    }
-    std::erase_if(m_labels, [&](const auto& item) { return now - item.second.asked_at > label_memory; });
-    std::vector<label_demand> result;
-    for (auto& [label, meter] : m_labels) {
-        const auto found = wanted.find(label);
-        meter.demand.update(found == wanted.end() ? 0 : found->second, 0, now);
-        result.push_back({label, meter.demand.present(), std::max<std::int64_t>(1, meter.demand.kept())});
-    }
-    return result;
-}
-
 void scheduler::job_arrived(const job_spec& spec, timestamp now) {
     if (spec.endless() || spec.timed) {
         return;
     }
     m_demand.arrived(spec.id, whole_work(spec, m_gauge), now);
-    std::map<std::string, std::int64_t> by_label;
-    for (const step_spec& step : spec.steps) {
-        if (!step.required_label.empty()) {
-            by_label[step.required_label] += work_of(step, step.count, spec.queue, m_gauge);
-        }
-    }
-    for (const auto& [label, work] : by_label) {
-        m_labels[label].demand.arrived(spec.id, work, now);
-        m_labels[label].asked_at = now;
-    }
+    m_labels.arrived(spec, m_gauge, now);
 }
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/balance.hpp"
+#include "jobs/label_meters.hpp"
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/work_gauge.hpp"
@@ -200,7 +201,6 @@
     void count_waiting(const job_state& job, std::uint32_t occurrence);
     [[nodiscard]] std::uint64_t vms_for_endless(std::size_t usable_vms) const;
     [[nodiscard]] std::map<std::string, std::int64_t> wanted_by_label(timestamp now) const;
-    [[nodiscard]] std::vector<label_demand> label_demands(timestamp now);
     void place_step(job_state& job, step_place place, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& near_rack,
                     timestamp now);
@@ -225,12 +225,7 @@
     milliseconds m_wall_offset{0}; ///< Time of day less our clock, as of the last decision.
     work_gauge m_gauge;
     demand_meter m_demand;
-    /// The part of the demand that only VMs with a label serve.
-    struct label_meter {
-        demand_meter demand;
-        timestamp asked_at{0}; ///< When a task last wanted the label.
-    };
-    std::map<std::string, label_meter> m_labels;
+    label_meters m_labels;
     std::size_t m_arriving_vms = 0;
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
