Whoever waits for a pool's owner is answered also when the owner loses the pool; the soak runs long-running jobs

Cause: an owner keeps replies until what they tell is stored. When another node owned the pool meanwhile its state was dropped with them, and the HTTP server answered 500: neither kept nor refused, after which a client may book elsewhere while the job runs. Ruled out: the peers' calls, which time out by themselves. Replies now answer that the outcome is unknown when they are dropped unused, and the entry goes by the store. Test: 500 before; 200 or 504, and the job is completed, after.

The soak: one job in 24 runs until it is cancelled, which is asked for until it is answered; nothing of a cancelled job may go on in the end; an answer 500 is a finding.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.hpp"
 
 #include "node/keys.hpp"
+#include "node/sure_reply.hpp"
 
 #include <algorithm>
 
@@ -156,7 +157,7 @@
     if (event_loop::now() >= m_membership.act_until(task->first)) {
         return false; // Perhaps no longer ours: the store knows.
     }
-    task->second->handle(request, done);
+    task->second->handle(request, sure_reply::make(done, m_lifetime.watch()));
     return true;
 }
 
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -62,6 +62,7 @@
     bool m_stopping = false;
     bool m_closed = false;
     bool m_left = false;
+    lifetime m_lifetime;
 };
 
 } // namespace siskinpaddle::node
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint64_t probe_every = 5;
 constexpr std::uint32_t most_tasks = 4;
 constexpr std::uint32_t cancel_one_in = 8;
+/// One job in so many runs until it is cancelled; by then they hold a sixth of the room of four VMs.
+constexpr std::uint32_t endless_one_in = 24;
+/// Longer than an owner's lease, so that most of them see a change of owner.
+constexpr milliseconds endless_stay = 4s;
 /// How long after a job's acceptance every node that answers for its pool must know it.
 constexpr milliseconds visible_within = 3s;
 constexpr int ok = 200;
@@ -23,12 +27,14 @@
 constexpr int no_such_queue = 404;
 constexpr int too_many = 429;
 constexpr int unavailable = 503;
+constexpr int internal_error = 500; ///< Says neither that a job is kept nor that it won't run.
 
-std::string body_of(std::uint32_t tasks) {
+std::string body_of(const job_history& job) {
     jobs::job_spec spec;
-    spec.payload = "s";
+    spec.payload = job.endless ? fakes::task_vm::endless_payload : "s";
     spec.steps.resize(1);
-    spec.steps[0].count = tasks;
+    spec.steps[0].count = job.tasks;
+    spec.steps[0].endless = job.endless;
     spec.steps[0].need = {500, 64, 0};
     spec.steps[0].estimate_ms = 500;
     return platform::encode_job(spec);
@@ -66,8 +72,11 @@
     call.headers.add("Deadline-Ms", std::to_string(client_deadline.count()));
     call.body = std::move(body);
     call.timeout = client_deadline;
-    m_client.send(std::move(call), [this, done = std::move(done)](const http_answer& answer) {
+    m_client.send(std::move(call), [this, node, done = std::move(done)](const http_answer& answer) {
         ++m_answers[answer.status == exchange_status::answered ? answer.code : 0];
+        if (answer.status == exchange_status::answered && answer.code == internal_error) {
+            m_problems.push_back("n" + std::to_string(node + 1) + " answered 500");
+        }
         done(answer);
     });
 }
@@ -79,6 +88,7 @@
         std::ostringstream id;
         id << std::hex << std::setw(16) << std::setfill('0') << m_random();
         m_jobs[id.str()].tasks = 1 + static_cast<std::uint32_t>(m_random() % most_tasks);
+        m_jobs[id.str()].endless = m_random() % endless_one_in == 0;
         submit(id.str(), 1);
     }
     if (m_turns % probe_every == 0) {
@@ -86,6 +96,7 @@
             probe(node);
         }
     }
+    cancel_endless();
     // One job a turn is asked for, and all of them again and again.
     std::vector<std::string> open = unfinished(m_jobs);
     if (!open.empty()) {
@@ -95,7 +106,7 @@
 
 void callers::submit(const std::string& id, std::uint32_t tries) {
     m_jobs[id].asking = true;
-    send(some_node(), "POST", target_of(id), body_of(m_jobs[id].tasks),
+    send(some_node(), "POST", target_of(id), body_of(m_jobs[id]),
          [this, id, tries](const http_answer& answer) { submit_answered(id, tries, answer); });
 }
 
@@ -106,7 +117,7 @@
     if (answered && answer.code == ok) {
         job.may_run = true;
         job.accepted = job.accepted == timestamp(0) ? event_loop::now() : job.accepted;
-        if (m_random() % cancel_one_in == 0) {
+        if (!job.endless && m_random() % cancel_one_in == 0) {
             cancel(id);
         }
         return;
@@ -121,13 +132,26 @@
 
 void callers::cancel(const std::string& id) {
     m_jobs[id].cancel_sent = true;
+    m_jobs[id].cancelling = true;
     send(some_node(), "DELETE", target_of(id), {}, [this, id](const http_answer& answer) {
+        m_jobs[id].cancelling = false;
         if (answer.status == exchange_status::answered && answer.code == ok) {
             m_jobs[id].cancelled = event_loop::now();
         }
     });
 }
 
+/// What runs until it is cancelled is cancelled in the end, again and again until that is answered.
+void callers::cancel_endless() {
+    for (const auto& [id, job] : m_jobs) {
+        const bool stayed = event_loop::now() - job.accepted >= endless_stay || !m_submitting;
+        const bool open = job.endless && job.accepted != timestamp(0) && job.cancelled == timestamp(0);
+        if (open && stayed && !job.cancelling) {
+            cancel(id);
+        }
+    }
+}
+
 void callers::ask(const std::string& id) {
     send(some_node(), "GET", target_of(id), {}, [this, id](const http_answer& answer) { asked(id, answer); });
 }
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -14,7 +14,7 @@
 
     /// Hands jobs in from now on.
     void start();
-    /// Hands no more in; goes on asking for what was accepted.
+    /// Hands no more in; goes on asking for what was accepted, and cancels what doesn't end by itself.
     void stop_submitting() { m_submitting = false; }
 
     [[nodiscard]] const std::map<std::string, job_history>& jobs() const noexcept { return m_jobs; }
@@ -38,6 +38,7 @@
     void ask(const std::string& id);
     void asked(const std::string& id, const http_answer& answer);
     void cancel(const std::string& id);
+    void cancel_endless();
     void probe(std::uint32_t node);
     void probed(std::uint32_t node, std::int64_t version, seen_configuration before, int code);
     void send(std::uint32_t node, const std::string& method, const std::string& target, std::string body,
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -103,11 +103,25 @@
 std::vector<std::string> unfinished(const std::map<std::string, job_history>& jobs) {
     std::vector<std::string> result;
     for (const auto& [id, job] : jobs) {
-        if (job.accepted != timestamp(0) && !job.cancel_sent && !job.completed) {
+        const bool over = job.endless ? job.cancelled != timestamp(0) : job.cancel_sent || job.completed;
+        if (job.accepted != timestamp(0) && !over) {
             result.push_back(id);
         }
     }
     return result;
 }
 
+std::vector<std::string> left_running(const std::map<std::string, job_history>& jobs,
+                                      const std::vector<vm_run>& runs) {
+    std::vector<std::string> result;
+    for (const vm_run& item : runs) {
+        const auto job = jobs.find(job_of(item.run.task));
+        const bool cancelled = job != jobs.end() && job->second.cancelled != timestamp(0);
+        if (cancelled && item.run.ended == timestamp(0)) {
+            result.push_back(text_of(item));
+        }
+    }
+    return result;
+}
+
 } // namespace siskinpaddle::soak
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -14,12 +14,14 @@
 /// What clients saw of one job.
 struct job_history {
     std::uint32_t tasks = 0;
+    bool endless = false;   ///< Its tasks run until it is cancelled.
     bool may_run = false;   ///< A submit was answered with success, or had an unknown outcome.
     bool asking = false;    ///< A submit is on its way; its outcome is open.
     timestamp accepted{0};  ///< First success; 0: none yet.
     timestamp cancelled{0}; ///< Its cancelling was answered with success.
     bool cancel_sent = false;
-    bool completed = false; ///< It was shown as completed.
+    bool cancelling = false; ///< The cancelling is on its way.
+    bool completed = false;  ///< It was shown as completed.
 };
 
 /// A run with the VM that had it.
@@ -41,7 +43,11 @@
 [[nodiscard]] std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
                                                   const std::vector<vm_run>& runs,
                                                   const ledger_bounds& bounds, timestamp now);
-/// Jobs that were accepted and not cancelled, and are not shown as completed.
+/// Jobs that were accepted and not cancelled, and are not shown as completed. Those whose tasks run until
+/// they are cancelled count until that was answered.
 [[nodiscard]] std::vector<std::string> unfinished(const std::map<std::string, job_history>& jobs);
+/// Runs that go on although their job's cancelling was answered.
+[[nodiscard]] std::vector<std::string> left_running(const std::map<std::string, job_history>& jobs,
+                                                    const std::vector<vm_run>& runs);
 
 } // namespace siskinpaddle::soak
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -50,6 +50,9 @@
             for (const std::string& id : unfinished(m_callers.jobs())) {
                 add("accepted and not completed: " + id);
             }
+            for (const std::string& item : left_running(m_callers.jobs(), m_world.runs())) {
+                add("runs on after its cancelling: " + item);
+            }
             if (m_callers.nodes_up_to_date() < m_world.nodes()) {
                 add("the newest configuration is not in force everywhere");
             }
@@ -100,7 +103,8 @@
     }
 
     [[nodiscard]] bool is_settled() const {
-        return unfinished(m_callers.jobs()).empty() && m_callers.nodes_up_to_date() == m_world.nodes();
+        return unfinished(m_callers.jobs()).empty() && m_callers.nodes_up_to_date() == m_world.nodes() &&
+               left_running(m_callers.jobs(), m_world.runs()).empty();
     }
 
     bool watch_until(const std::function<bool()>& condition, milliseconds bound) {
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -93,7 +93,8 @@
     }
     m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
     m_highest[task] = attempt;
-    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0)});
+    const bool endless = body.at(wire::payload).as_string() == endless_payload;
+    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0), endless});
     reply(request, 200, {});
 }
 
@@ -162,7 +163,7 @@
         }
         if (clock_ms() > m_lease_until) {
             finish(i, "lapsed");
-        } else if (event_loop::now() - m_runs[i].began >= m_run_time) {
+        } else if (!m_runs[i].endless && event_loop::now() - m_runs[i].began >= m_run_time) {
             finish(i, "done");
         }
     }
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -25,8 +25,12 @@
         timestamp ended{0}; ///< 0: it goes on.
         std::string how;
         timestamp acknowledged{0}; ///< When its end was acknowledged; 0: it was not.
+        bool endless = false;      ///< It runs until it is stopped.
     };
 
+    /// Tasks of jobs with this payload don't end by themselves.
+    static constexpr std::string_view endless_payload = "runs until it is stopped";
+
     task_vm(event_loop& loop, std::string incarnation, milliseconds run_time);
 
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -210,3 +210,32 @@
     CHECK(d.until([&] { return d.store.count("sp/job/p/") == 0; }));
     CHECK(d.done_runs() == 1);
 }
+
+TEST_CASE("a submit whose owner loses the pool meanwhile is answered, and not as refused") {
+    // An agency's desk is told "500" for a booking that runs. The job's record was stored, the store's answer
+    // was lost, and before the owner asked again another node owned the pool; whoever waited for the answer
+    // was dropped with the old owner's state.
+    node_deployment d;
+    d.serve_with_one_vm(100ms);
+    bool stored = false;
+    d.store.on_change([&](const std::string& key) {
+        if (key.starts_with("sp/job/p/") && !std::exchange(stored, true)) {
+            d.loop.post([&] {
+                node::owner_record other;
+                other.owner.id = "n2";
+                other.owner.incarnation = "another";
+                other.owner.address = "127.0.0.1";
+                other.owner.port = 1; // Nobody listens.
+                other.epoch = 7;
+                d.store.put("sp/ctl/own/pool/p", encode_archive(other));
+                d.store.remove("sp/ctl/live/pool/p"); // That node is gone again.
+            });
+        }
+    });
+    d.store.lose_answers(1);
+    const int code = d.call("n1", "POST", "/quotes/" + job_a, d.job_body(1)).code;
+    CHECK((code == 200 || code == 504)); // Found stored, or, while the store seems to fail, not known.
+    CHECK(stored);
+    d.store.on_change({});
+    CHECK(d.shows("n1", job_a, "completed")); // n1 has claimed the pool again.
+}
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -76,7 +76,21 @@
     jobs["open"] = {.tasks = 1, .may_run = true, .accepted = timestamp(1)};
     jobs["cancelled"] = {.tasks = 1, .accepted = timestamp(1), .cancel_sent = true};
     jobs["completed"] = {.tasks = 1, .accepted = timestamp(1), .completed = true};
-    CHECK(unfinished(jobs) == std::vector<std::string>{"open"});
+    jobs["endless, cancelling not answered"] = {
+        .tasks = 1, .endless = true, .accepted = timestamp(1), .cancel_sent = true};
+    jobs["endless, cancelled"] = {
+        .tasks = 1, .endless = true, .accepted = timestamp(1), .cancelled = timestamp(2)};
+    CHECK(unfinished(jobs) == std::vector<std::string>{"endless, cancelling not answered", "open"});
+}
+
+TEST_CASE("runs of cancelled jobs that go on are found") {
+    const std::map<std::string, job_history> jobs{{"gone", {.tasks = 1, .cancelled = timestamp(5)}},
+                                                  {"open", {.tasks = 1}}};
+    const std::vector<vm_run> runs{run_of("gone.0.0.0", "v", 1, 6, "stopped"),
+                                   run_of("gone.0.0.0", "w", 2, 0, ""), run_of("open.0.0.0", "v", 1, 0, "")};
+    const std::vector<std::string> left = left_running(jobs, runs);
+    REQUIRE(left.size() == 1);
+    CHECK(left[0].starts_with("gone.0.0.0#1@w"));
 }
 
 TEST_CASE("a seed gives one plan, with faults that overlap") {
