Sight: what an owner counts, what lies in its inbox, how old its copy of the inbox is, how late a busy node's loop is

Cause looked for: a queue's count that is far too low. No line and no metric said what an owner counted when it was asked, how many accepted jobs lay in the inbox then, whether an entry told its own copy, or how far a busy node lags. Change: events 1947 count-computed (at the owner) and 1948 count-answered (at the entry), two more fields of pool-load, metrics pool_inbox_jobs, pool_inbox_age_ms and loop_lag_ms. The age of a watched copy counts from when a call was sent, since answers lie unread on a busy node. No decision is changed.

--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -90,7 +90,7 @@
         message.kind = static_cast<std::uint8_t>(peer_request_kind::count);
         const auto known = m_counts.find(client.call.queue);
         if (known != m_counts.end() && now - known->second.at < count_age) {
-            platform::answer_pending(*request, known->second.jobs);
+            tell_count(client, known->second, "copy");
             return;
         }
         ask_owner(client, message, &ingress_task::count_answered);
@@ -302,8 +302,17 @@
         return;
     }
     observe(client, "ok");
-    m_counts[client.call.queue] = {answer.count, event_loop::now()};
-    platform::answer_pending(*client.request, answer.count);
+    const cached_count& count = m_counts[client.call.queue] = {answer.count, event_loop::now()};
+    tell_count(client, count, "owner");
+}
+
+void ingress_task::tell_count(const client_context& client, const cached_count& count,
+                              std::string_view from) {
+    log_event(event_id::count_answered, {{"queue", client.call.queue},
+                                         {"waiting", count.jobs},
+                                         {"from", from},
+                                         {"age_ms", (event_loop::now() - count.at).count()}});
+    platform::answer_pending(*client.request, count.jobs);
 }
 
 } // namespace siskinpaddle::node
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -47,6 +47,10 @@
         jobs::job_spec spec; ///< Of a submit.
         timestamp received_at;
     };
+    struct cached_count {
+        std::uint64_t jobs = 0;
+        timestamp at{0};
+    };
     using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
 
     void take(const request_handle& request);
@@ -56,6 +60,7 @@
     void status_answered(const client_context& client, const peer_answer& answer);
     void cancel_answered(const client_context& client, const peer_answer& answer);
     void count_answered(const client_context& client, const peer_answer& answer);
+    void tell_count(const client_context& client, const cached_count& count, std::string_view from);
     void submit_by_store(const client_context& client, bool may_be_stored);
     void status_by_store(const client_context& client);
     void cancel_by_store(const client_context& client);
@@ -68,11 +73,7 @@
     http_server m_server;
     timestamp m_owner_answered_at{0};
     std::map<std::string, timestamp> m_silent_owners; ///< Incarnation -> until when it is not asked.
-    struct cached_count {
-        std::uint64_t jobs = 0;
-        timestamp at{0};
-    };
-    std::map<std::string, cached_count> m_counts; ///< By queue.
+    std::map<std::string, cached_count> m_counts;     ///< By queue.
     lifetime m_lifetime;
 };
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -193,6 +193,11 @@
 }
 
 void node::tick() {
+    const timestamp now = event_loop::now();
+    if (m_tick_due != timestamp(0)) {
+        m_longest_lag = std::max(m_longest_lag, now - m_tick_due);
+    }
+    m_tick_due = now + tick_interval;
     m_timer->start(tick_interval);
     flush_event_log();
     const bool is_ready = ready();
@@ -262,8 +267,13 @@
     const milliseconds silence = unanswered == timestamp(0) ? 0ms : event_loop::now() - unanswered;
     m_counters.set("store_unanswered_ms", static_cast<std::uint64_t>(silence.count()));
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
+    m_counters.set("loop_lag_ms",
+                   static_cast<std::uint64_t>(std::exchange(m_longest_lag, milliseconds(0)).count()));
     for (const auto& [duty, task] : m_pools) {
-        m_counters.set("pool_jobs{pool=\"" + task->pool() + "\"}", task->scheduler().job_count());
+        const std::string label = "{pool=\"" + task->pool() + "\"}";
+        m_counters.set("pool_jobs" + label, task->scheduler().job_count());
+        m_counters.set("pool_inbox_jobs" + label, task->inbox_jobs());
+        m_counters.set("pool_inbox_age_ms" + label, static_cast<std::uint64_t>(task->inbox_age().count()));
     }
     return m_counters.to_text();
 }
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -57,6 +57,8 @@
     std::function<void()> m_stopped;
     timestamp m_stop_at{0};
     std::size_t m_winding_down = 0;
+    timestamp m_tick_due{0};
+    milliseconds m_longest_lag{0}; ///< Of a tick behind its time, since the metrics were last read.
     bool m_was_ready = false;
     bool m_store_reachable = false;
     bool m_stopping = false;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -33,12 +33,9 @@
     case peer_request_kind::cancel:
         cancel(request, done);
         return;
-    case peer_request_kind::count: {
-        peer_answer answer = answer_of(peer_outcome::ok);
-        answer.count = m_scheduler.pending(request.queue);
-        done(answer);
+    case peer_request_kind::count:
+        count(request, done);
         return;
-    }
     case peer_request_kind::fleet_look:
         fleet_look(request, done);
         return;
@@ -182,6 +179,31 @@
     done(answer);
 }
 
+std::size_t pool_task::inbox_jobs() const {
+    const std::string prefix = submit_key(m_pool, "");
+    return static_cast<std::size_t>(std::ranges::count_if(m_inbox.items(), [&](const auto& item) {
+        return item.first.starts_with(prefix) && !m_scheduler.knows(item.first.substr(prefix.size()));
+    }));
+}
+
+milliseconds pool_task::inbox_age() const {
+    return event_loop::now() - m_inbox.complete_until();
+}
+
+void pool_task::count(const peer_request& request, const reply& done) const {
+    peer_answer answer = answer_of(peer_outcome::ok);
+    answer.count = m_scheduler.pending(request.queue);
+    const milliseconds certain = m_parts.membership.certain_until(m_held.duty) - event_loop::now();
+    log_event(event_id::count_computed, {{"pool", m_pool},
+                                         {"queue", request.queue},
+                                         {"waiting", answer.count},
+                                         {"inbox", inbox_jobs()},
+                                         {"inbox_age_ms", inbox_age().count()},
+                                         {"certain_ms", certain.count()},
+                                         {"token", m_held.token}});
+    done(answer);
+}
+
 void pool_task::cancel(const peer_request& request, const reply& done) {
     const std::string& id = request.job;
     if (m_ended.contains(id)) {
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -138,7 +138,9 @@
                                     {"usable_cores", load.usable_millicores / 1000},
                                     {"used_cores", load.used_millicores / 1000},
                                     {"waiting_ms", load.wait().count()},
-                                    {"jobs", m_scheduler.job_count()}});
+                                    {"jobs", m_scheduler.job_count()},
+                                    {"inbox", inbox_jobs()},
+                                    {"inbox_age_ms", inbox_age().count()}});
 }
 
 /// One line for each step that got tasks placed, and one for each note.
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -49,6 +49,10 @@
     [[nodiscard]] const std::string& pool() const noexcept { return m_pool; }
     [[nodiscard]] std::uint32_t epoch() const noexcept { return m_held.epoch; }
     [[nodiscard]] const jobs::scheduler& scheduler() const noexcept { return m_scheduler; }
+    /// Jobs in the pool's inbox that are not taken yet.
+    [[nodiscard]] std::size_t inbox_jobs() const;
+    /// How old the copy of the inbox may be.
+    [[nodiscard]] milliseconds inbox_age() const;
 
   private:
     /// One VM's lease renewals.
@@ -106,6 +110,7 @@
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
     void status(const peer_request& request, const reply& done) const;
+    void count(const peer_request& request, const reply& done) const;
     void fleet_look(const peer_request& request, const reply& done);
     void use_again(const std::set<std::string>& vms);
     void settle_cancels();
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -85,6 +85,7 @@
     if (after.empty()) {
         m_listing.clear();
         m_listing_revision = 0;
+        m_page_sent_at = event_loop::now();
     }
     m_store.range(m_prefix, after,
                   [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
@@ -122,6 +123,7 @@
 
 void watch_task::finish_listing() {
     m_listing_now = false;
+    m_complete_until = std::max(m_complete_until, m_page_sent_at);
     std::vector<platform::store_item> removed;
     for (const auto& [key, item] : m_items) {
         if (!m_listing.contains(key) && item.revision <= m_listing_revision) {
@@ -161,6 +163,7 @@
 }
 
 void watch_task::watch(std::uint64_t round) {
+    m_watch_sent_at = event_loop::now();
     m_waiting_watch =
         m_store.watch(m_prefix, m_revision, m_wait,
                       [this, round, alive = m_lifetime.watch()](const platform::store_answer& answer) {
@@ -188,6 +191,10 @@
         apply(item);
     }
     m_revision = std::max(m_revision, answer.revision);
+    // A watch without a change was answered when its wait was over, one with changes at any time since it was
+    // sent.
+    const milliseconds waited = answer.items.empty() ? m_wait : milliseconds(0);
+    m_complete_until = std::max(m_complete_until, std::min(event_loop::now(), m_watch_sent_at + waited));
     if (!m_running || round != m_round) {
         return;
     }
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -31,6 +31,10 @@
     void set_pause(milliseconds pause) noexcept { m_pause = pause; }
 
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
+    /// The copy holds every change up to this moment, by our own clock; 0 before the first listing. Counted
+    /// from when a call was sent, not from when its answer was read: on a busy node answers lie unread for a
+    /// while.
+    [[nodiscard]] timestamp complete_until() const noexcept { return m_complete_until; }
     [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept {
         return m_items;
     }
@@ -68,6 +72,9 @@
     timestamp m_failing_since{0};
     bool m_listing_now = false;
     timestamp m_listing_begun_at{0};
+    timestamp m_page_sent_at{0};  ///< Of the listing's first page.
+    timestamp m_watch_sent_at{0}; ///< Of the latest watch.
+    timestamp m_complete_until{0};
     std::optional<std::uint64_t> m_waiting_watch; ///< The call that waits for a change.
     std::unique_ptr<timer> m_retry;
     std::function<void()> m_retry_action;
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -108,6 +108,8 @@
     log_lines_dropped = 1944,
     pool_load = 1945,
     advice_answered = 1946,
+    count_computed = 1947,
+    count_answered = 1948,
 };
 
 /// Catalogue line of an event.
@@ -205,6 +207,8 @@
     event_entry{event_id::machines_unknown, "machines-unknown", event_level::warning},
     event_entry{event_id::pool_load, "pool-load", event_level::info},
     event_entry{event_id::advice_answered, "advice-answered", event_level::info},
+    event_entry{event_id::count_computed, "count-computed", event_level::info},
+    event_entry{event_id::count_answered, "count-answered", event_level::info},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
