Tests of a queue's count that fail: jobs in the inbox, an old copy of it, an owner that may be none any more, a false refusal

Cause that they bring about: an owner answers from its scheduler alone. Jobs that entries left in the inbox, whose clients were told that they are accepted, are missing there until the owner has taken each by a write of its own. The stand-in of the store can hold writes under a prefix, which is what a busy owner's unfinished writes look like.

--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/wire.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <event2/http.h>
 #include <openssl/evp.h>
@@ -217,6 +218,10 @@
         m_late.push_back({body, event_loop::now() + late_write_delay});
         return;
     }
+    if (is_held(body)) {
+        m_held_writes.push_back(request);
+        return;
+    }
     if (!holds(body)) {
         ++m_conflicts;
         reply(request, 412, {{wire::items, present_items(body)}});
@@ -250,6 +255,29 @@
     return true;
 }
 
+bool platform_store::is_held(const boost::json::object& body) const {
+    if (m_held_prefix.empty()) {
+        return false;
+    }
+    const auto matches = [this](const boost::json::string& key) {
+        return std::string_view(key).starts_with(m_held_prefix);
+    };
+    return std::ranges::any_of(body.at(wire::writes).as_array(),
+                               [&](const auto& row) { return matches(row.at(wire::key).as_string()); }) ||
+           std::ranges::any_of(body.at(wire::removals).as_array(),
+                               [&](const auto& key) { return matches(key.as_string()); });
+}
+
+void platform_store::hold_writes(const std::string& prefix) {
+    m_held_prefix = prefix;
+    if (!prefix.empty()) {
+        return;
+    }
+    for (const request_handle& request : std::exchange(m_held_writes, {})) {
+        transact(request);
+    }
+}
+
 boost::json::array platform_store::present_items(const boost::json::object& body) const {
     boost::json::array items;
     for (const boost::json::value& row : body.at(wire::conditions).as_array()) {
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -45,6 +45,9 @@
     [[nodiscard]] std::size_t late_writes() const noexcept { return m_late.size(); }
     /// Answers no watch under `prefix`; empty: answers all.
     void hold_watches(std::string prefix) { m_held_watches = std::move(prefix); }
+    /// Neither answers nor carries out transactions that change a key under `prefix`; empty: carries those
+    /// out that were held, in the order in which they came, and holds no more.
+    void hold_writes(const std::string& prefix);
     /// Calls back after each change, before anybody hears of it.
     void on_change(std::function<void(const std::string& key)> handler) { m_on_change = std::move(handler); }
     /// Forgets its history: watches of older revisions are told so.
@@ -80,6 +83,7 @@
     void transact(const request_handle& request);
     void lease(const request_handle& request);
     [[nodiscard]] bool holds(const boost::json::object& body) const;
+    [[nodiscard]] bool is_held(const boost::json::object& body) const;
     [[nodiscard]] boost::json::array present_items(const boost::json::object& body) const;
     void carry_out(const boost::json::object& body);
     void apply(const std::string& key, const item* value);
@@ -107,6 +111,8 @@
     std::size_t m_conflicts = 0;
     std::function<void(const std::string&)> m_on_change;
     std::string m_held_watches;
+    std::string m_held_prefix;
+    std::vector<request_handle> m_held_writes;
     std::deque<std::pair<boost::json::object, timestamp>> m_late; ///< Transactions, and when they are due.
 };
 
--- /dev/null
+++ b/tests/node/count_test.cpp
@@ -0,0 +1,103 @@
+#include "node/node_deployment.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+constexpr std::size_t left_jobs = 40;
+/// A queue's count may be this old.
+constexpr milliseconds oldest_count = 2s;
+
+/// Whether the node tells of at least half of the jobs, or tells nothing.
+bool tells_of_most(node_deployment& d, const std::string& node, std::size_t jobs) {
+    const std::optional<std::int64_t> told = d.told_count(node);
+    return !told || *told * 2 >= static_cast<std::int64_t>(jobs);
+}
+
+void wait_for(node_deployment& d, milliseconds time) {
+    const timestamp end = event_loop::now() + time;
+    REQUIRE(d.until([&] { return event_loop::now() >= end; }));
+}
+
+} // namespace
+
+TEST_CASE("a queue's count holds the jobs that its owner has not yet taken from the inbox") {
+    // The queue's operators are told "29 jobs wait" and, 0.2 s later, "8", while 117 and 140 accepted jobs
+    // have waited for five seconds. The pool's owner, all its processor time used up by the peak of a turn
+    // (49 to 50 % of a core of the 50 % that it has), did not answer entries in time; they left the jobs in
+    // the inbox (clients_submit_ok_by_store 32 within five seconds) and told their clients that they are
+    // accepted. It counted only jobs that it had taken out of there, each by a write of its own.
+    struct owner_case {
+        const char* what = "";
+        bool takes_over = false; ///< The jobs lie there before the owner is the owner.
+    };
+    for (const owner_case& item : {owner_case{"a busy owner", false}, owner_case{"a new owner", true}}) {
+        INFO(std::string(item.what));
+        node_deployment d;
+        if (item.takes_over) {
+            d.leave_in_inbox("a", left_jobs);
+            d.store.hold_writes("sp/inbox/");
+            d.start_node("n1");
+        } else {
+            d.start_node("n1");
+            d.wait_until_serving("n1");
+            d.store.hold_writes("sp/inbox/");
+            d.leave_in_inbox("a", left_jobs);
+        }
+        // Long enough that the entry's copy of a count from before is too old, and that the owner has read
+        // the inbox.
+        wait_for(d, oldest_count);
+        CHECK(tells_of_most(d, "n1", left_jobs));
+        d.store.hold_writes({});
+        CHECK(d.until([&] { return d.told_count("n1") == static_cast<std::int64_t>(left_jobs); }));
+        CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
+    }
+}
+
+TEST_CASE("a queue's count is not told while the owner's copy of the inbox may be old") {
+    // The same few jobs are said to wait for seconds, while more and more do. What its owner follows in the
+    // store hangs on a connection that went silent, so that the jobs which entries leave in the inbox are not
+    // seen.
+    node_deployment d;
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    d.store.hold_watches("sp/inbox/");
+    d.leave_in_inbox("a", left_jobs);
+    wait_for(d, oldest_count + 500ms);
+    CHECK(tells_of_most(d, "n1", left_jobs));
+    CHECK(d.call("n1", "GET", "/quotes/").code == 503);
+    d.store.hold_watches({});
+    CHECK(d.until([&] { return d.told_count("n1") == static_cast<std::int64_t>(left_jobs); }));
+}
+
+TEST_CASE("a queue's count is not told by an owner that another may have replaced") {
+    // A node that is cut off from the store for seconds goes on telling the count of before, while another
+    // one owns the pool and has accepted more jobs.
+    node_deployment d;
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    d.store.set_silent(true);
+    wait_for(d, oldest_count + 1500ms); // The lease of two seconds is over, the four seconds past it are not.
+    CHECK(d.call("n1", "GET", "/quotes/").code == 503);
+}
+
+TEST_CASE("a repeat of a job that lies in the inbox is not refused for load") {
+    // A desk is told "429, not accepted" for a booking that then runs. Its first attempt lay in the inbox,
+    // its answer was lost; the repeat reached the owner, which knew only the jobs that it had taken and
+    // judged it as a new one.
+    node_deployment d;
+    d.start_node("n1"); // Without a VM, jobs wait and more are soon refused.
+    d.wait_until_serving("n1");
+    d.store.hold_writes("sp/inbox/");
+    d.leave_in_inbox("a", 1);
+    const std::string left = "a000000000000000";
+    REQUIRE(d.until([&] { return d.metric("n1", "siskinpaddle_pool_inbox_jobs{pool=\"p\"}") == 1; }));
+    int refused = 0;
+    for (int i = 10; i < 99 && refused == 0; ++i) {
+        const std::string id = "b0000000000000" + std::to_string(i);
+        refused = d.call("n1", "POST", "/quotes/" + id, d.job_body(4000)).code == 429 ? i : 0;
+    }
+    REQUIRE(refused > 0);
+    CHECK(d.call("n1", "POST", "/quotes/" + left, d.job_body(4000)).code == 200);
+}
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -7,15 +7,27 @@
 #include "node/node.hpp"
 #include "telemetry/test_log.hpp"
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
 
 namespace siskinpaddle::tests {
 
+/// A job of one task as an entry leaves it in the pool's inbox.
+inline jobs::job_record one_task_record(const std::string& id) {
+    jobs::job_record record;
+    record.spec.id = id;
+    record.spec.queue = "quotes";
+    record.spec.steps.resize(1);
+    record.spec.steps[0].need = {500, 64, 0};
+    return record;
+}
+
 /// Real nodes on one loop against the stand-ins of the store and of VMs, over real sockets. Destroying a node
 /// is what a kill looks like to all others.
 class node_deployment {
@@ -122,6 +134,26 @@
 
     bool until(const std::function<bool()>& condition) { return loop_until(loop, condition); }
 
+    /// Leaves jobs of one task in the pool's inbox, as entries do whose clients are told that they are
+    /// accepted.
+    void leave_in_inbox(const std::string& first_digits, std::size_t jobs) {
+        for (std::size_t i = 0; i < jobs; ++i) {
+            const std::string number = std::to_string(i);
+            const std::string id =
+                first_digits + std::string(16 - first_digits.size() - number.size(), '0') + number;
+            store.put("sp/inbox/p/submit/" + id, encode_archive(one_task_record(id)));
+        }
+    }
+
+    /// How many jobs the node says to wait; nothing if it doesn't say.
+    std::optional<std::int64_t> told_count(const std::string& node) {
+        const http_answer answer = call(node, "GET", "/quotes/");
+        if (answer.code != 200) {
+            return std::nullopt;
+        }
+        return boost::json::parse(answer.body).at("pending").to_number<std::int64_t>();
+    }
+
     /// Waits until a status call through `node` shows the phase.
     bool shows(const std::string& node, const std::string& job, const std::string& phase) {
         return until([&] {
