--- a/tests/node/count_test.cpp
+++ b/tests/node/count_test.cpp
@@ -1,5 +1,7 @@
 #include "node/node_deployment.hpp"
 
+#include <thread>
+
 using namespace siskinpaddle;
 using namespace siskinpaddle::tests;
 
@@ -101,3 +103,28 @@
     REQUIRE(refused > 0);
     CHECK(d.call("n1", "POST", "/quotes/" + left, d.job_body(4000)).code == 200);
 }
+
+TEST_CASE("an owner whose loop is busy still reads a full inbox") {
+    // The count is not told, cancelled jobs start and jobs wait for as long as a turn lasts, though only the
+    // owner is busy. A large answer came in by 4 KB a turn of its loop; the watch of the inbox was given up
+    // half read and asked again ("watch-failing prefix=sp/inbox/... outcome=unknown", three times from the
+    // same revision) while more and more jobs lay there: 313 in the end.
+    constexpr milliseconds busy_turn = 100ms;
+    constexpr std::size_t many_jobs = 500;
+    node_deployment d;
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    std::unique_ptr<timer> busy;
+    busy = d.loop.make_timer([&] {
+        std::this_thread::sleep_for(busy_turn);
+        busy->start(0ms);
+    });
+    busy->start(0ms);
+    d.store.hold_watches("sp/inbox/");
+    d.leave_in_inbox("a", many_jobs);
+    d.store.hold_watches({}); // All at once, as a watch brings them that waits behind others.
+    const auto known = [&] { return d.metric("n1", "siskinpaddle_pool_jobs{pool=\"p\"}"); };
+    CHECK(loop_until(
+        d.loop, [&] { return known() == static_cast<std::int64_t>(many_jobs); }, 20s));
+    busy->cancel();
+}
