--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -39,7 +39,8 @@
         }
         return;
     }
-    const auto info = platform::decode_vm(item.key, item.value);
+    findings problems;
+    const auto info = platform::decode_vm(item.key, item.value, problems);
     if (!info) {
         log_event(event_id::vm_damaged, {{"vm", incarnation}, {"revision", item.revision}});
         return;
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -20,6 +20,8 @@
     void refresh() { m_watch.refresh(); }
 
     [[nodiscard]] const std::map<std::string, jobs::vm_info>& vms() const noexcept { return m_vms; }
+    /// Whether there is an entry for the VM, also one that can't be read.
+    [[nodiscard]] bool is_registered(const std::string& vm) const { return m_vms.contains(vm); }
 
   private:
     void take(const platform::store_item& item);
--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -249,7 +249,7 @@
         "stretch_factor":2.2,"target_latency_ms":2500,"advice":{"decision_ms":5}}],"services":[{"name":"s"}],
         "limits":{"max_body_bytes":262144}})";
     const std::string vm =
-        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","state":"ready","machine":"m","capacity":
+        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","state":"ready","machine":"m","capacity":
         {"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113})";
     const std::string wave = R"({"wave":1,"machines":["m-1","m-2"],"duration_s":20,"max_count":1})";
     for (int i = 0; i < mutations; ++i) {
@@ -259,12 +259,24 @@
                 REQUIRE(queue.stretch_factor >= 1);
             }
         }
-        if (const auto read = platform::decode_vm("servers/i-1", mutated(vm, random))) {
+        findings problems;
+        if (const auto read = platform::decode_vm("servers/i-1", mutated(vm, random), problems)) {
             REQUIRE(read->incarnation == "i-1");
             REQUIRE(!read->address.empty());
+            REQUIRE(read->port > 0);
+            REQUIRE(!read->pool.empty());
+            REQUIRE(!read->machine.empty());
+            REQUIRE(read->capacity.cpu_millicores > 0);
+            REQUIRE(read->capacity.memory_mb > 0);
+            REQUIRE(read->capacity.accelerators >= 0);
+            REQUIRE(problems.empty());
+        } else {
+            REQUIRE_FALSE(problems.empty());
         }
         if (const auto read = platform::decode_wave(mutated(wave, random))) {
             REQUIRE(read->at_once >= 1);
+            REQUIRE(read->number >= 0);
+            REQUIRE(read->duration >= 0ms);
         }
         static_cast<void>(platform::decode_task(mutated("5c0e7a21d94b36f8.0.1.17", random)));
     }
--- /dev/null
+++ b/tests/node/vm_entries_test.cpp
@@ -0,0 +1,135 @@
+#include "node/node_deployment.hpp"
+#include "node/vm_directory.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+const std::string job_b = "00000000000000bb";
+
+/// Entries that name no VM to use: `good` is the registration of a VM that is there.
+std::vector<std::pair<std::string, std::string>> unusable_entries(const std::string& good) {
+    const auto changed = [&good](const char* field, const boost::json::value& value) {
+        boost::json::object object = boost::json::parse(good).as_object();
+        object[field] = value;
+        return boost::json::serialize(object);
+    };
+    return {{"empty", ""},
+            {"bytes", std::string("\0\xff\xfe{", 4)},
+            {"cut", good.substr(0, good.size() / 2)},
+            {"state", changed("state", "resting")},
+            {"service", changed("service", "nowhere")},
+            {"service-type", changed("service", boost::json::array{"p"})},
+            {"capacity", changed("capacity", "4000")},
+            {"labels", changed("labels", 7)},
+            {"address", changed("address", "vm.example:80")},
+            {"seq", changed("seq", "4")}};
+}
+
+} // namespace
+
+TEST_CASE("entries of another writer beside those of the VMs take no work, and the VMs do it all") {
+    // Nothing runs any more, or tasks are sent to what isn't there. Another program has written entries that
+    // are no whole registrations; one of them broke the reading of all, or was taken for a VM. They all lead
+    // to the address of a VM that is there, so that whatever is sent to them is seen.
+    node_deployment d;
+    d.add_vm("v1", 50ms);
+    fakes::task_vm decoy(d.loop, "decoy", 50ms);
+    REQUIRE(decoy.listen({"127.0.0.1", 0}));
+    for (const auto& [name, entry] : unusable_entries(decoy.registration("p"))) {
+        d.store.put(platform::vm_key(name), entry);
+    }
+    d.store.put("servers/", decoy.registration("p"));
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(30)).code == 200);
+    CHECK(d.shows("n1", job_a, "completed"));
+    for (const auto& [name, entry] : unusable_entries(decoy.registration("p"))) {
+        d.store.put(platform::vm_key("later-" + name), entry);
+    }
+    CHECK(d.call("n1", "POST", "/quotes/" + job_b, d.job_body(30)).code == 200);
+    CHECK(d.shows("n1", job_b, "completed"));
+    CHECK(d.done_runs() == 60);
+    CHECK(decoy.runs().empty());
+    d.check_runs_once();
+}
+
+TEST_CASE("a VM whose entry is overwritten gets no work until it can be read again, and keeps what it has") {
+    // A booking starts on a VM that nobody vouches for, or a running one is made twice. Another program
+    // overwrites a VM's entry while tasks run there and for longer than the VM's lease; then the VM writes
+    // its own again. Its old entry stayed in use; had it counted as gone, its tasks would have been given
+    // away.
+    node_deployment d;
+    d.serve_with_one_vm(8000ms);
+    const std::string good = d.vms[0]->registration("p");
+    for (const auto& [name, entry] : {unusable_entries(good)[2], unusable_entries(good)[3]}) {
+        INFO(name);
+        const std::string first = std::string("00000000000000a") + name[0];
+        const std::string second = std::string("00000000000000b") + name[0];
+        const std::size_t before = d.vms[0]->runs().size();
+        CHECK(d.call("n1", "POST", "/quotes/" + first, d.job_body(2)).code == 200);
+        REQUIRE(d.until_started(before + 2));
+        d.store.put(platform::vm_key("v1"), entry);
+        // The watch that brings it waits 400 ms between two looks.
+        const timestamp overwritten = event_loop::now();
+        REQUIRE(d.until([&] { return event_loop::now() - overwritten > 1500ms; }));
+        d.store.put("sp/inbox/p/submit/" + second, encode_archive([&] {
+                        jobs::job_record record;
+                        record.spec.id = second;
+                        record.spec.queue = "quotes";
+                        record.spec.steps.resize(1);
+                        record.spec.steps[0].need = {500, 64, 0};
+                        return record;
+                    }()));
+        CHECK(d.shows("n1", first, "completed"));
+        CHECK(d.vms[0]->runs().size() == before + 2);
+        d.store.put(platform::vm_key("v1"), good);
+        CHECK(d.until_started(before + 3));
+        CHECK(d.shows("n1", second, "completed"));
+    }
+    CHECK(d.done_runs() == 6);
+    d.check_runs_once();
+}
+
+TEST_CASE("the directory tells of a VM whose entry can't be read as of one that is no longer listed") {
+    // A VM is used on after another program has overwritten its entry. The directory kept what it had read
+    // before. That it is still registered must be known all the same: only what isn't may be taken for gone
+    // by the older list of machines.
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    start_test_log();
+    fakes::task_vm vm(loop, "v1", 100ms);
+    const std::string good = vm.registration("p", 8080);
+    const std::string key = platform::vm_key("v1");
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    std::vector<std::string> told;
+    node::vm_directory directory(loop, client, [&](const std::string& name, const auto& info) {
+        told.push_back(name + (info ? " listed" : " not listed"));
+    });
+    directory.start({});
+    store.put(key, good);
+    REQUIRE(loop_until(loop, [&] { return told.size() == 1; }));
+    for (const auto& [name, entry] : unusable_entries(good)) {
+        if (name == "service") {
+            continue; // Whole, but of no pool here: its pool's owner decides.
+        }
+        INFO(name);
+        told.clear();
+        store.put(key, entry);
+        REQUIRE(loop_until(loop, [&] { return !told.empty(); }));
+        CHECK(told == std::vector<std::string>{"v1 not listed"});
+        CHECK(directory.vms().empty());
+        CHECK(directory.is_registered("v1"));
+        store.put(key, good);
+        REQUIRE(loop_until(loop, [&] { return told.size() == 2; }));
+        CHECK(told.back() == "v1 listed");
+        CHECK(directory.vms().contains("v1"));
+    }
+    store.put(key, "");
+    REQUIRE(loop_until(loop, [&] { return directory.vms().empty(); }));
+    store.remove(key);
+    CHECK(loop_until(loop, [&] { return !directory.is_registered("v1"); }));
+}
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -1,6 +1,10 @@
 #include "platform/platform.hpp"
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace siskinpaddle;
 using namespace siskinpaddle::platform;
@@ -15,13 +19,46 @@
     }
 }
 
+namespace {
+
+/// A whole registration; `field` is left out, or set to the JSON text `value`. A dot leads into an object.
+std::string registration(const std::string& field = {}, const std::string& value = {}) {
+    boost::json::value document = boost::json::parse(
+        R"({"service":"s","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":8,"state":"draining",
+        "cold_left_ms":120,"remaining_ms":1500,"machine":"m-1","capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},
+        "labels":["a","r1-3"],"clock_ms":482113,"seq":4})");
+    if (field.empty()) {
+        return boost::json::serialize(document);
+    }
+    boost::json::object* object = &document.get_object();
+    const std::size_t dot = field.find('.');
+    if (dot != std::string::npos) {
+        object = &object->at(field.substr(0, dot)).get_object();
+    }
+    const std::string name = dot == std::string::npos ? field : field.substr(dot + 1);
+    object->erase(name);
+    if (!value.empty()) {
+        object->emplace(name, boost::json::parse(value));
+    }
+    return boost::json::serialize(document);
+}
+
+std::optional<jobs::vm_info> decoded(const std::string& text, const std::string& key = "servers/i-7") {
+    findings problems;
+    auto info = decode_vm(key, text, problems);
+    CHECK(info.has_value() == problems.empty());
+    return info;
+}
+
+} // namespace
+
 TEST_CASE("a registration's fields end up where they belong") {
-    const auto vm =
-        decode_vm("servers/i-7", R"({"service":"s","address":"10.128.0.9:8080","zone":"z1","state":"draining",
-        "remaining_ms":1500,"machine":"m-1","capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"]})");
+    const auto vm = decoded(registration());
     REQUIRE(vm.has_value());
     CHECK(vm->incarnation == "i-7");
+    CHECK(vm->machine == "m-1");
     CHECK(vm->pool == "s");
+    CHECK(vm->availability_zone == "z1");
     CHECK(vm->address == "10.128.0.9");
     CHECK(vm->port == 8080);
     CHECK(vm->kind == "a");
@@ -29,7 +66,79 @@
     CHECK(vm->capacity == jobs::resources{16000, 32768, 2});
     CHECK(vm->draining);
     CHECK(vm->remaining_ms == 1500);
-    CHECK_FALSE(decode_vm("servers/i-7", R"({"service":"s"})").has_value());
+    CHECK_FALSE(decoded(registration("state", R"("ready")"))->draining);
+    CHECK(decoded(registration("remaining_ms"))->remaining_ms == -1);
+}
+
+TEST_CASE("a registration without the counts that are zero, or with fields of a later version, names a VM") {
+    for (const std::string field :
+         {"slots", "cold_left_ms", "remaining_ms", "clock_ms", "seq", "capacity.gpu"}) {
+        INFO(field);
+        CHECK(decoded(registration(field)).has_value());
+        CHECK(decoded(registration(field, "0")).has_value());
+    }
+    CHECK(decoded(registration("speed", R"({"new":[1]})")).has_value());
+    CHECK(decoded(registration("labels", R"(["a","r1-3","later"])")).has_value());
+}
+
+TEST_CASE("an entry of another writer that is no whole registration names no VM to use") {
+    // Bookings wait on a VM that isn't there. Another program writes entries beside those of the VMs: a field
+    // is missing or holds another type, a state is unknown, a number is out of bounds. Each such entry was
+    // read with empty values in the place of what was wrong, and counted as a VM with cores to give.
+    struct bad_field {
+        std::string field;
+        std::vector<std::string> values; ///< Empty text: the field is missing.
+    };
+    const std::vector<std::string> no_text{"", "null", "7", "true", R"([])", R"({})", R"("")"};
+    const std::vector<std::string> no_count{"null", R"("7")", "true",  "-1",
+                                            "1.5",  R"([7])", "1e300", "18446744073709551615"};
+    const std::vector<std::string> no_size{"",   "null", R"("7")", "true",   "0",
+                                           "-1", "1.5",  "1e300",  R"([7])", "9223372036854775807"};
+    for (const auto& [field, values] : {
+             bad_field{"service", no_text},
+             bad_field{"machine", no_text},
+             bad_field{"zone", no_text},
+             bad_field{"version", no_text},
+             bad_field{"state", no_text},
+             bad_field{"state", {R"("Ready")", R"("starting")", R"("ready ")"}},
+             bad_field{"address", no_text},
+             bad_field{"address",
+                       {R"("10.1.0.9")", R"("10.1.0.9:")", R"(":8080")", R"("10.1.0.9:0")",
+                        R"("10.1.0.9:65536")", R"("10.1.0.9:-1")", R"("10.1.0.9:80x")", R"("10.1.0.9: 80")",
+                        R"("10.1.0:8080")", R"("vm.example:8080")", R"("10.1.0.9\r\n:8080")"}},
+             bad_field{"capacity", {"", "null", "7", R"("16000")", "[16000,32768,2]", "{}"}},
+             bad_field{"capacity.cpu", no_size},
+             bad_field{"capacity.mem_mb", no_size},
+             bad_field{"capacity.gpu", no_count},
+             bad_field{"labels", {"", "null", R"("a")", "{}", "[]", R"(["a"])", R"([1,2])", R"(["a",null])"}},
+             bad_field{"slots", no_count},
+             bad_field{"cold_left_ms", no_count},
+             bad_field{"remaining_ms", no_count},
+             bad_field{"clock_ms", no_count},
+             bad_field{"seq", no_count},
+         }) {
+        for (const std::string& value : values) {
+            INFO(field << " = " << value);
+            CHECK_FALSE(decoded(registration(field, value)).has_value());
+        }
+    }
+}
+
+TEST_CASE("an entry whose bytes can't be read, or whose key names no VM, names no VM to use") {
+    // Every node stops, one after the other, or a call reaches a VM that it isn't meant for. An entry holds
+    // no text at all, or its key holds what can't stand in the header that names the VM.
+    for (const std::string& text :
+         {std::string(), std::string("\0\xff\xfe", 3), std::string("null"), std::string("[]"),
+          std::string("7"), std::string("{"), registration() + "x", std::string(100'000, '['),
+          registration().substr(0, 60), registration("zone", "\"z\"").insert(12, "\xc3\x28")}) {
+        INFO(text.substr(0, 80));
+        CHECK_FALSE(decoded(text).has_value());
+    }
+    for (const std::string key : {"", "servers", "servers/", "op/config", "servers/i 7",
+                                  "servers/i-7\r\nX: y", "servers/i/7", "servers/\xc3\xa9"}) {
+        INFO(key);
+        CHECK_FALSE(decoded(registration(), key).has_value());
+    }
 }
 
 TEST_CASE("fields that are left out read as zero, false or empty") {
@@ -77,6 +186,42 @@
     CHECK(configuration->working_pools() == std::vector<std::string>{"s", "t"});
 }
 
+TEST_CASE("a configuration or wave that can't be read whole is none") {
+    // A queue that the operator has is answered with 404, or every VM is sent to its upkeep at once: damaged
+    // fields of what the operator wrote were read as empty, and the rest came into force.
+    for (const std::string text :
+         {"", "[]", "{", R"({"routes":[]})", R"({"version":3})", R"({"version":"3","routes":[]})",
+          R"({"version":0,"routes":[]})", R"({"version":1e300,"routes":[]})", R"({"version":3,"routes":{}})",
+          R"({"version":3,"routes":[7]})", R"({"version":3,"routes":[],"services":"s"})",
+          R"({"version":3,"routes":[],"services":["s"]})"}) {
+        INFO(text);
+        CHECK_FALSE(decode_configuration(text).has_value());
+    }
+    for (const std::string text :
+         {"", "[]", "{", R"({"machines":["m"],"duration_s":2})",
+          R"({"wave":"4","machines":["m"],"duration_s":2})", R"({"wave":-1,"machines":["m"],"duration_s":2})",
+          R"({"wave":4,"machines":"m","duration_s":2})", R"({"wave":4,"machines":[7],"duration_s":2})",
+          R"({"wave":4,"machines":["m"],"duration_s":"2"})",
+          R"({"wave":4,"machines":["m"],"duration_s":1e300})",
+          R"({"wave":4,"machines":["m"],"duration_s":2,"max_count":"all"})"}) {
+        INFO(text);
+        CHECK_FALSE(decode_wave(text).has_value());
+    }
+}
+
+TEST_CASE("numbers beyond their bounds don't wrap around") {
+    const auto configuration = decode_configuration(
+        R"({"version":3,"routes":[{"name":"a","max_attempts":4294967296,"priority":4294967297}]})");
+    REQUIRE(configuration.has_value());
+    CHECK(configuration->queues[0].max_attempts >= 1);
+    CHECK(configuration->queues[0].priority > 1);
+    findings problems;
+    const jobs::job_spec spec = decode_job(
+        R"({"phases":[{"count":1,"max_per_server":4294967296,"may_miss":4294967296}]})", "i", "q", problems);
+    CHECK(spec.steps[0].max_per_vm > 0);
+    CHECK(spec.steps[0].disruption_budget > 0);
+}
+
 TEST_CASE("a wave and its state") {
     const auto wave = decode_wave(R"({"wave":4,"machines":["m-1","m-2"],"duration_s":2.5,"max_count":3})");
     REQUIRE(wave.has_value());
@@ -100,7 +245,7 @@
     vm.capacity = {4000, 8192, 2};
     vm.draining = true;
     vm.remaining_ms = 1200;
-    CHECK(decode_vm(vm_key("i-7"), encode_vm(vm)) == vm);
+    CHECK(decoded(encode_vm(vm), vm_key("i-7")) == vm);
 
     jobs::fleet_configuration configuration;
     configuration.version = 9;
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,129 @@
+#include "net/loop_until.hpp"
+#include "platform/platform.hpp"
+
+#include <doctest/doctest.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::platform;
+using siskinpaddle::tests::loop_until;
+
+namespace {
+
+/// A store that answers every call with one code and body.
+class fixed_store {
+  public:
+    fixed_store(int code, std::string body)
+        : m_server(m_loop, {},
+                   [code, body = std::move(body)](const std::shared_ptr<server_request>& request) {
+                       request->reply(code, {}, body);
+                   }) {
+        REQUIRE(m_server.listen({"127.0.0.1", 0}));
+    }
+
+    store_answer listing() {
+        return answer([](store_client& client, store_client::callback done) {
+            client.range("servers/", {}, std::move(done));
+        });
+    }
+    store_answer watching() {
+        return answer([](store_client& client, store_client::callback done) {
+            client.watch("servers/", 1, 1s, std::move(done));
+        });
+    }
+    store_answer reading() {
+        return answer([](store_client& client, store_client::callback done) {
+            client.get("servers/a", std::move(done));
+        });
+    }
+    store_answer committing() {
+        return answer([](store_client& client, store_client::callback done) {
+            client.commit({{}, {{"sp/a", "x", 0}}, {}}, std::move(done));
+        });
+    }
+
+  private:
+    template <typename Call>
+    store_answer answer(Call call) {
+        store_client client(m_loop, {"127.0.0.1", m_server.port()});
+        std::optional<store_answer> result;
+        call(client, [&result](store_answer answer) { result = std::move(answer); });
+        REQUIRE(loop_until(m_loop, [&] { return result.has_value(); }));
+        return *result;
+    }
+
+    event_loop m_loop;
+    http_server m_server;
+};
+
+std::vector<std::string> keys_of(const store_answer& answer) {
+    std::vector<std::string> keys;
+    for (const store_item& item : answer.items) {
+        keys.push_back(item.key);
+    }
+    return keys;
+}
+
+} // namespace
+
+TEST_CASE("an item that can't be read leaves the others of a listing or watch as they are") {
+    // All nodes stop one after the other, or none sees a VM any more. One entry among hundreds holds bytes
+    // that are no text, broken base64, or no key; the whole answer was thrown away for it, or reading the
+    // entry's empty key ended the process.
+    struct odd_item {
+        std::string what;
+        std::string text;
+        std::vector<std::string> keys; ///< What is read of it.
+    };
+    const std::vector<odd_item> odd{
+        {"no object", "7", {}},
+        {"null", "null", {}},
+        {"no key", R"({"value":"eA==","revision":4})", {}},
+        {"a key of another type", R"({"key":7,"value":"eA==","revision":4})", {}},
+        {"an empty key", R"({"key":"","value":"eA==","revision":4})", {}},
+        {"no value", R"({"key":"servers/o","revision":4})", {"servers/o"}},
+        {"broken base64", R"({"key":"servers/o","value":"e*=","revision":4})", {"servers/o"}},
+        {"a value of another type", R"({"key":"servers/o","value":{},"revision":4})", {"servers/o"}},
+        {"bytes that are no text",
+         "{\"key\":\"servers/\xff\xfe\",\"value\":\"eA==\",\"revision\":4}",
+         {"servers/\xff\xfe"}},
+    };
+    for (const odd_item& item : odd) {
+        INFO(item.what);
+        const std::string rows = R"([{"key":"servers/a","value":"eA==","revision":2},)" + item.text +
+                                 R"(,{"key":"servers/z","value":"eQ==","revision":3}])";
+        std::vector<std::string> expected{"servers/a"};
+        expected.insert(expected.end(), item.keys.begin(), item.keys.end());
+        expected.emplace_back("servers/z");
+        const store_answer listed =
+            fixed_store(200, R"({"items":)" + rows + R"(,"current_rev":9})").listing();
+        CHECK(listed.status == store_status::ok);
+        CHECK(listed.revision == 9);
+        CHECK(keys_of(listed) == expected);
+        if (!listed.items.empty()) {
+            CHECK(listed.items.front().value == "x");
+            CHECK(listed.items.back().value == "y");
+        }
+        const store_answer watched =
+            fixed_store(200, R"({"events":)" + rows + R"(,"current_rev":9})").watching();
+        CHECK(watched.status == store_status::ok);
+        CHECK(keys_of(watched) == expected);
+    }
+}
+
+TEST_CASE("an answer whose body can't be read counts as no answer") {
+    // A pool's jobs are gone after its owner changed. The store's answer was cut or garbled, and the listing
+    // that could not be read counted as an empty one.
+    for (const std::string body : {"", "{", "[]", "null", R"({"items":[{"key":"servers/a")"}) {
+        for (const int code : {200, 412}) {
+            INFO(code << " " << body);
+            fixed_store store(code, body);
+            CHECK(store.listing().status == store_status::unknown);
+            CHECK(store.watching().status == store_status::unknown);
+            CHECK(store.reading().status == store_status::unknown);
+            CHECK(store.committing().status == store_status::unknown);
+        }
+    }
+}
