--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -61,6 +61,10 @@
         return;
     }
     const boost::json::object body = boost::json::parse(request->body()).as_object();
+    if (is_withheld(request, body)) {
+        m_unanswered.push_back(request);
+        return;
+    }
     if (request->headers().get(wire::incarnation_header) != m_incarnation) {
         reply(request, 421, {});
         return;
@@ -80,22 +84,55 @@
     }
 }
 
+/// Whether the order is one of those that get no answer.
+bool task_vm::is_withheld(const request_handle& request, const boost::json::object& body) {
+    const std::string path(path_of_target(request->target()));
+    if (path == wire::stop_path && m_lost_stops > 0) {
+        --m_lost_stops;
+        return true;
+    }
+    if (path == wire::start_path && m_late_starts > 0) {
+        --m_late_starts;
+        m_late.push_back({body, event_loop::now() + m_start_delay});
+        return true;
+    }
+    return false;
+}
+
+void task_vm::carry_out_late() {
+    while (!m_late.empty() && m_late.front().due <= event_loop::now()) {
+        const boost::json::object body = std::move(m_late.front().body);
+        m_late.pop_front();
+        if (number(body, wire::fencing_token) >= m_token) {
+            m_token = number(body, wire::fencing_token);
+            begin_run(body);
+        }
+    }
+}
+
 void task_vm::start(const request_handle& request, const boost::json::object& body) {
+    if (const std::string_view refusal = begin_run(body); !refusal.empty()) {
+        reply(request, 409, {{wire::reason, refusal}});
+        return;
+    }
+    reply(request, 200, {});
+}
+
+/// Returns the reason of a refusal; empty if the run has begun.
+std::string_view task_vm::begin_run(const boost::json::object& body) {
     const std::string task(body.at(wire::task).as_string());
     const std::int64_t attempt = number(body, wire::attempt);
     if (number(body, wire::deadline) < clock_ms()) {
-        reply(request, 409, {{wire::reason, wire::too_late}});
-        return;
+        return wire::too_late;
     }
     if (attempt <= m_highest[task]) {
-        reply(request, 409, {{wire::reason, wire::old_attempt}});
-        return;
+        return wire::old_attempt;
     }
     m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
     m_highest[task] = attempt;
     const bool endless = body.at(wire::payload).as_string() == endless_payload;
     m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0), endless});
-    reply(request, 200, {});
+    return {};
 }
 
 void task_vm::stop(const request_handle& request, const boost::json::object& body) {
@@ -157,6 +194,7 @@
 
 void task_vm::tick() {
     m_timer->start(tick_interval);
+    carry_out_late();
     for (std::size_t i = 0; i < m_runs.size(); ++i) {
         if (m_runs[i].ended != timestamp(0)) {
             continue;
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -46,6 +46,17 @@
 
     /// Answers nothing more; what runs goes on until its lease ends.
     void set_silent(bool silent) { m_silent = silent; }
+    /// Neither carries the next so many stops out nor answers them.
+    void lose_stops(int stops) { m_lost_stops = stops; }
+    /// Stops that are still to be lost.
+    [[nodiscard]] int stops_to_lose() const noexcept { return m_lost_stops; }
+    /// Answers none of the next so many starts and carries them out after `delay`, if they still hold then.
+    void delay_starts(int starts, milliseconds delay) {
+        m_late_starts = starts;
+        m_start_delay = delay;
+    }
+    /// Starts that have come and are still to be carried out.
+    [[nodiscard]] std::size_t late_starts() const noexcept { return m_late.size(); }
     /// How fast its clock runs against ours.
     void set_clock_rate(double rate) noexcept { m_clock_rate = rate; }
 
@@ -55,6 +66,10 @@
         request_handle request;
         timestamp until{0};
     };
+    struct late_start {
+        boost::json::object body;
+        timestamp due{0};
+    };
     struct end {
         std::int64_t sequence = 0;
         std::size_t run = 0; ///< Position in m_runs.
@@ -62,6 +77,9 @@
 
     void take(const request_handle& request);
     void start(const request_handle& request, const boost::json::object& body);
+    std::string_view begin_run(const boost::json::object& body);
+    [[nodiscard]] bool is_withheld(const request_handle& request, const boost::json::object& body);
+    void carry_out_late();
     void stop(const request_handle& request, const boost::json::object& body);
     void renew(const request_handle& request, const boost::json::object& body);
     void answer_renewals();
@@ -81,6 +99,10 @@
     std::list<end> m_ends;
     std::list<waiting_renewal> m_renewals;
     std::vector<request_handle> m_unanswered;
+    std::list<late_start> m_late;
+    int m_lost_stops = 0;
+    int m_late_starts = 0;
+    milliseconds m_start_delay{0};
     std::int64_t m_token = 0;
     std::int64_t m_lease_until = 0;
     std::int64_t m_next_end = 1;
--- /dev/null
+++ b/tests/node/cancelled_runs_test.cpp
@@ -0,0 +1,177 @@
+#include "node/node_deployment.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+/// Below the deadline that a start carries, above the time after which it is given up and stopped.
+constexpr milliseconds late_start = 1000ms;
+constexpr milliseconds long_run = 60'000ms;
+/// Enough that no stop of one owner gets through.
+constexpr int all_stops = 1000;
+
+std::string body_of(int tasks, bool gang, bool endless) {
+    jobs::job_spec spec;
+    spec.payload = endless ? fakes::task_vm::endless_payload : "s";
+    spec.steps.resize(1);
+    spec.steps[0].count = static_cast<std::uint32_t>(tasks);
+    spec.steps[0].need = {500, 64, 0};
+    spec.steps[0].estimate_ms = 200;
+    spec.steps[0].gang = gang;
+    spec.steps[0].endless = endless;
+    return platform::encode_job(spec);
+}
+
+/// A job of two occurrences that are both due.
+std::string body_of_occurrences() {
+    jobs::job_spec spec;
+    spec.payload = "s";
+    spec.steps.resize(1);
+    spec.steps[0].need = {500, 64, 0};
+    spec.steps[0].estimate_ms = 200;
+    spec.occurrences = 2;
+    spec.timed = true;
+    spec.start_at_ms = wall_clock_ms() - 1000;
+    spec.period_ms = 100;
+    return platform::encode_job(spec);
+}
+
+struct job_kind {
+    const char* what = "";
+    std::string body;
+};
+
+/// Each runs as two tasks.
+std::vector<job_kind> job_kinds() {
+    return {{"tasks that end by themselves", body_of(2, false, false)},
+            {"a gang", body_of(2, true, false)},
+            {"long-running tasks", body_of(2, false, true)},
+            {"occurrences", body_of_occurrences()}};
+}
+
+bool all_ended(const node_deployment& d) {
+    return std::ranges::all_of(d.vms[0]->runs(), [](const auto& run) { return run.ended != timestamp(0); });
+}
+
+/// Checks that every run was stopped by an order, not by the end of its lease.
+void check_stopped(const node_deployment& d) {
+    for (const auto& run : d.vms[0]->runs()) {
+        INFO(run.task, " attempt ", run.attempt);
+        CHECK(run.how == "stopped");
+    }
+}
+
+/// Cancels through the node until it is confirmed.
+bool cancel(node_deployment& d, const std::string& node) {
+    return d.until([&] { return d.call(node, "DELETE", "/quotes/" + job_a).code == 200; });
+}
+
+} // namespace
+
+TEST_CASE("a task that a VM started late, after its job was cancelled, is stopped") {
+    // A cancelled quote is still being worked on minutes later. The order to start it got no answer, and
+    // neither did the stops; it was cancelled, and a moment later the VM carried the start out.
+    for (const job_kind& kind : job_kinds()) {
+        INFO(std::string(kind.what));
+        node_deployment d;
+        d.serve_with_one_vm(long_run);
+        d.vms[0]->delay_starts(2, late_start);
+        d.vms[0]->lose_stops(all_stops);
+        CHECK(d.call("n1", "POST", "/quotes/" + job_a, kind.body).code == 200);
+        REQUIRE(d.until([&] { return d.vms[0]->late_starts() == 2; }));
+        CHECK(cancel(d, "n1"));
+        REQUIRE(d.until_started(2));
+        d.vms[0]->lose_stops(0);
+        CHECK(d.until([&] { return all_ended(d); }));
+        check_stopped(d);
+        CHECK(d.shows("n1", job_a, "cancelled"));
+        CHECK(d.vms[0]->runs().size() == 2);
+    }
+}
+
+TEST_CASE("a task that a VM started late is stopped by its owner's successor") {
+    // A cancelled quote is still being worked on minutes later. The node that sent the start is gone for
+    // good before the VM carries it out, and it had neither seen the run nor stopped it.
+    for (const job_kind& kind : job_kinds()) {
+        INFO(std::string(kind.what));
+        node_deployment d;
+        d.serve_with_one_vm(long_run);
+        d.vms[0]->delay_starts(2, late_start);
+        d.vms[0]->lose_stops(all_stops);
+        CHECK(d.call("n1", "POST", "/quotes/" + job_a, kind.body).code == 200);
+        REQUIRE(d.until([&] { return d.vms[0]->late_starts() == 2; }));
+        CHECK(cancel(d, "n1"));
+        d.kill_node("n1");
+        REQUIRE(d.until_started(2));
+        d.vms[0]->lose_stops(0);
+        d.start_node("n2");
+        CHECK(d.until([&] { return all_ended(d); }));
+        check_stopped(d);
+        CHECK(d.shows("n2", job_a, "cancelled"));
+        CHECK(d.vms[0]->runs().size() == 2);
+    }
+}
+
+TEST_CASE("a successor stops the runs of a job that was cancelled around the change of owner") {
+    // A user cancels and is told so; the work goes on and is billed. Its owner is gone for good; the runs are
+    // known to their VM only, and the cancelling was stored by the old owner, lay in the inbox, or came to
+    // the new one.
+    enum class moment : std::uint8_t { before, inbox, during, after };
+    struct change_case {
+        const char* what = "";
+        moment when = moment::before;
+        bool delisted = false; ///< The platform drops the VM's entry meanwhile.
+        bool silent = false;   ///< The VM answers the new owner only after the cancelling is told.
+        int lost_stops = 0;    ///< Of the new owner's.
+    };
+    const std::vector<job_kind> kinds = job_kinds();
+    std::size_t number = 0;
+    for (const change_case& item :
+         {change_case{"before", moment::before}, change_case{"left in the inbox", moment::inbox},
+          change_case{"while nobody owns the pool", moment::during}, change_case{"after", moment::after},
+          change_case{"before, VM no longer listed", moment::before, true},
+          change_case{"before, VM no longer listed, stops lost", moment::before, true, false, 2},
+          change_case{"inbox, VM no longer listed, stops lost", moment::inbox, true, false, 2},
+          change_case{"before, VM silent for a while", moment::before, false, true},
+          change_case{"inbox, VM silent for a while", moment::inbox, false, true},
+          change_case{"inbox, VM silent and no longer listed", moment::inbox, true, true}}) {
+        const job_kind& kind = kinds[number++ % kinds.size()];
+        INFO(std::string(item.what), ", ", std::string(kind.what));
+        node_deployment d;
+        d.serve_with_one_vm(long_run);
+        fakes::task_vm& vm = *d.vms[0];
+        vm.lose_stops(all_stops);
+        CHECK(d.call("n1", "POST", "/quotes/" + job_a, kind.body).code == 200);
+        REQUIRE(d.until_started(2));
+        if (item.when == moment::before) {
+            CHECK(cancel(d, "n1"));
+        }
+        d.kill_node("n1");
+        vm.set_silent(item.silent);
+        vm.lose_stops(item.lost_stops);
+        if (item.when == moment::inbox) {
+            d.store.put("sp/inbox/p/cancel/" + job_a, "1");
+        }
+        if (item.delisted) {
+            d.store.remove(platform::vm_key("v1"));
+        }
+        d.start_node("n2");
+        if (item.when == moment::after) {
+            d.wait_until_serving("n2");
+        }
+        if (item.when == moment::during || item.when == moment::after) {
+            CHECK(cancel(d, "n2"));
+        }
+        if (item.silent) {
+            CHECK(d.shows("n2", job_a, "cancelled"));
+            vm.set_silent(false);
+        }
+        CHECK(d.until([&] { return all_ended(d); }));
+        CHECK(vm.stops_to_lose() == 0);
+        check_stopped(d);
+        CHECK(d.shows("n2", job_a, "cancelled"));
+        CHECK(vm.runs().size() == 2);
+    }
+}
