Runs of a job that its owner doesn't know are stopped until they are gone, and their room is given to nobody meanwhile

Cause: once a cancelled job's final state is stored its record is gone, so a successor, or an owner that has forgotten the job, met its runs as unknown and sent one stop a report without keeping note of them. Where that stop was lost, the next one waited for the next report; a VM that was no longer listed was not looked at again, and the run went on to the end of its lease. The VM also counted as empty: it could leave the record or be moved, and got other tasks beside runs that still held room, which loads a VM over its capacity where it doesn't check. Ruled out: starts that arrive late otherwise. Until a start can't come any more (stop acknowledged, deadline passed by the VM's clock in a newer report, lease over) its run is known, keeps the job and the VM; a successor's first look fences the rest.

--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -18,6 +18,9 @@
     if (!vm.listed || !vm.reachable || vm.cordoned || vm.info().draining || vm.full_until_clock) {
         return false;
     }
+    if (!vm.orphans().empty()) {
+        return false; // They still hold room, and how much is not known.
+    }
     if (!vm.ever_heard() || now - vm.heard_at() > settings.silence || vm.set_aside_at(now)) {
         return false;
     }
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -132,11 +132,11 @@
     /// started once more.
     [[nodiscard]] bool is_settled(const std::string& vm) const;
     /// Deadline for the next renewal of the VM's lease; books it as granted. 0: only look, since its clock is
-    /// not known yet or it does not answer.
+    /// not known yet, it does not answer, or nothing runs there but runs of unknown jobs.
     [[nodiscard]] std::int64_t renewal_deadline(const std::string& vm, timestamp now);
     [[nodiscard]] const vm_table& vms() const noexcept { return m_vms; }
-    /// Whether the VM runs something that should be looked at often: a run that is not at work yet, tasks
-    /// that may disturb each other, or several that soon end.
+    /// Whether the VM runs something that should be looked at often: a run that is not at work yet or is
+    /// unwanted, tasks that may disturb each other, or several that soon end.
     [[nodiscard]] bool wants_close_look(const std::string& vm) const;
 
     // --- Deciding ---
@@ -178,7 +178,9 @@
     void take_end(vm_state& vm, const end_report& end, timestamp now);
     void take_done(job_state& job, const task_id& id, timestamp now);
     void take_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm, timestamp now);
+    [[nodiscard]] bool knows_task(const task_id& id) const;
     void take_running(vm_state& vm, const running_report& item, const vm_report& report, timestamp now);
+    void take_orphans(vm_state& vm, const vm_report& report);
     void settle_missing(vm_state& vm, const vm_report& report, timestamp now);
     void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                   timestamp now);
@@ -192,6 +194,7 @@
     void give_up_lapsed(timestamp now);
     void account(timestamp now);
     void tend_runs(timestamp now);
+    void stop_orphans(vm_state& vm, timestamp now);
     void evacuate(vm_state& vm, timestamp now);
     [[nodiscard]] std::uint32_t away(const job_state& job, step_place place, timestamp now) const;
     [[nodiscard]] bool at_work(const run& item, timestamp now) const;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -36,11 +36,11 @@
     for (auto item = m_vms.begin(); item != m_vms.end();) {
         vm_state& vm = item->second;
         const bool lapsed = vm.ever_heard() && now > vm.lapses_at();
-        if (lapsed && !vm.tasks().empty()) {
+        if (lapsed && !vm.vacant()) {
             drop_runs_of(vm, "lease-lapsed", now);
         }
-        const bool forgettable = !vm.listed && vm.tasks().empty() && !m_unheard.contains(item->first) &&
-                                 (lapsed || !vm.ever_heard());
+        const bool forgettable =
+            !vm.listed && vm.vacant() && !m_unheard.contains(item->first) && (lapsed || !vm.ever_heard());
         item = forgettable ? m_vms.erase(item) : std::next(item);
     }
 }
@@ -80,6 +80,7 @@
         if (vm.cordoned || vm.info().draining) {
             evacuate(vm, now);
         }
+        stop_orphans(vm, now);
         for (const task_id& id : vm.tasks()) {
             job_state& job = m_jobs.find(id.job)->second;
             const step_spec& step = job.spec().steps[id.step];
@@ -107,6 +108,15 @@
     }
 }
 
+void scheduler::stop_orphans(vm_state& vm, timestamp now) {
+    for (orphan_run& orphan : vm.orphans()) {
+        if (orphan.stop_sent_at == timestamp(0) || now - orphan.stop_sent_at >= m_settings.stop_repeat) {
+            orphan.stop_sent_at = now;
+            m_out.stops.push_back({vm.info().incarnation, orphan.task, orphan.attempt});
+        }
+    }
+}
+
 void scheduler::evacuate(vm_state& vm, timestamp now) {
     const std::string& name = vm.info().incarnation;
     for (const task_id& id : vm.tasks()) {
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -1,6 +1,7 @@
 #include "jobs/scheduler.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace siskinpaddle::jobs {
 
@@ -121,16 +122,16 @@
     }
 }
 
+bool scheduler::knows_task(const task_id& id) const {
+    const auto found = m_jobs.find(id.job);
+    return found != m_jobs.end() && found->second.contains(id);
+}
+
+/// Precondition: knows_task(item.task).
 void scheduler::take_running(vm_state& vm, const running_report& item, const vm_report& report,
                              timestamp now) {
     const std::string& incarnation = vm.info().incarnation;
-    const auto found = m_jobs.find(item.task.job);
-    if (found == m_jobs.end() || !found->second.contains(item.task)) {
-        note("stop-unknown-run", incarnation, &item.task, item.attempt);
-        m_out.stops.push_back({incarnation, item.task, item.attempt});
-        return;
-    }
-    job_state& job = found->second;
+    job_state& job = m_jobs.find(item.task.job)->second;
     task_state& task = job.task(item.task);
     auto known = std::ranges::find_if(
         task.runs, [&](const run& one) { return one.attempt == item.attempt && one.vm == incarnation; });
@@ -170,6 +171,20 @@
     }
 }
 
+/// Runs of jobs that are not known here: their job was cancelled or has ended, and its record is gone. They
+/// are kept until the VM no longer reports them. Answers an owner that is removed while the runs of a
+/// cancelled job are being stopped: with one stop for each report, a lost one left such a run alone until the
+/// VM's next report, and for its whole lease where the VM was no longer listed and so not looked at again;
+/// and other tasks were started in the room that it still held.
+void scheduler::take_orphans(vm_state& vm, const vm_report& report) {
+    std::vector<running_report> unknown;
+    std::ranges::copy_if(report.running, std::back_inserter(unknown),
+                         [this](const running_report& item) { return !knows_task(item.task); });
+    for (const orphan_run& orphan : vm.set_orphans(unknown)) {
+        note("stop-unknown-run", vm.info().incarnation, &orphan.task, orphan.attempt);
+    }
+}
+
 /// Runs of ours that the VM lists neither as running nor as ended. A report tells of its own moment on the
 /// VM's clock; it settles a run only if it is newer than the last word on that run.
 void scheduler::settle_missing(vm_state& vm, const vm_report& report, timestamp now) {
@@ -209,6 +224,7 @@
             }
         }
     }
+    vm.set_orphans({});
 }
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -77,8 +77,11 @@
         }
     }
     for (const running_report& item : report.running) {
-        take_running(vm, item, report, now);
+        if (knows_task(item.task)) {
+            take_running(vm, item, report, now);
+        }
     }
+    take_orphans(vm, report);
     if (report.ended.size() < ends_in_full_report) {
         settle_missing(vm, report, now);
     }
@@ -201,6 +204,9 @@
         // elsewhere.
         return 0;
     }
+    if (found->second.tasks().empty() && !found->second.orphans().empty()) {
+        return 0; // All that runs there is unwanted. Where no stop arrives, its lease ends it.
+    }
     const std::int64_t deadline = found->second.deadline(now, m_settings.lease);
     if (deadline > 0) {
         found->second.granted(deadline);
@@ -218,6 +224,9 @@
     if (found == m_vms.end()) {
         return false;
     }
+    if (!found->second.orphans().empty()) {
+        return true;
+    }
     bool serving = false;
     bool leftover = false;
     std::size_t short_runs = 0;
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -66,6 +66,24 @@
     }
 }
 
+std::vector<orphan_run> vm_state::set_orphans(const std::vector<running_report>& reported) {
+    std::vector<orphan_run> present;
+    std::vector<orphan_run> added;
+    for (const running_report& item : reported) {
+        const auto known = std::ranges::find_if(m_orphans, [&](const orphan_run& orphan) {
+            return orphan.task == item.task && orphan.attempt == item.attempt;
+        });
+        if (known != m_orphans.end()) {
+            present.push_back(*known);
+        } else {
+            present.push_back({item.task, item.attempt, timestamp(0)});
+            added.push_back(present.back());
+        }
+    }
+    m_orphans = std::move(present);
+    return added;
+}
+
 resources vm_state::room() const {
     resources left = m_info.capacity;
     left -= m_used;
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -6,12 +6,21 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace siskinpaddle::jobs {
 
 /// A VM's steady clock may run this much slower than ours; the platform's stated bound.
 inline constexpr double slowest_vm_clock = 0.98;
 
+/// A run that a VM reports although its job isn't known here: an earlier owner cancelled the job and stored
+/// that, or this one has forgotten it. What it uses is not known either.
+struct orphan_run {
+    task_id task;
+    std::uint32_t attempt = 0;
+    timestamp stop_sent_at{0}; ///< 0: no stop was ordered yet.
+};
+
 /// What an owner knows of one VM: its room, its lease, how far its ends were taken, how it behaves. Not
 /// thread-safe.
 class vm_state {
@@ -39,8 +48,14 @@
     void remove_task(const task_id& task, const resources& need, bool endless);
     [[nodiscard]] bool hosts_endless() const noexcept { return m_endless > 0; }
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
+    /// Nothing runs there, or may yet start, as far as is known.
+    [[nodiscard]] bool vacant() const noexcept { return m_tasks.empty() && m_orphans.empty(); }
     /// Nothing runs there, and what has ended there is stored.
-    [[nodiscard]] bool settled() const noexcept { return m_tasks.empty() && seen <= acknowledged; }
+    [[nodiscard]] bool settled() const noexcept { return vacant() && seen <= acknowledged; }
+    /// Takes over which runs of unknown jobs the VM reports; returns those that it had not reported before.
+    std::vector<orphan_run> set_orphans(const std::vector<running_report>& reported);
+    [[nodiscard]] const std::vector<orphan_run>& orphans() const noexcept { return m_orphans; }
+    [[nodiscard]] std::vector<orphan_run>& orphans() noexcept { return m_orphans; }
     [[nodiscard]] resources room() const;
     [[nodiscard]] const resources& used() const noexcept { return m_used; }
     /// What runs that don't end by themselves use.
@@ -68,6 +83,7 @@
     timestamp m_heard_at{0};
     std::int64_t m_granted = 0;
     std::multiset<task_id> m_tasks;
+    std::vector<orphan_run> m_orphans;
     resources m_used;
     resources m_endless_used;
     int m_endless = 0; ///< Runs that don't end by themselves.
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -49,7 +49,7 @@
         link.waits_for_store = true;
         return;
     }
-    if (!state.listed && state.tasks().empty() && state.ever_heard()) {
+    if (!state.listed && state.vacant() && state.ever_heard()) {
         renew_later(vm, longest_retry); // Nothing runs there: let its lease run out.
         return;
     }
