A VM's numbers may be written with a fraction of zero; one way to write an inbox job in tests

Cause: the new check of registrations took 120.0 for another type than 120. A writer whose numbers all have a fraction would have had its whole fleet delisted. Fractions that are none of a whole number are refused as before, and their tests stand unchanged. Conclusion: no check is narrower; the accepted case has a check of its own in records_test.

--- a/tests/node/vm_entries_test.cpp
+++ b/tests/node/vm_entries_test.cpp
@@ -17,16 +17,6 @@
 /// Above the VMs' lease of six seconds.
 constexpr milliseconds beyond_lease = 8s;
 
-/// A job of one task as an entry leaves it in the pool's inbox.
-jobs::job_record one_task_record(const std::string& id) {
-    jobs::job_record record;
-    record.spec.id = id;
-    record.spec.queue = "quotes";
-    record.spec.steps.resize(1);
-    record.spec.steps[0].need = {500, 64, 0};
-    return record;
-}
-
 /// A job of one task that runs until it is stopped.
 std::string endless_job_body() {
     jobs::job_spec spec = one_task_record({}).spec;
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -76,6 +76,8 @@
         INFO(field);
         CHECK(decoded(registration(field)).has_value());
         CHECK(decoded(registration(field, "0")).has_value());
+        CHECK(
+            decoded(registration(field, "120.0")).has_value()); // Whole, from a writer without whole numbers.
     }
     CHECK(decoded(registration("speed", R"({"new":[1]})")).has_value());
     CHECK(decoded(registration("labels", R"(["a","r1-3","later"])")).has_value());
