The inbox is looked at again when a submit of the same job is settled; a cancelling there holds for it

Where the submit's write was refused, the accepted job never ran; where it was stored, the job stayed counted as waiting, and once its end was forgotten the next job in the inbox made it run a second time (3 done runs instead of 2). Change: settling submits starts the look at the inbox; whatever way a job is added, a cancelling in the inbox takes effect at once; a job that is known is not counted in the inbox too.

--- a/node/pool_inbox.cpp
+++ b/node/pool_inbox.cpp
@@ -124,7 +124,7 @@
         // Only the owner takes requests away: an earlier write of ours was carried out after all.
         const bool carried_out = ours && revision_of(answer, item.key) != item.revision;
         if (answer.status == platform::store_status::ok || carried_out) {
-            inbox_job_taken(job, item.record);
+            add_job(item.record, accepted_at(item.record.accepted_ms));
             m_inbox_jobs.erase(found);
         } else {
             // Also after a conflict: it may have been sent under a token that a new claim of our own has
@@ -137,19 +137,22 @@
     decide_soon();
 }
 
-void pool_task::inbox_job_taken(const std::string& job, const jobs::job_record& record) {
+void pool_task::add_job(const jobs::job_record& record, timestamp accepted) {
+    const std::string& job = record.spec.id;
     if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
-        m_scheduler.add_job(record, accepted_at(record.accepted_ms));
+        m_scheduler.add_job(record, accepted);
     }
     if (m_inbox.items().contains(cancel_key(m_pool, job))) {
-        // Read before its submit, the cancelling found no job. Nothing of the job may start first.
+        // Read before its submit was stored, the cancelling found no job. Nothing of the job may start first.
         m_scheduler.cancel(job, event_loop::now());
     }
 }
 
 std::size_t pool_task::waiting_in_inbox(const std::string& queue) const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_inbox_jobs, [&](const auto& item) { return item.second.record.spec.queue == queue; }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_inbox_jobs, [&](const auto& item) {
+        const auto& [job, left] = item;
+        return left.record.spec.queue == queue && !m_scheduler.knows(job) && !m_ended.contains(job);
+    }));
 }
 
 milliseconds pool_task::inbox_age() const {
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -146,7 +146,7 @@
     for (const waiting_submit& item : batch) {
         const std::string& id = item.record.spec.id;
         if (stored) {
-            m_scheduler.add_job(item.record, event_loop::now());
+            add_job(item.record, event_loop::now());
             settle_submit(id, item.done, peer_outcome::ok);
         } else {
             const bool unsettled =
@@ -161,6 +161,8 @@
     if (stored) {
         decide_soon();
     }
+    // Jobs that lie in the inbox as well were passed over there until now.
+    m_inbox_timer->start(0ms);
     if (!m_lost) {
         write_submits();
     }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -134,7 +134,8 @@
     [[nodiscard]] std::vector<std::string> next_inbox_jobs();
     void inbox_jobs_written(const std::vector<std::string>& batch, const platform::store_answer& answer,
                             std::int64_t token);
-    void inbox_job_taken(const std::string& job, const jobs::job_record& record);
+    /// A job whose record is stored. A cancelling of it that lies in the inbox takes effect at once.
+    void add_job(const jobs::job_record& record, timestamp accepted);
     [[nodiscard]] std::size_t waiting_in_inbox(const std::string& queue) const;
     void remove_inbox(const std::string& key);
 
--- /dev/null
+++ b/tests/node/inbox_test.cpp
@@ -0,0 +1,98 @@
+#include "node/node_deployment.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+const std::string job_id = "a000000000000000"; ///< What leave_in_inbox("a", 1) leaves.
+const std::string first_id = "b000000000000000";
+constexpr milliseconds patience = 15s;
+
+/// Sends a submit without waiting for its answer.
+void send_submit(node_deployment& d, const std::string& job, http_answer& answer, bool& done) {
+    http_call request;
+    request.to = d.nodes["n1"].settings->clients;
+    request.method = "POST";
+    request.target = "/quotes/" + job;
+    request.headers.add("Host", "h.example");
+    request.headers.add("Deadline-Ms", "3000");
+    request.body = node_deployment::job_body(1);
+    request.timeout = 20s;
+    request.fresh_connection = true;
+    d.client.send(std::move(request), [&](http_answer result) {
+        answer = std::move(result);
+        done = true;
+    });
+}
+
+std::int64_t inbox_jobs(node_deployment& d) {
+    return d.metric("n1", "siskinpaddle_pool_inbox_jobs{pool=\"p\"}");
+}
+
+} // namespace
+
+TEST_CASE("a job in the inbox is taken although its submit at the owner was refused") {
+    // A desk is told that its booking is accepted, and it never runs. Its submit waited at the pool's busy
+    // owner; after 900 ms the entry left the job in the inbox and told the client so. The owner read the
+    // inbox while the submit still waited, passed the job over for that, and then the store refused the
+    // submit's own write. Nothing makes the owner look at the inbox again until another job lies there.
+    node_deployment d;
+    d.serve_with_one_vm(50ms);
+    d.store.hold_writes("sp/job/");
+    http_answer first;
+    http_answer second;
+    bool first_done = false;
+    bool second_done = false;
+    const std::size_t before = d.store.count("sp/job/");
+    REQUIRE(before == 0);
+    const std::size_t calls = d.store.calls("/v1/kv-txn");
+    send_submit(d, first_id, first, first_done);
+    REQUIRE(d.until([&] { return d.store.calls("/v1/kv-txn") > calls; }));
+    send_submit(d, job_id, second, second_done); // Waits behind the first one's write.
+    d.leave_in_inbox("a", 1);
+    REQUIRE(d.until([&] { return inbox_jobs(d) == 1; }));
+    d.store.set_busy(true);
+    d.store.hold_writes({}); // The first one's write is carried out, the second one's refused.
+    REQUIRE(d.until([&] { return second_done; }));
+    d.store.set_busy(false);
+    REQUIRE(d.shows("n1", first_id, "completed"));
+    CHECK(loop_until(
+        d.loop,
+        [&] { return d.call("n1", "GET", "/quotes/" + job_id).body.find("completed") != std::string::npos; },
+        patience));
+    CHECK(loop_until(
+        d.loop, [&] { return d.store.count("sp/inbox/") == 0; }, patience));
+}
+
+TEST_CASE("a job that reached its owner and the inbox counts once and runs once") {
+    // A queue is said to hold a waiting job for good though all have ended, and minutes later a booking that
+    // was completed is made a second time. The job's submit waited at the pool's busy owner and was left in
+    // the inbox as well; the owner passed it over there while the submit waited, and did not look again when
+    // it was stored. When it had forgotten the ended job, the next job in the inbox made it look, and it took
+    // the old one as new.
+    node_deployment d;
+    d.serve_with_one_vm(50ms);
+    d.nodes["n1"].settings->keep_ended = 1s;
+    d.store.hold_writes("sp/job/");
+    http_answer answer;
+    bool done = false;
+    const std::size_t calls = d.store.calls("/v1/kv-txn");
+    send_submit(d, job_id, answer, done);
+    REQUIRE(d.until([&] { return d.store.calls("/v1/kv-txn") > calls; }));
+    d.leave_in_inbox("a", 1);
+    REQUIRE(d.until([&] { return inbox_jobs(d) == 1; }));
+    d.store.hold_writes({});
+    REQUIRE(d.until([&] { return done; }));
+    CHECK(answer.code == 200);
+    REQUIRE(d.shows("n1", job_id, "completed"));
+    CHECK(loop_until(
+        d.loop, [&] { return d.told_count("n1") == 0 && d.store.count("sp/inbox/") == 0; }, patience));
+    // Forgotten, as after the time for which ended jobs are kept.
+    REQUIRE(d.until([&] { return d.store.count("sp/progress/") == 0; }));
+    d.leave_in_inbox("c", 1);
+    REQUIRE(d.shows("n1", "c000000000000000", "completed"));
+    REQUIRE(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
+    CHECK(d.done_runs() == 2);
+    d.check_runs_once();
+}
