--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -178,8 +178,7 @@
         platform::answer_accepted(*client.request);
         return;
     case peer_outcome::overloaded:
-        observe(client, "overloaded");
-        platform::answer_overloaded(*client.request, milliseconds(answer.retry_after_ms));
+        refuse_for_load(client, answer);
         return;
     default:
         submit_by_store(client, outcome_of(answer) == peer_outcome::unknown);
@@ -187,6 +186,32 @@
     }
 }
 
+/// Tells that the job is not accepted. An owner whose copy of the inbox is old may have judged the repeat of
+/// a job that lies there, and that it will run: then the store is asked first.
+void ingress_task::refuse_for_load(const client_context& client, const peer_answer& answer) {
+    const milliseconds retry_after(answer.retry_after_ms);
+    if (milliseconds(answer.age_ms) <= jobs::oldest_count) {
+        observe(client, "overloaded");
+        platform::answer_overloaded(*client.request, retry_after);
+        return;
+    }
+    look_up_job(m_parts.store, client.call.pool, client.call.job,
+                [this, client, retry_after, alive = m_lifetime.watch()](const lookup_answer& found) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!found.answered) {
+                        give_up(client, "store");
+                    } else if (found.phase) {
+                        observe(client, "ok");
+                        platform::answer_accepted(*client.request);
+                    } else {
+                        observe(client, "overloaded");
+                        platform::answer_overloaded(*client.request, retry_after);
+                    }
+                });
+}
+
 /// Leaves the job where the pool's next owner finds it. `may_be_stored`: the owner may have accepted it, so a
 /// refusal would not be true any more.
 void ingress_task::submit_by_store(const client_context& client, bool may_be_stored) {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -61,6 +61,7 @@
     void cancel_answered(const client_context& client, const peer_answer& answer);
     void count_answered(const client_context& client, const peer_answer& answer);
     void tell_count(const client_context& client, const cached_count& count, std::string_view from);
+    void refuse_for_load(const client_context& client, const peer_answer& answer);
     void submit_by_store(const client_context& client, bool may_be_stored);
     void status_by_store(const client_context& client);
     void cancel_by_store(const client_context& client);
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -48,7 +48,7 @@
     std::uint8_t outcome = static_cast<std::uint8_t>(peer_outcome::unknown);
     std::uint8_t phase = 0;
     std::uint64_t count = 0;
-    std::int64_t age_ms = 0; ///< With `count`: how old what it is made from may be.
+    std::int64_t age_ms = 0; ///< With `count` and `overloaded`: how old the owner's copy of the inbox may be.
     std::int64_t retry_after_ms = 0;
     jobs::pool_demand demand;       ///< With `fleet_look`.
     std::int64_t configuration = 0; ///< Version in force at the answering node.
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -68,9 +68,11 @@
     if (!verdict.accepted) {
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
+        answer.age_ms = inbox_age().count();
         log_event(event_id::submit_refused, {{"pool", m_pool},
                                              {"job", id},
                                              {"why", "load"},
+                                             {"inbox_age_ms", answer.age_ms},
                                              {"waiting_ms", waiting_ms},
                                              {"retry_after_ms", verdict.retry_after.count()}});
         done(answer);
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -48,6 +48,8 @@
 void watch_task::begin_listing() {
     m_listing_now = true;
     m_listing_begun_at = event_loop::now();
+    // The retry of a listing or watch before this one would empty what this one has listed so far.
+    m_retry_action = {};
     ++m_round;
     list({}, m_round);
 }
--- a/tests/node/count_test.cpp
+++ b/tests/node/count_test.cpp
@@ -128,3 +128,27 @@
         d.loop, [&] { return known() == static_cast<std::int64_t>(many_jobs); }, 20s));
     busy->cancel();
 }
+
+TEST_CASE("a repeat of a job that its owner has not read in the inbox is not refused for load") {
+    // A desk is told "429, not accepted" for a booking that then runs. Its first attempt was left in the
+    // inbox, its answer was lost; the repeat reached the owner while the owner's copy of the inbox was
+    // seconds old, as at a busy one or over a connection that went silent. The owner judged it as a new job,
+    // though with so old a copy it would not even have told a count.
+    node_deployment d;
+    d.start_node("n1"); // Without a VM, jobs wait and more are soon refused.
+    d.wait_until_serving("n1");
+    d.store.hold_watches("sp/inbox/");
+    d.leave_in_inbox("a", 1);
+    wait_for(d, oldest_count + 500ms);
+    REQUIRE(d.call("n1", "GET", "/quotes/").code == 503); // The copy is known to be old.
+    const std::string left = "a000000000000000";
+    int refused = 0;
+    for (int i = 10; i < 99 && refused == 0; ++i) {
+        const std::string id = "b0000000000000" + std::to_string(i);
+        refused = d.call("n1", "POST", "/quotes/" + id, d.job_body(4000)).code == 429 ? i : 0;
+    }
+    REQUIRE(refused > 0);
+    CHECK(d.call("n1", "POST", "/quotes/" + left, d.job_body(4000)).code == 200);
+    d.store.hold_watches({});
+    CHECK(d.until([&] { return d.store.contains("sp/job/p/" + left); })); // It runs.
+}
--- /dev/null
+++ b/tests/node/watch_test.cpp
@@ -0,0 +1,45 @@
+#include "fakes/platform_store.hpp"
+#include "net/loop_until.hpp"
+#include "node/watch_task.hpp"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+TEST_CASE("a listing that is begun anew is not emptied by the retry of the one before") {
+    // Accepted jobs are missing at their owner for good. A listing of the store failed for over a second;
+    // when the store was back it was begun anew while the retry of the failed one still waited. The retry
+    // emptied what the new listing had read of its first pages, and the rest was taken as whole.
+    constexpr std::size_t items = 1000; // Twenty pages of the stand-in's.
+    constexpr milliseconds turn = 10ms; // A page takes some turns: longer than the retry waits, in all.
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    for (std::size_t i = 0; i < items; ++i) {
+        store.put("sp/inbox/p/submit/" + std::to_string(10'000 + i), "x");
+    }
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    node::watch_task watch(loop, client, "sp/inbox/p/", 1200ms, [](const platform::store_item&) {});
+    store.set_busy(true);
+    bool ready = false;
+    const timestamp begun = event_loop::now();
+    watch.start([&] { ready = true; });
+    const auto listings = [&] { return store.calls("/v1/kv-range"); };
+    REQUIRE(loop_until(loop, [&] { return event_loop::now() - begun > 1200ms; }));
+    const std::size_t before = listings();
+    REQUIRE(loop_until(loop, [&] { return listings() > before; }));
+    const timestamp refused = event_loop::now(); // The next retry waits 400 ms from about now.
+    REQUIRE(loop_until(loop, [&] { return event_loop::now() - refused > 50ms; }));
+    store.set_busy(false);
+    watch.refresh();
+    std::unique_ptr<timer> busy;
+    busy = loop.make_timer([&] {
+        std::this_thread::sleep_for(turn);
+        busy->start(0ms);
+    });
+    busy->start(0ms);
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    CHECK(watch.items().size() == items);
+}
--- /dev/null
+++ b/tests/platform/machine_list_test.cpp
@@ -0,0 +1,26 @@
+#include "net/loop_until.hpp"
+#include "platform/machine_client.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace siskinpaddle;
+using siskinpaddle::tests::loop_until;
+
+TEST_CASE("a list of machines that can't be read is not an empty one") {
+    // An operator reads that a wave is completed though none of its machines had its upkeep. The platform's
+    // answer to the list of machines could not be read; it was taken for a whole list without machines, and
+    // machines that no list names count as gone for good.
+    for (const char* body :
+         {R"({"machines":[{"machine":"m1","pool":"p")", "", "[]", R"({"machines":"none"})"}) {
+        INFO(std::string(body));
+        event_loop loop;
+        http_server server(
+            loop, {}, [&](const std::shared_ptr<server_request>& request) { request->reply(200, {}, body); });
+        REQUIRE(server.listen({"127.0.0.1", 0}));
+        platform::machine_client client(loop, {"127.0.0.1", server.port()});
+        std::optional<platform::machine_list> list;
+        client.list([&](platform::machine_list answer) { list = std::move(answer); });
+        REQUIRE(loop_until(loop, [&] { return list.has_value(); }));
+        CHECK_FALSE(list->good);
+    }
+}
