A busy owner's pool gets machines on its last word

The pool in the peak of its turn has the busiest owner; with answers after 250 ms it was given no machine in 8 s, with 100 ms it was. Ruled out: a longer wait for all (it would slow every pool's rounds down to the slowest owner). Change: for moves a pool's last demand counts for a second, also when it comes in a later round. Which VMs are empty still holds for the round that asked only, and waves go by the round's own answers, so no machine leaves on an old word. Before: tests/node/fleet_test fails.

--- a/node/fleet_moves.cpp
+++ b/node/fleet_moves.cpp
@@ -12,6 +12,9 @@
 /// Orders may come in a burst of what this time allows at the platform's rate: when a turn of demand begins,
 /// a dozen machines are asked for at once.
 constexpr double burst_s = 0.5;
+/// A demand that is older than this is no longer acted on: a turn rises to several times a pool's room within
+/// a second.
+constexpr milliseconds demand_use = 1s;
 
 } // namespace
 
@@ -56,10 +59,23 @@
     m_orders_refilled_at = now;
 }
 
+/// What the pools ask for. Where an owner has not answered in this round, its last answer counts: the pool in
+/// the peak of its turn has the busiest owner, and with answers after 250 ms it got no machine for as long as
+/// the peak lasted. A machine still leaves a pool only if its owner has said in this round that it is empty.
+std::map<std::string, jobs::pool_demand> fleet_task::known_demands() const {
+    std::map<std::string, jobs::pool_demand> known = m_demands;
+    for (const auto& [pool, latest] : m_latest_demands) {
+        if (event_loop::now() - latest.at <= demand_use) {
+            known.try_emplace(pool, latest.demand);
+        }
+    }
+    return known;
+}
+
 void fleet_task::plan_moves() {
     const std::string spare = spare_pool();
     const jobs::balance_plan wanted =
-        jobs::plan_balance(balance_view(), m_demands, spare, {}, m_memory, event_loop::now());
+        jobs::plan_balance(balance_view(), known_demands(), spare, {}, m_memory, event_loop::now());
     refill_orders();
     for (const jobs::machine_move& move : wanted.moves) {
         const platform::machine_info& info = m_machines[move.machine];
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -103,9 +103,13 @@
 
 void fleet_task::pool_answered(const std::string& pool, const std::set<std::string>& kept_empty,
                                std::uint64_t round, const peer_answer& answer) {
-    if (round != m_round || outcome_of(answer) != peer_outcome::ok) {
+    if (outcome_of(answer) != peer_outcome::ok) {
         return;
     }
+    m_latest_demands[pool] = {answer.demand, event_loop::now()};
+    if (round != m_round) {
+        return; // Which VMs are empty holds for what this round asked for only.
+    }
     m_demands[pool] = answer.demand;
     for (const jobs::vm_load& vm : answer.demand.vms) {
         if (vm.idle && vm.released && kept_empty.contains(vm.vm)) {
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -82,6 +82,7 @@
     void upkeep_ordered(std::int64_t number, const std::string& machine, platform::machine_outcome outcome);
     void record_wave(const jobs::wave_state& state);
     void plan_move(const jobs::machine_move& move);
+    [[nodiscard]] std::map<std::string, jobs::pool_demand> known_demands() const;
     void order_move(const jobs::machine_move& move);
     void move_ordered(const jobs::machine_move& move, const std::string& kind,
                       platform::machine_outcome outcome);
@@ -96,7 +97,12 @@
     std::uint64_t m_round = 0;
     std::set<std::string> m_unanswered; ///< Pools whose owners have not answered in this round.
     std::map<std::string, jobs::pool_demand> m_demands; ///< As answered in this round.
-    std::set<std::string> m_empty_vms;                  ///< Kept empty by their owners as of this round.
+    struct latest_demand {
+        jobs::pool_demand demand;
+        timestamp at{0};
+    };
+    std::map<std::string, latest_demand> m_latest_demands; ///< As last answered, in whatever round.
+    std::set<std::string> m_empty_vms;                     ///< Kept empty by their owners as of this round.
     std::map<std::string, platform::machine_info> m_machines;
     bool m_again_at_once = false; ///< A VM was newly asked for: the next round can order it away.
 
--- /dev/null
+++ b/tests/node/fleet_test.cpp
@@ -0,0 +1,127 @@
+#include "node/fleet_task.hpp"
+
+#include "node/keys.hpp"
+
+#include "fakes/platform_store.hpp"
+#include "net/free_port.hpp"
+#include "net/loop_until.hpp"
+#include "telemetry/test_log.hpp"
+
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+boost::json::object machine(const std::string& name, const std::string& pool) {
+    return {{"machine", name},
+            {"pool", pool},
+            {"state", "up"},
+            {"zone", "z"},
+            {"labels", boost::json::array{"kind", "rack"}},
+            {"capacity", boost::json::object{{"cpu", 8000}, {"mem_mb", 8000}, {"gpu", 0}}},
+            {"id", "vm-" + name}};
+}
+
+std::string configuration() {
+    jobs::queue_settings queue;
+    queue.name = "quotes";
+    queue.host = "h.example";
+    queue.prefix = "/quotes/";
+    queue.pool = "p";
+    queue.max_attempts = 3;
+    queue.stretch_factor = 1.6;
+    queue.target_latency = 5s;
+    jobs::fleet_configuration result;
+    result.version = 2;
+    result.queues = {queue};
+    result.pools = {{"p", false}, {"spare", true}};
+    result.max_body_bytes = 65'536;
+    return platform::encode_configuration(result);
+}
+
+/// The pool's demand as its owner tells it in the peak of a turn: far more than its two VMs hold.
+node::peer_answer full_pool() {
+    node::peer_answer answer = node::answer_of(node::peer_outcome::ok);
+    answer.demand.need_millicores = 64'000;
+    answer.demand.keep_millicores = 64'000;
+    for (const char* name : {"vm-m1", "vm-m2"}) {
+        jobs::vm_load vm;
+        vm.vm = name;
+        vm.usable = true;
+        vm.used_millicores = 8000;
+        answer.demand.vms.push_back(vm);
+    }
+    return answer;
+}
+
+/// Whether a machine is ordered into the pool whose owner takes that long to answer.
+bool pool_gets_machines(milliseconds owner_takes) {
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    store.put(std::string(platform::configuration_key), configuration());
+    int moves = 0;
+    http_server machines(loop, {}, [&](const std::shared_ptr<server_request>& request) {
+        http_headers headers;
+        headers.add("Content-Type", "application/json");
+        if (request->target() == "/v1/machine-move") {
+            ++moves;
+            request->reply(200, headers, "{}");
+            return;
+        }
+        const boost::json::array all{machine("m1", "p"), machine("m2", "p"), machine("m3", "spare"),
+                                     machine("m4", "spare")};
+        request->reply(200, headers, boost::json::serialize(boost::json::object{{"machines", all}}));
+    });
+    REQUIRE(machines.listen({"127.0.0.1", 0}));
+    node::node_settings settings;
+    settings.id = "n1";
+    settings.availability_zone = "z";
+    settings.peers = {"127.0.0.1", free_port()};
+    settings.order_quiet = 3s;
+    settings.upkeep_time = 2s;
+    settings.move_time = 1500ms;
+    settings.machine_orders_per_s = 10;
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    platform::machine_client machine_client(loop, {"127.0.0.1", machines.port()});
+    node::configuration_task configured(loop, client, [] {});
+    std::unique_ptr<node::fleet_task> fleet;
+    std::vector<std::unique_ptr<timer>> answers;
+    std::unique_ptr<node::membership_task> membership;
+    const auto ask_pool = [&](const node::peer_request&, const node::peer_server::reply& done) {
+        answers.push_back(loop.make_timer([done] { done(full_pool()); }));
+        answers.back()->start(owner_takes);
+    };
+    membership = std::make_unique<node::membership_task>(
+        loop, settings, client,
+        node::membership_task::handlers{[&](const node::ownership& held) {
+                                            fleet = std::make_unique<node::fleet_task>(
+                                                node::fleet_task::context{loop, settings, client,
+                                                                          machine_client, *membership,
+                                                                          configured, ask_pool},
+                                                held);
+                                            fleet->start();
+                                        },
+                                        [](const std::string&) {}, [] {}});
+    configured.start();
+    membership->set_duties({node::fleet_duty});
+    membership->start();
+    return loop_until(
+        loop, [&] { return moves > 0; }, 8s);
+}
+
+} // namespace
+
+TEST_CASE("a pool whose owner is busy gets machines as well") {
+    // In the peak of a turn the pool that needs machines most gets none, while spares stand idle: its owner's
+    // loop takes 200 ms a turn, the fleet's owner waits 150 ms for the pools' demands, plans without those
+    // that are missing, and drops an answer that comes after the next round has begun.
+    start_test_log();
+    for (const milliseconds owner_takes : {20ms, 100ms, 250ms}) {
+        INFO("the pool's owner answers after ", owner_takes.count(), " ms");
+        CHECK(pool_gets_machines(owner_takes));
+    }
+}
