A server reads on in the same turn, too; one place for it

Change: net/read_on serves client and server connections. Before: tests/net/large_request_test fails (69 turns). After: net tests 11 of 11, door tests 9 of 9.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.hpp"
 
+#include "net/read_on.hpp"
+
 #include <array>
 #include <cerrno>
 #include <event2/buffer.h>
@@ -34,11 +36,6 @@
     return EVHTTP_REQ_GET;
 }
 
-/// What libevent reads of a connection at once, whatever lies there (EVBUFFER_MAX_READ).
-constexpr std::size_t read_at_once = 4096;
-/// Reads of one connection in one turn of the loop: 256 KB, so that the others have their turn.
-constexpr int most_reads = 64;
-
 /// Whether the end of the answer is marked by the answer itself. One that ends by the connection's close
 /// looks the same whole or cut, and evhttp reports both as whole, so it can't be taken for whole.
 bool end_is_marked(const http_answer& answer, evhttp_cmd_type command) {
@@ -55,8 +52,7 @@
     evhttp_connection* handle = nullptr;
     bool wrote = false; ///< Bytes of the present request were handed to the socket.
     bool resets_on_close = false;
-    bool reading_on = false; ///< Inside on_input().
-    int socket_error = 0;    ///< The error that ended the connecting, if any.
+    int socket_error = 0; ///< The error that ended the connecting, if any.
     timestamp idle_since{0};
     http_client* owner = nullptr;
 
@@ -83,23 +79,9 @@
         item->owner->m_bytes_sent += info->n_added;
     }
 
-    /// Reads on in the same turn of the loop. libevent reads 4 KB of a connection in a turn, so on a busy
-    /// node (200 ms a turn) an answer of 100 KB takes longer than its call may: it was given up half read and
-    /// asked for again, larger each time, and a copy of the store's items stayed old for as long as the load
-    /// lasted.
     static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self) {
-        auto* item = static_cast<connection*>(self);
-        if (item->reading_on || info->n_added < read_at_once) {
-            return;
-        }
-        item->reading_on = true;
-        const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle));
-        for (int reads = 1; reads < most_reads; ++reads) {
-            if (evbuffer_read(input, socket, -1) < static_cast<int>(read_at_once)) {
-                break; // Nothing more is there. An end or an error shows again at libevent's own next read.
-            }
-        }
-        item->reading_on = false;
+        const auto* item = static_cast<connection*>(self);
+        read_on(input, bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle)), info->n_added);
     }
 
     /// However the connection ends, also with the process, what the kernel still holds of it is dropped.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.hpp"
 
+#include "net/read_on.hpp"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -99,6 +101,7 @@
         if (item.receiving_since == timestamp{0}) {
             item.receiving_since = event_loop::now();
         }
+        read_on(buffer, item.descriptor, info->n_added);
     }
 
     static ino_t inode_of(int descriptor) {
