--- a/node/node.cpp
+++ b/node/node.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds tick_interval = 200ms;
+/// A tick this late is logged: an answer takes up to four turns of the loop, and those who ask wait 900 ms.
+constexpr milliseconds notable_lag = 100ms;
 /// Neither the store nor an owner elsewhere has answered for this long: what is asked here can't be served,
 /// and the platform should send clients to other nodes. Above the interval of lease renewals, with one that
 /// got lost.
@@ -195,7 +197,11 @@
 void node::tick() {
     const timestamp now = event_loop::now();
     if (m_tick_due != timestamp(0)) {
-        m_longest_lag = std::max(m_longest_lag, now - m_tick_due);
+        const milliseconds lag = now - m_tick_due;
+        m_longest_lag = std::max(m_longest_lag, lag);
+        if (lag >= notable_lag) {
+            log_event(event_id::loop_late, {{"lag_ms", lag.count()}});
+        }
     }
     m_tick_due = now + tick_interval;
     m_timer->start(tick_interval);
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -110,6 +110,7 @@
     advice_answered = 1946,
     count_computed = 1947,
     count_answered = 1948,
+    loop_late = 1949,
 };
 
 /// Catalogue line of an event.
@@ -209,6 +210,7 @@
     event_entry{event_id::advice_answered, "advice-answered", event_level::info},
     event_entry{event_id::count_computed, "count-computed", event_level::info},
     event_entry{event_id::count_answered, "count-answered", event_level::info},
+    event_entry{event_id::loop_late, "loop-late", event_level::info},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
