--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -111,6 +111,7 @@
     count_computed = 1947,
     count_answered = 1948,
     loop_late = 1949,
+    wave_damaged = 1950,
 };
 
 /// Catalogue line of an event.
@@ -211,6 +212,7 @@
     event_entry{event_id::count_computed, "count-computed", event_level::info},
     event_entry{event_id::count_answered, "count-answered", event_level::info},
     event_entry{event_id::loop_late, "loop-late", event_level::info},
+    event_entry{event_id::wave_damaged, "wave-damaged", event_level::error},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
