--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -68,9 +68,11 @@
     if (!verdict.accepted) {
         peer_answer answer = answer_of(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
+        answer.age_ms = inbox_age().count();
         log_event(event_id::submit_refused, {{"pool", m_pool},
                                              {"job", id},
                                              {"why", "load"},
+                                             {"inbox_age_ms", answer.age_ms},
                                              {"waiting_ms", waiting_ms},
                                              {"retry_after_ms", verdict.retry_after.count()}});
         done(answer);
@@ -146,7 +148,7 @@
     for (const waiting_submit& item : batch) {
         const std::string& id = item.record.spec.id;
         if (stored) {
-            m_scheduler.add_job(item.record, event_loop::now());
+            add_job(item.record, event_loop::now());
             settle_submit(id, item.done, peer_outcome::ok);
         } else {
             const bool unsettled =
@@ -161,6 +163,8 @@
     if (stored) {
         decide_soon();
     }
+    // Jobs that lie in the inbox as well were passed over there until now.
+    m_inbox_timer->start(0ms);
     if (!m_lost) {
         write_submits();
     }
