Cancellings in the inbox are watched apart from its submits

Cause (UNASKED on small owners: tasks started 4 s and more after a cancelling was acknowledged): an entry whose owner does not answer in time leaves cancellings in the pool's inbox, behind hundreds of submits. The test fails without the change (no cancelling within 60 s) and passes with it; node_tests on: 29 cases, all others passed. Conclusion: a cancelling is known within a watch's answer of its own, however full the inbox is.

--- a/node/pool_inbox.cpp
+++ b/node/pool_inbox.cpp
@@ -19,22 +19,16 @@
 
 } // namespace
 
-void pool_task::take_inbox(const platform::store_item& item) {
+void pool_task::take_inbox_cancel(const platform::store_item& item) {
     if (item.deleted) {
         return;
     }
-    const std::string submit_prefix = submit_key(m_pool, "");
-    if (item.key.starts_with(submit_prefix)) {
-        note_inbox_submit(item, item.key.substr(submit_prefix.size()));
-        return;
-    }
     if (m_lost) {
         m_inbox_again.push_back(item); // For when a new claim of our own has succeeded.
         return;
     }
-    const std::string job = item.key.substr(cancel_key(m_pool, "").size());
     peer_request request;
-    request.job = job;
+    request.job = item.key.substr(cancel_key(m_pool, "").size());
     cancel(request, [this, item](const peer_answer& answer) {
         if (outcome_of(answer) == peer_outcome::ok) {
             remove_inbox(item.key);
@@ -45,7 +39,11 @@
 }
 
 /// From here on the owner answers for the job, also before it has taken it.
-void pool_task::note_inbox_submit(const platform::store_item& item, const std::string& job) {
+void pool_task::take_inbox_submit(const platform::store_item& item) {
+    if (item.deleted) {
+        return;
+    }
+    const std::string job = item.key.substr(submit_key(m_pool, "").size());
     const auto record = decode_archive<jobs::job_record>(item.value);
     if (!record) {
         log_event(event_id::run_noted, {{"what", "inbox-damaged"}, {"key", item.key}});
@@ -142,7 +140,7 @@
     if (!m_scheduler.knows(job) && !m_ended.contains(job)) {
         m_scheduler.add_job(record, accepted);
     }
-    if (m_inbox.items().contains(cancel_key(m_pool, job))) {
+    if (m_inbox_cancels.items().contains(cancel_key(m_pool, job))) {
         // Read before its submit was stored, the cancelling found no job. Nothing of the job may start first.
         m_scheduler.cancel(job, event_loop::now());
     }
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -149,7 +149,7 @@
     if (now - m_inbox_tried_at >= inbox_retry) {
         m_inbox_tried_at = now;
         for (const platform::store_item& item : std::exchange(m_inbox_again, {})) {
-            take_inbox(item);
+            take_inbox_cancel(item);
         }
     }
     if (now - m_forgot_at < forget_interval) {
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -102,7 +102,7 @@
             }
         }
         // Cancellings that did not reach an owner lie in the inbox: none of their tasks may be started first.
-        m_inbox.start([this] { finish_loading(); });
+        m_inbox_cancels.start([this] { m_inbox.start([this] { finish_loading(); }); });
     });
 }
 
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -41,8 +41,10 @@
                           vm_changed(vm, info);
                       }
                   }),
-      m_inbox(parts.loop, parts.store, inbox_prefix(m_pool), inbox_wait,
-              [this](const platform::store_item& item) { take_inbox(item); }),
+      m_inbox_cancels(parts.loop, parts.store, cancel_key(m_pool, ""), inbox_wait,
+                      [this](const platform::store_item& item) { take_inbox_cancel(item); }),
+      m_inbox(parts.loop, parts.store, submit_key(m_pool, ""), inbox_wait,
+              [this](const platform::store_item& item) { take_inbox_submit(item); }),
       m_record_timer(parts.loop.make_timer([this] { record_vms(); })),
       m_unheard_timer(parts.loop.make_timer([this] { look_for_unheard(); })),
       m_decide_timer(parts.loop.make_timer([this] { decide(); })),
@@ -64,6 +66,7 @@
 void pool_task::refresh() {
     if (m_ready) {
         m_directory.refresh();
+        m_inbox_cancels.refresh();
         m_inbox.refresh();
     }
 }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -128,8 +128,8 @@
                          std::int64_t token);
 
     // Requests that did not reach an owner.
-    void take_inbox(const platform::store_item& item);
-    void note_inbox_submit(const platform::store_item& item, const std::string& job);
+    void take_inbox_submit(const platform::store_item& item);
+    void take_inbox_cancel(const platform::store_item& item);
     void take_inbox_jobs();
     [[nodiscard]] std::vector<std::string> next_inbox_jobs();
     void inbox_jobs_written(const std::vector<std::string>& batch, const platform::store_answer& answer,
@@ -157,7 +157,8 @@
     ownership m_held;
     jobs::scheduler m_scheduler;
     vm_directory m_directory;
-    watch_task m_inbox;
+    watch_task m_inbox_cancels; ///< Apart from the submits: in a full inbox they would be read seconds late.
+    watch_task m_inbox;         ///< Submits.
     bool m_ready = false;
     bool m_lost = false;
     bool m_winding_down = false;
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -160,6 +160,12 @@
     answer_watches();
 }
 
+bool platform_store::holds(const boost::json::array& events) const {
+    return !m_held_events.empty() && std::ranges::any_of(events, [this](const boost::json::value& event) {
+        return std::string_view(event.at(wire::key).as_string()).starts_with(m_held_events);
+    });
+}
+
 void platform_store::answer_watches() {
     for (auto item = m_watches.begin(); item != m_watches.end();) {
         if (!m_held_watches.empty() && item->prefix.starts_with(m_held_watches)) {
@@ -167,7 +173,7 @@
             continue;
         }
         boost::json::array events = events_for(*item);
-        if (events.empty() && event_loop::now() < item->until) {
+        if ((events.empty() && event_loop::now() < item->until) || holds(events)) {
             ++item;
             continue;
         }
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -45,6 +45,9 @@
     [[nodiscard]] std::size_t late_writes() const noexcept { return m_late.size(); }
     /// Answers no watch under `prefix`; empty: answers all.
     void hold_watches(std::string prefix) { m_held_watches = std::move(prefix); }
+    /// Answers no watch whose answer holds an item under `prefix`, as if it were large and its link slow;
+    /// empty: answers all.
+    void hold_events(std::string prefix) { m_held_events = std::move(prefix); }
     /// Neither answers nor carries out transactions that change a key under `prefix`; empty: carries those
     /// out that were held, in the order in which they came, and holds no more.
     void hold_writes(const std::string& prefix);
@@ -88,6 +91,7 @@
     void carry_out(const boost::json::object& body);
     void apply(const std::string& key, const item* value);
     void answer_watches();
+    [[nodiscard]] bool holds(const boost::json::array& events) const;
     [[nodiscard]] boost::json::array events_for(const waiting_watch& watch) const;
     void tick();
     static void reply(const request_handle& request, int code, const boost::json::object& body);
@@ -111,6 +115,7 @@
     std::size_t m_conflicts = 0;
     std::function<void(const std::string&)> m_on_change;
     std::string m_held_watches;
+    std::string m_held_events;
     std::string m_held_prefix;
     std::vector<request_handle> m_held_writes;
     std::deque<std::pair<boost::json::object, timestamp>> m_late; ///< Transactions, and when they are due.
--- a/tests/node/inbox_test.cpp
+++ b/tests/node/inbox_test.cpp
@@ -96,3 +96,20 @@
     CHECK(d.done_runs() == 2);
     d.check_runs_once();
 }
+
+TEST_CASE("a cancelling in the inbox takes effect while the submits there are still being read") {
+    // A client cancels its job and is told that it is cancelled; 4 to 6 s later more of the job's tasks
+    // start. The pool's owner was slow to answer, so the entry left the cancelling in the inbox, behind
+    // hundreds of jobs; they came in one answer of 100 KB and more, which took the busy owner seconds to
+    // read.
+    node_deployment d;
+    d.serve_with_one_vm(60s);
+    const std::string job = "c000000000000000";
+    REQUIRE(d.call("n1", "POST", "/quotes/" + job, d.job_body(1)).code == 200);
+    d.store.hold_events("sp/inbox/p/submit/");
+    d.leave_in_inbox("a", 5);
+    d.store.put("sp/inbox/p/cancel/" + job, "1");
+    CHECK(d.until([&] { return d.shows("n1", job, "cancelled"); }));
+    d.store.hold_events({});
+    CHECK(d.until([&] { return d.store.count("sp/inbox/") == 0; }));
+}
