--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Most jobs accepted by one transaction, beside its condition.
-constexpr std::size_t submits_at_once = platform::max_transaction_entries - 1;
+/// Entries of a transaction that accepting one job needs: a condition and a write.
+constexpr std::size_t entries_each = 2;
+/// Most jobs accepted by one transaction, beside its condition on the owner.
+constexpr std::size_t submits_at_once = (platform::max_transaction_entries - 1) / entries_each;
 constexpr milliseconds submit_retry = 120ms;
 /// Short: whoever comes back right after an outage can still be served within an objective of two seconds,
 /// and how long it lasts is not known.
@@ -85,12 +87,18 @@
 }
 
 void pool_task::write_submits() {
+    if (m_lost || m_writing_submits) {
+        return;
+    }
     std::vector<waiting_submit> batch;
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
     while (!m_submits.empty() && batch.size() < submits_at_once) {
         waiting_submit item = std::move(m_submits.front());
         m_submits.pop_front();
+        // A write that is carried out late must not bring back the record of a job that has ended: its
+        // progress outlives it. While the job lasts, writing its record again changes nothing.
+        change.conditions.push_back({progress_prefix(m_pool) + item.record.spec.id, 0});
         change.writes.push_back({job_prefix(m_pool) + item.record.spec.id, encode_archive(item.record), 0});
         batch.push_back(std::move(item));
     }
@@ -108,6 +116,11 @@
 
 void pool_task::settle_submit(const std::string& job, const reply& done, peer_outcome outcome) {
     m_submitting.erase(job);
+    m_unsettled_submits.erase(job);
+    answer_submit(job, done, outcome);
+}
+
+void pool_task::answer_submit(const std::string& job, const reply& done, peer_outcome outcome) {
     done(answer_of(outcome));
     const auto [first, last] = m_submits_again.equal_range(job);
     for (auto item = first; item != last; ++item) {
@@ -126,43 +139,78 @@
                                 std::int64_t token) {
     m_writing_submits = false;
     const bool stored = answer.status == platform::store_status::ok;
-    if (answer.status == platform::store_status::conflict) {
+    const bool conflict = answer.status == platform::store_status::conflict;
+    const bool unanswered = answer.status == platform::store_status::unknown;
+    if (conflict && revision_of(answer, owner_prefix + m_held.duty) != token) {
         ownership_lost("submit", token);
     }
-    const bool open = answer.status == platform::store_status::unknown ||
-                      (answer.status == platform::store_status::refused && has_unsettled(batch));
-    if (open && !m_lost) {
+    if (stored) {
+        for (const waiting_submit& item : batch) {
+            submit_stored(item);
+        }
+        decide_soon();
+    } else if (m_lost) {
+        hold_back(std::move(batch), unanswered);
+    } else if (conflict) {
+        // An earlier write was carried out, or the token is one that a new claim of our own has replaced.
+        std::erase_if(batch, [&](const waiting_submit& item) { return settled_by_progress(item, answer); });
+        write_again(std::move(batch));
+    } else if (unanswered || has_unsettled(batch)) {
         // The write may yet be carried out, so no refusal would be true: repeat it until the outcome is
         // known.
         for (const waiting_submit& item : batch) {
             m_unsettled_submits.emplace(item.record.spec.id, item.record.spec.queue);
         }
-        m_submits.insert(m_submits.begin(), std::make_move_iterator(batch.begin()),
-                         std::make_move_iterator(batch.end()));
-        m_submit_timer->start(submit_retry);
-        m_writing_submits = true;
-        return;
-    }
-    for (const waiting_submit& item : batch) {
-        const std::string& id = item.record.spec.id;
-        if (stored) {
-            m_scheduler.add_job(item.record, event_loop::now());
-            settle_submit(id, item.done, peer_outcome::ok);
-        } else {
-            const bool unsettled =
-                answer.status == platform::store_status::unknown || m_unsettled_submits.contains(id);
-            if (unsettled) {
-                log_event(event_id::submit_unknown, {{"pool", m_pool}, {"job", id}, {"token", token}});
-            }
-            settle_submit(id, item.done, unsettled ? peer_outcome::unknown : peer_outcome::unavailable);
+        write_again(std::move(batch));
+    } else {
+        for (const waiting_submit& item : batch) {
+            settle_submit(item.record.spec.id, item.done, peer_outcome::unavailable);
         }
-        m_unsettled_submits.erase(id);
     }
-    if (stored) {
-        decide_soon();
+    write_submits();
+}
+
+void pool_task::submit_stored(const waiting_submit& item) {
+    m_scheduler.add_job(item.record, event_loop::now());
+    settle_submit(item.record.spec.id, item.done, peer_outcome::ok);
+}
+
+bool pool_task::settled_by_progress(const waiting_submit& item, const platform::store_answer& answer) {
+    const std::string& id = item.record.spec.id;
+    const auto found =
+        std::ranges::find(answer.items, progress_prefix(m_pool) + id, &platform::store_item::key);
+    if (found == answer.items.end()) {
+        return false;
     }
-    if (!m_lost) {
-        write_submits();
+    // Progress of a job that is not with the scheduler outlives one that has ended, as at a takeover.
+    const auto progress = decode_archive<jobs::job_progress>(found->value);
+    if (progress && !m_scheduler.knows(id) && m_ended.try_emplace(id, progress.value().phase).second) {
+        m_ended_at[id] = event_loop::now();
+    }
+    settle_submit(id, item.done, peer_outcome::ok);
+    return true;
+}
+
+void pool_task::write_again(std::vector<waiting_submit> batch) {
+    m_submits.insert(m_submits.begin(), std::make_move_iterator(batch.begin()),
+                     std::make_move_iterator(batch.end()));
+    m_submit_timer->start(submit_retry);
+    m_writing_submits = true;
+}
+
+/// The claim is over: what was certainly not stored is refused. A job that may be stored would be lost if the
+/// next claim is our own, which reads nothing: it is kept, and written again under that one.
+void pool_task::hold_back(std::vector<waiting_submit> batch, bool unanswered) {
+    for (waiting_submit& item : batch) {
+        const std::string& id = item.record.spec.id;
+        if (!unanswered && !m_unsettled_submits.contains(id)) {
+            settle_submit(id, item.done, peer_outcome::unavailable);
+            continue;
+        }
+        log_event(event_id::submit_unknown, {{"pool", m_pool}, {"job", id}, {"token", m_held.token}});
+        m_unsettled_submits.emplace(id, item.record.spec.queue);
+        answer_submit(id, std::exchange(item.done, [](const peer_answer&) {}), peer_outcome::unknown);
+        m_submits.push_back(std::move(item));
     }
 }
 
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -13,8 +13,10 @@
 /// A job that ended has a client asking for it: nearly at once, but several at a time.
 constexpr milliseconds urgent_collect = 2ms;
 constexpr milliseconds store_retry = 120ms;
-/// A final job takes two entries: its progress and the removal of its record. One entry is the condition.
-constexpr std::size_t jobs_at_once = (platform::max_transaction_entries - 1) / 2;
+/// Entries of a transaction that a job's progress takes: its write, and the condition on what it replaces.
+constexpr std::size_t progress_entries = 2;
+/// An ended job's record is removed as well.
+constexpr std::size_t ended_entries = progress_entries + 1;
 /// An ended job stays with the scheduler this long, for late reports on its runs.
 constexpr milliseconds ended_in_scheduler = 3s;
 /// Requests in the inbox that could not be taken are tried again after this; a cancelling must work within
@@ -47,39 +49,64 @@
     m_round = m_scheduler.begin_store();
     m_chunks_open = 0;
     m_round_good = true;
-    if (m_round.jobs.empty()) {
-        round_done();
-        return;
+    for (std::span<const std::string> left(m_round.jobs); !left.empty();) {
+        left = left.subspan(write_chunk(left));
     }
-    m_chunks_open = (m_round.jobs.size() + jobs_at_once - 1) / jobs_at_once;
-    for (std::size_t begin = 0; begin < m_round.jobs.size(); begin += jobs_at_once) {
-        write_chunk(begin);
+    if (m_chunks_open == 0) {
+        round_done();
     }
 }
 
-void pool_task::write_chunk(std::size_t begin) {
+/// Writes what goes into one transaction; returns how many of the jobs it dealt with.
+std::size_t pool_task::write_chunk(std::span<const std::string> jobs) {
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
     std::vector<std::pair<std::string, std::uint64_t>> written;
-    const std::size_t end = std::min(m_round.jobs.size(), begin + jobs_at_once);
-    for (std::size_t i = begin; i < end; ++i) {
-        const std::string& id = m_round.jobs[i];
-        const jobs::job_state* job = m_scheduler.find_job(id);
-        if (job == nullptr) {
-            continue;
-        }
-        change.writes.push_back({progress_prefix(m_pool) + id, encode_archive(job->progress()), 0});
-        if (jobs::is_final(job->phase())) {
-            change.removals.push_back(job_prefix(m_pool) + id);
+    std::size_t free_entries = platform::max_transaction_entries - 1;
+    std::size_t dealt_with = 0;
+    for (const std::string& id : jobs) {
+        if (const jobs::job_state* job = m_scheduler.find_job(id)) {
+            const bool ended = jobs::is_final(job->phase());
+            const std::size_t needed = ended ? ended_entries : progress_entries;
+            if (needed > free_entries) {
+                break;
+            }
+            free_entries -= needed;
+            add_progress(change, id, *job);
+            written.emplace_back(id, job->changed);
         }
-        written.emplace_back(id, job->changed);
+        ++dealt_with;
     }
+    if (written.empty()) {
+        return dealt_with;
+    }
+    ++m_chunks_open;
     m_parts.store.commit(change, [this, written, token = m_held.token,
                                   alive = m_lifetime.watch()](const platform::store_answer& answer) {
         if (!alive.expired()) {
             chunk_written(written, answer, token);
         }
     });
+    return dealt_with;
+}
+
+void pool_task::add_progress(platform::store_transaction& change, const std::string& id,
+                             const jobs::job_state& job) const {
+    const std::string key = progress_prefix(m_pool) + id;
+    const auto known = m_progress_revisions.find(id);
+    // A write without an answer that is carried out late would undo a newer one, and the next owner would run
+    // a completed job again; it holds only against the progress that it was to replace.
+    change.conditions.push_back({key, known == m_progress_revisions.end() ? 0 : known->second});
+    change.writes.push_back({key, encode_archive(job.progress()), 0});
+    if (jobs::is_final(job.phase())) {
+        change.removals.push_back(job_prefix(m_pool) + id);
+    }
+}
+
+void pool_task::note_progress_revision(const std::string& job, std::int64_t revision) {
+    if (m_scheduler.knows(job)) {
+        m_progress_revisions[job] = revision;
+    }
 }
 
 void pool_task::chunk_written(const std::vector<std::pair<std::string, std::uint64_t>>& written,
@@ -87,13 +114,14 @@
     const bool stored = answer.status == platform::store_status::ok;
     if (stored) {
         for (const auto& [id, change] : written) {
+            note_progress_revision(id, answer.revision);
             m_scheduler.job_stored(id, change, event_loop::now());
             log_if_ended(id);
         }
     } else {
         m_round_good = false;
         if (answer.status == platform::store_status::conflict) {
-            ownership_lost("progress", token);
+            chunk_refused(written, answer, token);
         }
     }
     if (--m_chunks_open == 0) {
@@ -101,6 +129,18 @@
     }
 }
 
+/// Either the claim is over, or an earlier write of ours was carried out after all: the next round replaces
+/// what that one wrote.
+void pool_task::chunk_refused(const std::vector<std::pair<std::string, std::uint64_t>>& written,
+                              const platform::store_answer& answer, std::int64_t token) {
+    if (revision_of(answer, owner_prefix + m_held.duty) != token) {
+        ownership_lost("progress", token);
+    }
+    for (const auto& [id, change] : written) {
+        note_progress_revision(id, revision_of(answer, progress_prefix(m_pool) + id));
+    }
+}
+
 void pool_task::log_if_ended(const std::string& id) const {
     const jobs::job_state* job = m_scheduler.find_job(id);
     if (job == nullptr || !job->durable_final) {
@@ -162,11 +202,13 @@
     for (const auto& [id, phase] : m_scheduler.forget_final(now, ended_in_scheduler)) {
         m_ended[id] = phase;
         m_ended_at[id] = now;
+        m_progress_revisions.erase(id);
     }
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
     for (const auto& [id, ended] : m_ended_at) {
-        if (now - ended > m_parts.settings.keep_ended && change.removals.size() < 2 * jobs_at_once) {
+        if (now - ended > m_parts.settings.keep_ended &&
+            change.removals.size() < platform::max_transaction_entries - 1) {
             change.removals.push_back(progress_prefix(m_pool) + id);
         }
     }
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -36,6 +36,7 @@
                             }
                             for (const platform::store_item& item : answer.items) {
                                 const std::string id = item.key.substr(progress_prefix(m_pool).size());
+                                m_progress_revisions[id] = item.revision;
                                 if (const auto progress = decode_archive<jobs::job_progress>(item.value)) {
                                     m_loaded_progress[id] = progress.value();
                                 }
@@ -111,6 +112,7 @@
     for (const auto& [id, progress] : m_loaded_progress) {
         m_ended[id] = progress.phase;
         m_ended_at[id] = now;
+        m_progress_revisions.erase(id); // Never written again.
     }
     m_loaded_progress.clear();
     m_ready = true;
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -58,6 +58,7 @@
     m_held = held;
     m_lost = false;
     m_inbox_timer->start(0ms);
+    write_submits();
     decide_soon();
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 
 namespace siskinpaddle::node {
@@ -122,8 +123,14 @@
     void use_again(const std::set<std::string>& vms);
     void settle_cancels();
     void settle_submit(const std::string& job, const reply& done, peer_outcome outcome);
+    void answer_submit(const std::string& job, const reply& done, peer_outcome outcome);
     void write_submits();
     [[nodiscard]] bool has_unsettled(const std::vector<waiting_submit>& batch) const;
+    void submit_stored(const waiting_submit& item);
+    /// Settles the job if the answer to its refused write shows its progress.
+    [[nodiscard]] bool settled_by_progress(const waiting_submit& item, const platform::store_answer& answer);
+    void write_again(std::vector<waiting_submit> batch);
+    void hold_back(std::vector<waiting_submit> batch, bool unanswered);
     void submits_written(std::vector<waiting_submit> batch, const platform::store_answer& answer,
                          std::int64_t token);
 
@@ -141,9 +148,14 @@
     // Storing.
     void store_soon();
     void store_round();
-    void write_chunk(std::size_t begin);
+    std::size_t write_chunk(std::span<const std::string> jobs);
+    void add_progress(platform::store_transaction& change, const std::string& id,
+                      const jobs::job_state& job) const;
+    void note_progress_revision(const std::string& job, std::int64_t revision);
     void chunk_written(const std::vector<std::pair<std::string, std::uint64_t>>& written,
                        const platform::store_answer& answer, std::int64_t token);
+    void chunk_refused(const std::vector<std::pair<std::string, std::uint64_t>>& written,
+                       const platform::store_answer& answer, std::int64_t token);
     void log_if_ended(const std::string& id) const;
     void round_done();
     /// An answer to what was sent under `token` says that somebody else owns the pool.
@@ -163,6 +175,8 @@
     std::function<void()> m_wound_down;
 
     std::map<std::string, jobs::job_progress> m_loaded_progress;
+    std::map<std::string, std::int64_t>
+        m_progress_revisions; ///< Of the stored progress of the scheduler's jobs; none: nothing is stored.
     std::map<std::string, jobs::job_phase> m_ended; ///< Jobs that ended and are no longer in the scheduler.
     std::map<std::string, timestamp> m_ended_at;
     jobs::vm_record m_record; ///< VMs that may hold runs, as stored.
