--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -1,5 +1,6 @@
 #include "fakes/platform_store.hpp"
 
+#include "platform/store_client.hpp"
 #include "platform/wire.hpp"
 
 #include <algorithm>
@@ -38,6 +39,15 @@
     return text;
 }
 
+/// What the store's bound on a transaction counts.
+std::size_t entries_of(const boost::json::object& transaction) {
+    std::size_t entries = 0;
+    for (const std::string_view list : {wire::conditions, wire::writes, wire::removals}) {
+        entries += transaction.at(list).as_array().size();
+    }
+    return entries;
+}
+
 std::int64_t number(const boost::json::object& object, std::string_view key) {
     const boost::json::value* found = object.if_contains(key);
     return found == nullptr ? 0 : found->to_number<std::int64_t>();
@@ -212,6 +222,10 @@
 
 void platform_store::transact(const request_handle& request) {
     const boost::json::object body = boost::json::parse(request->body()).as_object();
+    if (entries_of(body) > platform::max_transaction_entries) {
+        reply(request, 400, {});
+        return;
+    }
     if (m_late_writes > 0) {
         --m_late_writes;
         m_unanswered.push_back(request); // Its sender hears nothing of it.
--- a/tests/node/late_write_test.cpp
+++ b/tests/node/late_write_test.cpp
@@ -75,6 +75,40 @@
     d.check_runs_once();
 }
 
+TEST_CASE("progress that was stored without an answer is replaced by what came since") {
+    // A booking that is done is shown as running for good, and its VM keeps its ends. The write of its first
+    // step was carried out without an answer, and what the owner wrote next held only against what was
+    // before.
+    node_deployment d;
+    serve_and_settle(d);
+    REQUIRE(d.call("n1", "POST", "/quotes/" + job_a, two_step_body()).code == 200);
+    const std::size_t conflicts = d.store.conflicts();
+    d.store.lose_answers(1); // Of the write which tells that the first step is done.
+    REQUIRE(shows_in_time(d, "n1", job_a, "completed"));
+    CHECK(d.store.conflicts() > conflicts);
+    CHECK(d.store.count("sp/job/p/") == 0);
+    d.check_runs_once();
+}
+
+TEST_CASE("many jobs that end together are stored, in transactions that the store takes") {
+    // Nobody hears that their bookings are cancelled. An ended job takes three entries of a transaction, and
+    // the store refuses one of more than it takes, again and again.
+    constexpr std::size_t jobs = 40; // More than go into one transaction in any way.
+    node_deployment d;
+    d.add_vm("v1", 100ms);
+    d.leave_in_inbox("c", jobs);
+    for (std::size_t i = 0; i < jobs; ++i) {
+        const std::string number = std::to_string(i);
+        d.store.put("sp/inbox/p/cancel/c" + std::string(15 - number.size(), '0') + number, "1");
+    }
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    CHECK(loop_until(
+        d.loop, [&] { return d.store.count("sp/progress/p/") == jobs; }, patience));
+    CHECK(d.until([&] { return d.store.count("sp/job/p/") == 0 && d.store.count("sp/inbox/") == 0; }));
+    CHECK(d.vms[0]->runs().empty());
+}
+
 TEST_CASE("a job that was stored without an answer is not forgotten when its owner claims anew") {
     // A desk is told that its booking is accepted; it is shown as queued and never runs. The owner's write of
     // the job was carried out without an answer, and another entry, which found the record, told the client.
