The soak asks for the queue's count through every entry and checks what it is told; bursts let jobs wait

Cause: a count that was told far too low (29 of 117) had no check in the soak: its callers never asked for one, and no job waited for seconds. Change: each node is asked every 0.5 s. Amid faults a told count must not be under half of the jobs accepted over 5 s before the request (2 s age and 3 s) of which no VM had begun a task by the answer; cancelled ones and those of unknown acceptance don't count, a refusal is allowed. Once all has settled, a burst of 160 jobs and then an empty queue: each node must tell a count, in the burst at least half of what waited for 3 s and at most twice what can have waited, then 0. Ruled out: reading the truth from the nodes' own logs; it is what the stand-in VMs saw and clients were told. Before: no check.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/platform.hpp"
 
+#include <algorithm>
+#include <boost/json.hpp>
 #include <iomanip>
 #include <sstream>
 
@@ -14,6 +16,15 @@
 /// A submit without a definite answer is sent again this often, at any node.
 constexpr std::uint32_t most_tries = 6;
 constexpr std::uint64_t probe_every = 5;
+/// Each node is asked for the queue's count every 0.5 s: several times in the age that a count may have.
+constexpr std::uint64_t count_every = 8;
+/// Bursts, so that accepted jobs wait for seconds: a second long, each time five seconds pass. The VMs end
+/// at most 60 tasks a second; with a burst, 95 come on average.
+constexpr std::uint64_t burst_every = 80;
+constexpr std::uint64_t burst_turns = 16;
+constexpr std::uint64_t burst_jobs = 6;
+/// Jobs of the burst after all faults: 400 tasks on average, of which the VMs begin 60 a second.
+constexpr std::uint64_t last_burst_jobs = 160;
 constexpr std::uint32_t most_tasks = 4;
 constexpr std::uint32_t cancel_one_in = 8;
 /// One job in so many runs until it is cancelled; by then they hold a sixth of the room of four VMs.
@@ -44,6 +55,12 @@
     return std::string(quotes_prefix) + job;
 }
 
+/// The one number that an answer to the question for a count holds.
+std::size_t number_in(const std::string& body) {
+    const boost::json::value document = boost::json::parse(body);
+    return document.as_object().begin()->value().to_number<std::size_t>();
+}
+
 } // namespace
 
 callers::callers(event_loop& loop, world& deployment, std::uint64_t seed)
@@ -85,16 +102,18 @@
     m_timer->start(turn_time);
     ++m_turns;
     if (m_submitting) {
-        std::ostringstream id;
-        id << std::hex << std::setw(16) << std::setfill('0') << m_random();
-        m_jobs[id.str()].tasks = 1 + static_cast<std::uint32_t>(m_random() % most_tasks);
-        m_jobs[id.str()].endless = m_random() % endless_one_in == 0;
-        submit(id.str(), 1);
-    }
-    if (m_turns % probe_every == 0) {
-        for (std::uint32_t node = 0; node < m_world.nodes(); ++node) {
+        hand_in(m_random() % endless_one_in == 0);
+        for (std::uint64_t i = 1; in_burst() && i < burst_jobs; ++i) {
+            hand_in(false);
+        }
+    }
+    for (std::uint32_t node = 0; node < m_world.nodes(); ++node) {
+        if (m_turns % probe_every == 0) {
             probe(node);
         }
+        if (m_turns % count_every == 0) {
+            ask_count(node);
+        }
     }
     cancel_endless();
     // One job a turn is asked for, and all of them again and again.
@@ -104,6 +123,30 @@
     }
 }
 
+bool callers::in_burst() const {
+    return m_turns % burst_every < burst_turns;
+}
+
+void callers::submit_burst() {
+    for (std::uint64_t i = 0; i < last_burst_jobs; ++i) {
+        hand_in(false);
+    }
+}
+
+bool callers::all_answered() const {
+    return std::ranges::none_of(m_jobs, [](const auto& item) { return item.second.asking; });
+}
+
+void callers::hand_in(bool endless) {
+    std::ostringstream id;
+    id << std::hex << std::setw(16) << std::setfill('0') << m_random();
+    job_history& job = m_jobs[id.str()];
+    job.tasks = 1 + static_cast<std::uint32_t>(m_random() % most_tasks);
+    job.endless = endless;
+    job.submitted = event_loop::now();
+    submit(id.str(), 1);
+}
+
 void callers::submit(const std::string& id, std::uint32_t tries) {
     m_jobs[id].asking = true;
     send(some_node(), "POST", target_of(id), body_of(m_jobs[id]),
@@ -172,6 +215,15 @@
     }
 }
 
+void callers::ask_count(std::uint32_t node) {
+    send(node, "GET", std::string(quotes_prefix), {},
+         [this, node, sent = event_loop::now()](const http_answer& answer) {
+             if (answer.status == exchange_status::answered && answer.code == ok) {
+                 m_counts.push_back({node, sent, event_loop::now(), number_in(answer.body)});
+             }
+         });
+}
+
 /// Asks a node for the queue that only the newest version has, and, once that was seen, for one that only the
 /// version before had.
 void callers::probe(std::uint32_t node) {
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -62,6 +62,56 @@
     }
 }
 
+/// When each job's first task began at a VM; of jobs that have begun.
+using first_begins = std::map<std::string, timestamp>;
+
+first_begins first_begins_of(const std::vector<vm_run>& runs) {
+    first_begins result;
+    for (const vm_run& item : runs) {
+        const auto [place, is_first] = result.try_emplace(job_of(item.run.task), item.run.began);
+        place->second = std::min(place->second, item.run.began);
+    }
+    return result;
+}
+
+bool surely_waited(const job_history& job, std::optional<timestamp> begun, const told_count& told,
+                   const ledger_bounds& bounds) {
+    const bool known =
+        job.accepted != timestamp(0) && job.accepted + bounds.count_age + bounds.visible_within < told.sent;
+    return known && !job.cancel_sent && (!begun || *begun > told.answered);
+}
+
+bool may_have_waited(const job_history& job, std::optional<timestamp> begun, const told_count& told,
+                     const ledger_bounds& bounds) {
+    const timestamp oldest = told.sent - bounds.count_age;
+    if (job.submitted > told.answered) {
+        return false;
+    }
+    if (begun) {
+        return *begun >= oldest;
+    }
+    return job.cancel_sent ? job.cancelled >= oldest : job.accepted != timestamp(0);
+}
+
+waiting_range range_of(const std::map<std::string, job_history>& jobs, const first_begins& begins,
+                       const told_count& told, const ledger_bounds& bounds) {
+    waiting_range result;
+    for (const auto& [id, job] : jobs) {
+        const auto found = begins.find(id);
+        const auto begun = found == begins.end() ? std::nullopt : std::optional(found->second);
+        result.least += surely_waited(job, begun, told, bounds) ? 1 : 0;
+        result.most += may_have_waited(job, begun, told, bounds) ? 1 : 0;
+    }
+    return result;
+}
+
+std::string text_of(const told_count& told, const waiting_range& waited) {
+    return "n" + std::to_string(told.node + 1) + " [asked " + std::to_string(told.sent.count()) +
+           " answered " + std::to_string(told.answered.count()) + "] told " + std::to_string(told.jobs) +
+           " waiting jobs, " + std::to_string(waited.least) + " to " + std::to_string(waited.most) +
+           " waited";
+}
+
 } // namespace
 
 std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
@@ -124,4 +174,49 @@
     return result;
 }
 
+std::vector<waiting_range> waiting_at(const std::map<std::string, job_history>& jobs,
+                                      const std::vector<vm_run>& runs, std::span<const told_count> told,
+                                      const ledger_bounds& bounds) {
+    const first_begins begins = first_begins_of(runs);
+    std::vector<waiting_range> result;
+    for (const told_count& item : told) {
+        result.push_back(range_of(jobs, begins, item, bounds));
+    }
+    return result;
+}
+
+std::vector<std::string> check_counts(const std::map<std::string, job_history>& jobs,
+                                      const std::vector<vm_run>& runs, std::span<const told_count> told,
+                                      const ledger_bounds& bounds) {
+    const std::vector<waiting_range> waited = waiting_at(jobs, runs, told, bounds);
+    std::vector<std::string> broken;
+    for (std::size_t i = 0; i < told.size(); ++i) {
+        if (told[i].jobs * 2 < waited[i].least) {
+            broken.push_back("count too low: " + text_of(told[i], waited[i]));
+        }
+    }
+    return broken;
+}
+
+std::vector<std::string> check_settled_counts(const std::map<std::string, job_history>& jobs,
+                                              const std::vector<vm_run>& runs,
+                                              std::span<const told_count> told, const ledger_bounds& bounds,
+                                              std::uint32_t nodes) {
+    const std::vector<waiting_range> waited = waiting_at(jobs, runs, told, bounds);
+    std::vector<std::string> broken = check_counts(jobs, runs, told, bounds);
+    std::set<std::uint32_t> telling;
+    for (std::size_t i = 0; i < told.size(); ++i) {
+        telling.insert(told[i].node);
+        if (told[i].jobs > waited[i].most * 2) {
+            broken.push_back("count too high: " + text_of(told[i], waited[i]));
+        }
+    }
+    for (std::uint32_t node = 0; node < nodes; ++node) {
+        if (!telling.contains(node)) {
+            broken.push_back("tells no count after all has settled: n" + std::to_string(node + 1));
+        }
+    }
+    return broken;
+}
+
 } // namespace siskinpaddle::soak
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     bool endless = false;   ///< Its tasks run until it is cancelled.
     bool may_run = false;   ///< A submit was answered with success, or had an unknown outcome.
     bool asking = false;    ///< A submit is on its way; its outcome is open.
+    timestamp submitted{0}; ///< When it was first sent.
     timestamp accepted{0};  ///< First success; 0: none yet.
     timestamp cancelled{0}; ///< Its cancelling was answered with success.
     bool cancel_sent = false;
@@ -30,12 +32,30 @@
     fakes::task_vm::run_record run;
 };
 
+/// What a node told of how many accepted jobs of the queue have not begun; a refusal tells nothing.
+struct told_count {
+    std::uint32_t node = 0;
+    timestamp sent{0}; ///< The request.
+    timestamp answered{0};
+    std::size_t jobs = 0;
+};
+
+/// How many jobs may have waited when a count was made: the fewest and the most that it may hold.
+struct waiting_range {
+    std::size_t least = 0;
+    std::size_t most = 0;
+};
+
 /// Bounds of the checks that have one.
 struct ledger_bounds {
     std::size_t runs_at_once = 0; ///< Tasks that fit on one VM.
     /// How long after the answer to a cancelling an order of an owner that was cut off or paused may still
     /// arrive: as long as a start may be on its way, and the owner may act beyond its claim.
     milliseconds after_cancelling{0};
+    /// How old a count may be when it is told; the platform's bound.
+    milliseconds count_age{2000};
+    /// How long after its acceptance a job may be unknown to its pool's owner; the platform's bound.
+    milliseconds visible_within{3000};
 };
 
 /// Finds broken promises in what clients and VMs saw. Pure. `live` are the VMs that are up; runs of others
@@ -50,4 +70,25 @@
 [[nodiscard]] std::vector<std::string> left_running(const std::map<std::string, job_history>& jobs,
                                                     const std::vector<vm_run>& runs);
 
+/// For each count, the jobs that waited by what clients and VMs saw. The least: accepted more than the bounds
+/// before the request was sent, nothing of them begun when the answer came, no cancelling sent. The most:
+/// handed in before the answer came, and waiting at some time since the request was sent less the age that a
+/// count may have; jobs of unknown outcome only if they were seen to begin after that. Pure; thread-safe.
+[[nodiscard]] std::vector<waiting_range> waiting_at(const std::map<std::string, job_history>& jobs,
+                                                    const std::vector<vm_run>& runs,
+                                                    std::span<const told_count> told,
+                                                    const ledger_bounds& bounds);
+/// Counts that are under half of the jobs that certainly waited: what holds also amid faults. Pure;
+/// thread-safe.
+[[nodiscard]] std::vector<std::string> check_counts(const std::map<std::string, job_history>& jobs,
+                                                    const std::vector<vm_run>& runs,
+                                                    std::span<const told_count> told,
+                                                    const ledger_bounds& bounds);
+/// The same and more for counts told once all faults are over: none may be over twice the jobs that can have
+/// waited, so 0 when none can, and each of `nodes` nodes must have told one. Pure; thread-safe.
+[[nodiscard]] std::vector<std::string> check_settled_counts(const std::map<std::string, job_history>& jobs,
+                                                            const std::vector<vm_run>& runs,
+                                                            std::span<const told_count> told,
+                                                            const ledger_bounds& bounds, std::uint32_t nodes);
+
 } // namespace siskinpaddle::soak
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -22,6 +22,11 @@
 
 /// The stand-in VMs have 4000 millicores, a task needs 500.
 constexpr ledger_bounds bounds{.runs_at_once = 8, .after_cancelling = 15s};
+/// Once all faults are over an owner knows a job before its client does; the rest is for a busy machine.
+constexpr ledger_bounds settled_bounds{
+    .runs_at_once = 8, .after_cancelling = 15s, .visible_within = milliseconds(1000)};
+/// Within which each node must tell a count once nothing waits: the age of copies, and some ten requests.
+constexpr milliseconds count_bound = 8s;
 
 struct soak_options {
     world_settings world;
@@ -44,18 +49,13 @@
         m_callers.start();
         run_faults();
         m_callers.stop_submitting();
-        const bool settled = watch_until([this] { return is_settled(); }, settle_bound);
+        const bool settled = settle() && settle_burst();
+        if (settled) {
+            watch_last_counts();
+        }
         check();
         if (!settled) {
-            for (const std::string& id : unfinished(m_callers.jobs())) {
-                add("accepted and not completed: " + id);
-            }
-            for (const std::string& item : left_running(m_callers.jobs(), m_world.runs())) {
-                add("runs on after its cancelling: " + item);
-            }
-            if (m_callers.nodes_up_to_date() < m_world.nodes()) {
-                add("the newest configuration is not in force everywhere");
-            }
+            add_unsettled();
         }
         return m_problems;
     }
@@ -74,7 +74,13 @@
             text +=
                 " " + (code == 0 ? std::string("none") : std::to_string(code)) + ":" + std::to_string(count);
         }
-        return text;
+        std::size_t most_waiting = 0;
+        for (const waiting_range& item :
+             waiting_at(m_callers.jobs(), m_world.runs(), m_callers.counts(), bounds)) {
+            most_waiting = std::max(most_waiting, item.least);
+        }
+        return text + ", counts " + std::to_string(m_callers.counts().size()) + " of up to " +
+               std::to_string(most_waiting) + " jobs that waited";
     }
 
   private:
@@ -102,8 +108,58 @@
         watch_until(advance, m_options.length + settle_bound);
     }
 
+    bool settle() {
+        return watch_until([this] { return is_settled(); }, settle_bound);
+    }
+
+    /// Jobs wait while nothing is broken any more.
+    bool settle_burst() {
+        const std::size_t first = m_callers.counts().size();
+        m_callers.submit_burst();
+        const bool settled = settle();
+        check_counts_from(first);
+        return settled;
+    }
+
+    /// Nothing waits any more; watches until each node told a count that can't be from before.
+    void watch_last_counts() {
+        const timestamp from = event_loop::now() + settled_bounds.count_age;
+        watch_until([&] { return event_loop::now() >= from; }, count_bound);
+        const std::size_t first = m_callers.counts().size();
+        const auto all_told = [&] {
+            std::set<std::uint32_t> telling;
+            for (const told_count& item : std::span(m_callers.counts()).subspan(first)) {
+                telling.insert(item.node);
+            }
+            return telling.size() == m_world.nodes();
+        };
+        watch_until(all_told, count_bound);
+        check_counts_from(first);
+    }
+
+    void check_counts_from(std::size_t first) {
+        for (const std::string& item : check_settled_counts(m_callers.jobs(), m_world.runs(),
+                                                            std::span(m_callers.counts()).subspan(first),
+                                                            settled_bounds, m_world.nodes())) {
+            add(item);
+        }
+    }
+
+    void add_unsettled() {
+        for (const std::string& id : unfinished(m_callers.jobs())) {
+            add("accepted and not completed: " + id);
+        }
+        for (const std::string& item : left_running(m_callers.jobs(), m_world.runs())) {
+            add("runs on after its cancelling: " + item);
+        }
+        if (m_callers.nodes_up_to_date() < m_world.nodes()) {
+            add("the newest configuration is not in force everywhere");
+        }
+    }
+
     [[nodiscard]] bool is_settled() const {
-        return unfinished(m_callers.jobs()).empty() && m_callers.nodes_up_to_date() == m_world.nodes() &&
+        return m_callers.all_answered() && unfinished(m_callers.jobs()).empty() &&
+               m_callers.nodes_up_to_date() == m_world.nodes() &&
                left_running(m_callers.jobs(), m_world.runs()).empty();
     }
 
@@ -132,6 +188,12 @@
              check_runs(m_callers.jobs(), m_world.runs(), bounds, event_loop::now())) {
             add(item);
         }
+        const std::span<const told_count> counts(m_callers.counts());
+        for (const std::string& item :
+             check_counts(m_callers.jobs(), m_world.runs(), counts.subspan(m_counts_checked), bounds)) {
+            add(item);
+        }
+        m_counts_checked = counts.size();
         for (const std::string& item : m_world.problems()) {
             add(item);
         }
@@ -154,6 +216,7 @@
     callers m_callers;
     std::vector<std::string> m_problems;
     std::set<std::string> m_known;
+    std::size_t m_counts_checked = 0; ///< Counts that were checked by what holds amid faults.
 };
 
 void print_plan(const soak_options& options) {
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -16,6 +16,15 @@
     return {vm, {task, 1, timestamp(began), timestamp(ended), how, timestamp(acknowledged)}};
 }
 
+/// The jobs by their identifiers: j0, j1 ...
+std::map<std::string, job_history> named(const std::vector<job_history>& jobs) {
+    std::map<std::string, job_history> result;
+    for (const job_history& item : jobs) {
+        result["j" + std::to_string(result.size())] = item;
+    }
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("the soak's checks find what must not happen, and nothing else") {
@@ -93,6 +102,117 @@
     CHECK(left[0].starts_with("gone.0.0.0#1@w"));
 }
 
+TEST_CASE("a count that is under half of the jobs that waited for seconds is found") {
+    // The queue's operators are told that 29 jobs wait while 117 accepted ones have waited for five seconds.
+    // Entries left jobs in the store's inbox and told their clients that they are accepted; the pool's owner
+    // counted only the jobs that it had taken from there. Nothing else looks wrong: all jobs run in the end.
+    const job_history waiting{
+        .tasks = 1, .may_run = true, .submitted = timestamp(900), .accepted = timestamp(1000)};
+    job_history ended = waiting;
+    ended.completed = true;
+    job_history cancelled = waiting;
+    cancelled.cancel_sent = true;
+    job_history young = waiting;
+    young.accepted = timestamp(5000);
+    job_history unknown = waiting;
+    unknown.accepted = timestamp(0);
+    constexpr timestamp sent(10'000);
+    constexpr timestamp answered(10'500);
+    struct count_case {
+        const char* what = "";
+        std::vector<job_history> jobs;
+        std::size_t told = 0;
+        std::size_t problems = 0;
+        std::vector<vm_run> runs;
+    };
+    for (const count_case& item : {
+             count_case{"all told", {waiting, waiting}, 2, 0, {}},
+             count_case{"half told", {waiting, waiting, waiting, waiting}, 2, 0, {}},
+             count_case{"one of three told", {waiting, waiting, waiting}, 1, 1, {}},
+             count_case{"none of one told", {waiting}, 0, 1, {}},
+             count_case{"too many told, which an old copy may", {waiting}, 9, 0, {}},
+             count_case{"cancelled, which may be slow", {cancelled}, 0, 0, {}},
+             count_case{"accepted five seconds before, not more", {young}, 0, 0, {}},
+             count_case{"acceptance not known", {unknown}, 0, 0, {}},
+             count_case{"begun when the answer came", {waiting}, 0, 0, {run_of("j0.0.0.0", "v", 10'500, 0)}},
+             count_case{"begun after the answer", {waiting}, 0, 1, {run_of("j0.0.0.0", "v", 10'501, 0)}},
+             count_case{"begun, crashed and again",
+                        {waiting},
+                        0,
+                        0,
+                        {run_of("j0.0.0.0", "v", 11'000, 0), run_of("j0.0.0.1", "w", 9000, 9500, "crashed")}},
+             count_case{"ended", {ended}, 0, 0, {run_of("j0.0.0.0", "v", 2000, 3000)}},
+         }) {
+        INFO(std::string(item.what));
+        const std::vector<told_count> told{{0, sent, answered, item.told}};
+        CHECK(check_counts(named(item.jobs), item.runs, told, bounds).size() == item.problems);
+    }
+}
+
+TEST_CASE("once all has settled a count is neither too low nor too high, and each node tells one") {
+    // A queue's operators read that jobs wait when none does, or none of its nodes tells a count any more.
+    // The faults are long over, clients see all jobs run; an owner or an entry goes on with what it held
+    // while they lasted: a copy that is never made anew, jobs that it takes for unsettled for good.
+    const job_history waiting{
+        .tasks = 1, .may_run = true, .submitted = timestamp(900), .accepted = timestamp(1000)};
+    job_history handed_in_later = waiting;
+    handed_in_later.submitted = timestamp(10'501);
+    handed_in_later.accepted = timestamp(10'600);
+    job_history cancelled_lately = waiting;
+    cancelled_lately.cancel_sent = true;
+    cancelled_lately.cancelled = timestamp(8000);
+    job_history cancelled_long_ago = cancelled_lately;
+    cancelled_long_ago.cancelled = timestamp(7999);
+    job_history unknown = waiting;
+    unknown.accepted = timestamp(0);
+    const told_count none{0, timestamp(10'000), timestamp(10'500), 0};
+    told_count one = none;
+    one.jobs = 1;
+    told_count three = none;
+    three.jobs = 3;
+    told_count other_node = none;
+    other_node.node = 1;
+    struct settled_case {
+        const char* what = "";
+        std::vector<job_history> jobs;
+        std::vector<told_count> told;
+        std::uint32_t nodes = 1;
+        std::size_t problems = 0;
+        std::vector<vm_run> runs;
+    };
+    for (const settled_case& item : {
+             settled_case{"nothing waits, none told", {}, {none}, 1, 0, {}},
+             settled_case{"nothing waits, one told", {}, {one}, 1, 1, {}},
+             settled_case{"one waits, one told", {waiting}, {one}, 1, 0, {}},
+             settled_case{"one waits, none told", {waiting}, {none}, 1, 1, {}},
+             settled_case{"one waits, over twice as many told", {waiting}, {three}, 1, 1, {}},
+             settled_case{"begun within the age of a count",
+                          {waiting},
+                          {one},
+                          1,
+                          0,
+                          {run_of("j0.0.0.0", "v", 8000, 0)}},
+             settled_case{"begun before that", {waiting}, {one}, 1, 1, {run_of("j0.0.0.0", "v", 7999, 0)}},
+             settled_case{"handed in after the answer", {handed_in_later}, {one}, 1, 1, {}},
+             settled_case{"cancelled within the age", {cancelled_lately}, {one}, 1, 0, {}},
+             settled_case{"cancelled before that", {cancelled_long_ago}, {one}, 1, 1, {}},
+             settled_case{"never known as accepted, never run", {unknown}, {one}, 1, 1, {}},
+             settled_case{"never known as accepted, run later",
+                          {unknown},
+                          {one},
+                          1,
+                          0,
+                          {run_of("j0.0.0.0", "v", 12'000, 0)}},
+             settled_case{"each of two tells", {}, {none, other_node}, 2, 0, {}},
+             settled_case{"one of two tells", {}, {none, none}, 2, 1, {}},
+             settled_case{"none of two tells", {}, {}, 2, 2, {}},
+         }) {
+        INFO(std::string(item.what));
+        CHECK(check_settled_counts(named(item.jobs), item.runs, item.told, bounds, item.nodes).size() ==
+              item.problems);
+    }
+}
+
 TEST_CASE("a seed gives one plan, with faults that overlap") {
     const std::vector<planned_fault> plan = make_plan(7, 20s);
     CHECK(plan == make_plan(7, 20s));
