The soak's store holds writes of jobs' records for seconds, so that the inbox stays full at an owner that answers

Ruled out: an owner cut off from the store (new owners fence it within seconds; it then tells nothing). Entries then leave jobs in the inbox, and a living, certain owner can't take them: what the incident's busy owner did for want of processor time.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -16,10 +16,11 @@
 constexpr std::int64_t shortest_ms = 200;
 constexpr std::int64_t longest_ms = 8000;
 
-/// Slow nodes are not among them: drawn by themselves, they leave the rest of a seed's plan as it is.
-constexpr std::size_t kinds = enum_names<fault_kind>.size() - 1;
+/// Kinds that are drawn by themselves, so that they leave the rest of a seed's plan as it is.
+constexpr std::size_t kinds_apart = 2;
+constexpr std::size_t kinds = enum_names<fault_kind>.size() - kinds_apart;
 /// Another sequence than that of the seed itself.
-constexpr std::uint64_t slow_seed = 0x510;
+constexpr std::uint64_t apart_seed = 0x510;
 /// Slow nodes begin so often, from the first two seconds of each such part of the plan on, and stay so for 6
 /// to 9 s: past the time after which a count must hold a job, with a burst of jobs in it. Mostly two are slow
 /// at a time, so that the owner of the three nodes' one pool is often among them and an entry is not.
@@ -27,25 +28,49 @@
 constexpr std::int64_t slow_begins_ms = 2000;
 constexpr std::int64_t shortest_slow_ms = 6000;
 constexpr std::int64_t longest_slow_ms = 9000;
+/// Records of jobs are held once in each such part of the plan, from its first four seconds on, for 8 to 10
+/// s: past the time after which a count must hold a job by some seconds, with a burst of jobs among them.
+constexpr std::int64_t hold_every_ms = 15'000;
+constexpr std::int64_t hold_begins_ms = 4000;
+constexpr std::int64_t shortest_hold_ms = 8000;
+constexpr std::int64_t longest_hold_ms = 10'000;
 
 bool is_momentary(fault_kind kind) {
     return kind == fault_kind::store_compact || kind == fault_kind::store_leases_lapse ||
            kind == fault_kind::new_configuration;
 }
 
-/// Answers an owner whose processor time is used up: it renews its claim and answers some calls, and is
-/// seconds behind with the rest.
-void add_slow_nodes(std::vector<planned_fault>& plan, std::uint64_t seed, milliseconds length) {
-    std::mt19937_64 random(seed ^ slow_seed);
-    for (milliseconds from(0); from < length; from += milliseconds(slow_every_ms)) {
+/// Where a fault that is drawn by itself may begin in each part of a plan, and how long it may last.
+struct apart_rhythm {
+    std::int64_t every_ms = 0;
+    std::int64_t begins_ms = 0;
+    std::int64_t shortest_ms = 0;
+    std::int64_t longest_ms = 0;
+};
+
+void add_apart(std::vector<planned_fault>& plan, fault_kind kind, const apart_rhythm& rhythm,
+               std::mt19937_64& random, milliseconds length) {
+    const auto below = [&random](std::int64_t bound) {
+        return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(bound));
+    };
+    for (milliseconds from(0); from < length; from += milliseconds(rhythm.every_ms)) {
         planned_fault item;
-        item.kind = fault_kind::node_slow;
-        item.at = from + milliseconds(static_cast<std::int64_t>(random() % slow_begins_ms));
-        item.lasts = milliseconds(shortest_slow_ms +
-                                  static_cast<std::int64_t>(random() % (longest_slow_ms - shortest_slow_ms)));
+        item.kind = kind;
+        item.at = from + milliseconds(below(rhythm.begins_ms));
+        item.lasts = milliseconds(rhythm.shortest_ms + below(rhythm.longest_ms - rhythm.shortest_ms));
         item.target = static_cast<std::uint32_t>(random() % (1U << 16U));
         plan.push_back(item);
     }
+}
+
+/// Answers an owner that renews its claim and answers calls, and is seconds behind with the jobs that entries
+/// left in the inbox: its processor time is used up, or the store holds its writes.
+void add_what_fills_the_inbox(std::vector<planned_fault>& plan, std::uint64_t seed, milliseconds length) {
+    std::mt19937_64 random(seed ^ apart_seed);
+    add_apart(plan, fault_kind::node_slow, {slow_every_ms, slow_begins_ms, shortest_slow_ms, longest_slow_ms},
+              random, length);
+    add_apart(plan, fault_kind::store_holds_jobs,
+              {hold_every_ms, hold_begins_ms, shortest_hold_ms, longest_hold_ms}, random, length);
     std::ranges::stable_sort(plan, {}, &planned_fault::at);
 }
 
@@ -60,7 +85,7 @@
     while (true) {
         at += milliseconds(static_cast<std::int64_t>(below(longest_gap_ms)));
         if (at >= length) {
-            add_slow_nodes(plan, seed, length);
+            add_what_fills_the_inbox(plan, seed, length);
             return plan;
         }
         const std::uint64_t together = below(burst_one_in) == 0 ? 2 + below(most_in_burst - 1) : 1;
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -32,7 +32,9 @@
     store_compact,
     store_leases_lapse,
     new_configuration,
-    node_slow ///< It gets the processor for moments only. Not drawn like the others: see make_plan().
+    // These are not drawn like the others: see make_plan().
+    node_slow,       ///< It gets the processor for moments only.
+    store_holds_jobs ///< Writes of jobs' records have no answer until it is over; all else goes on.
 };
 
 /// One fault of a plan.
@@ -45,8 +47,8 @@
     bool operator==(const planned_fault&) const = default;
 };
 
-/// Faults in series, some of them several at a time, over `length`, and slow nodes beside them. The same seed
-/// gives the same plan. Pure; thread-safe.
+/// Faults in series, some of them several at a time, over `length`, and beside them what keeps jobs in the
+/// pool's inbox. The same seed gives the same plan. Pure; thread-safe.
 [[nodiscard]] std::vector<planned_fault> make_plan(std::uint64_t seed, milliseconds length);
 
 } // namespace siskinpaddle::soak
@@ -75,4 +77,5 @@
     std::pair{siskinpaddle::soak::fault_kind::store_compact, std::string_view("store-compact")},
     std::pair{siskinpaddle::soak::fault_kind::store_leases_lapse, std::string_view("store-leases-lapse")},
     std::pair{siskinpaddle::soak::fault_kind::new_configuration, std::string_view("new-configuration")},
-    std::pair{siskinpaddle::soak::fault_kind::node_slow, std::string_view("node-slow")}};
+    std::pair{siskinpaddle::soak::fault_kind::node_slow, std::string_view("node-slow")},
+    std::pair{siskinpaddle::soak::fault_kind::store_holds_jobs, std::string_view("store-holds-jobs")}};
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,6 +1,7 @@
 #include "soak/world.hpp"
 
 #include "net/free_port.hpp"
+#include "node/keys.hpp"
 #include "platform/platform.hpp"
 
 #include <array>
@@ -293,6 +294,13 @@
     }
 }
 
+/// Entries, whose calls to the owner then have no answer in time, leave jobs in the inbox, and nobody can
+/// take them from there.
+void world::hold_jobs(bool on) {
+    m_holding += on ? 1 : -1;
+    m_store.hold_writes(m_holding > 0 ? node::job_prefix(std::string(pool)) : std::string());
+}
+
 void world::apply(const planned_fault& fault) {
     if (fault_proxy* link = link_of(fault)) {
         ++m_link_faults[link];
@@ -312,6 +320,9 @@
     case fault_kind::store_busy:
         set_store(fault.kind, true);
         return;
+    case fault_kind::store_holds_jobs:
+        hold_jobs(true);
+        return;
     case fault_kind::store_lost_answers:
         m_store.lose_answers(lost_answers);
         return;
@@ -345,6 +356,8 @@
         }
     } else if (fault.kind == fault_kind::store_silent || fault.kind == fault_kind::store_busy) {
         set_store(fault.kind, false);
+    } else if (fault.kind == fault_kind::store_holds_jobs) {
+        hold_jobs(false);
     } else if (fault.kind == fault_kind::store_lost_answers) {
         m_store.lose_answers(0);
     } else if (fault.kind == fault_kind::store_late_writes) {
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -89,6 +89,7 @@
     void apply_to_node(node_place& place, fault_kind kind);
     void mend_node(node_place& place, fault_kind kind);
     void set_store(fault_kind kind, bool on);
+    void hold_jobs(bool on);
     [[nodiscard]] fault_proxy* link_of(const planned_fault& fault);
 
     event_loop& m_loop;
@@ -102,6 +103,7 @@
     std::int64_t m_version = 2;
     std::uint32_t m_silent = 0;
     std::uint32_t m_busy = 0;
+    std::uint32_t m_holding = 0;
     std::vector<std::string> m_problems;
 };
 
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -226,15 +226,18 @@
     CHECK(overlaps > plan.size() / 4);
 }
 
-TEST_CASE(
-    "slow nodes come beside the faults that a seed has always given, for long enough that counts matter") {
+TEST_CASE("what fills the inbox comes beside the faults that a seed has always given, and lasts") {
     std::vector<planned_fault> plan = make_plan(7, 20s);
     const auto is_slow = [](const planned_fault& item) { return item.kind == fault_kind::node_slow; };
+    const auto holds = [](const planned_fault& item) { return item.kind == fault_kind::store_holds_jobs; };
     CHECK(std::ranges::count_if(plan, is_slow) == 6);
+    CHECK(std::ranges::count_if(plan, holds) == 2);
     for (const planned_fault& item : plan) {
         CHECK((!is_slow(item) || item.lasts >= 6s));
+        CHECK((!holds(item) || item.lasts >= 8s));
     }
     std::erase_if(plan, is_slow);
+    std::erase_if(plan, holds);
     REQUIRE(plan.size() == 31);
     CHECK(plan.front() ==
           planned_fault{.at = 15ms, .lasts = 4028ms, .kind = fault_kind::node_pause, .target = 57053});
