--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include "fakes/platform_store.hpp"
 #include "net/free_port.hpp"
 #include "net/loop_until.hpp"
+#include "platform/wire.hpp"
 #include "telemetry/test_log.hpp"
 
 #include <boost/json.hpp>
@@ -67,7 +68,7 @@
     http_server machines(loop, {}, [&](const std::shared_ptr<server_request>& request) {
         http_headers headers;
         headers.add("Content-Type", "application/json");
-        if (request->target() == "/v1/machine-move") {
+        if (request->target() == platform::wire::move_path) {
             ++moves;
             request->reply(200, headers, "{}");
             return;
--- a/tests/node/inbox_test.cpp
+++ b/tests/node/inbox_test.cpp
@@ -1,5 +1,7 @@
 #include "node/node_deployment.hpp"
 
+#include "platform/wire.hpp"
+
 using namespace siskinpaddle;
 using namespace siskinpaddle::tests;
 
@@ -46,9 +48,9 @@
     bool second_done = false;
     const std::size_t before = d.store.count("sp/job/");
     REQUIRE(before == 0);
-    const std::size_t calls = d.store.calls("/v1/kv-txn");
+    const std::size_t calls = d.store.calls(std::string(platform::wire::commit_path));
     send_submit(d, first_id, first, first_done);
-    REQUIRE(d.until([&] { return d.store.calls("/v1/kv-txn") > calls; }));
+    REQUIRE(d.until([&] { return d.store.calls(std::string(platform::wire::commit_path)) > calls; }));
     send_submit(d, job_id, second, second_done); // Waits behind the first one's write.
     d.leave_in_inbox("a", 1);
     REQUIRE(d.until([&] { return inbox_jobs(d) == 1; }));
@@ -77,9 +79,9 @@
     d.store.hold_writes("sp/job/");
     http_answer answer;
     bool done = false;
-    const std::size_t calls = d.store.calls("/v1/kv-txn");
+    const std::size_t calls = d.store.calls(std::string(platform::wire::commit_path));
     send_submit(d, job_id, answer, done);
-    REQUIRE(d.until([&] { return d.store.calls("/v1/kv-txn") > calls; }));
+    REQUIRE(d.until([&] { return d.store.calls(std::string(platform::wire::commit_path)) > calls; }));
     d.leave_in_inbox("a", 1);
     REQUIRE(d.until([&] { return inbox_jobs(d) == 1; }));
     d.store.hold_writes({});
