A busy node no longer takes its own delay for a silent store

Cause: silence was measured by the steady clock from when a call was sent. With turns of the loop of 200 ms an answer is read in the third or fourth turn, so the first calls looked unanswered for over 500 ms while the store answered each within milliseconds. Ruled out: a longer bound (hides real outages for every idle node), counting only calls that were sent (libevent doesn't tell). Change: silence is measured by a clock that goes on by one tick of 50 ms at most for each turn of the loop.

--- a/net/net.hpp
+++ b/net/net.hpp
@@ -9,5 +9,6 @@
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "net/http_types.hpp"
+#include "net/loop_clock.hpp"
 #include "net/stream.hpp"
 #include "net/udp_socket.hpp"
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -269,8 +269,7 @@
     for (const auto& [kind, calls] : m_store.calls()) {
         m_counters.set("store_calls_" + kind, calls);
     }
-    const timestamp unanswered = m_store.unanswered_since();
-    const milliseconds silence = unanswered == timestamp(0) ? 0ms : event_loop::now() - unanswered;
+    const milliseconds silence = m_store.silent_for(event_loop::now());
     m_counters.set("store_unanswered_ms", static_cast<std::uint64_t>(silence.count()));
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
     m_counters.set("loop_lag_ms",
--- a/node/store_health.hpp
+++ b/node/store_health.hpp
@@ -12,8 +12,7 @@
 /// call's timeout. Answers outages that swallow calls: each client would wait out its whole deadline and then
 /// come again.
 [[nodiscard]] inline bool store_is_failing(const platform::store_client& store, timestamp now) {
-    const timestamp since = store.unanswered_since();
-    return since != timestamp(0) && now - since >= store_failing_after;
+    return store.silent_for(now) >= store_failing_after;
 }
 
 } // namespace siskinpaddle::node
