--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -127,3 +127,39 @@
         }
     }
 }
+
+TEST_CASE("a call of an outage that fails after its end does not make the store look silent again") {
+    // Every client of the first second after an outage is refused once more, "the store fails", although the
+    // store answers. A call that was sent in the outage runs into its time-out just now, and the store
+    // counted as silent since that call was sent.
+    event_loop loop;
+    bool silent = true;
+    std::vector<std::shared_ptr<server_request>> unanswered;
+    http_server server(loop, {}, [&](const std::shared_ptr<server_request>& request) {
+        if (silent) {
+            unanswered.push_back(request);
+        } else {
+            request->reply(404, {}, "");
+        }
+    });
+    REQUIRE(server.listen({"127.0.0.1", 0}));
+    store_client client(loop, {"127.0.0.1", server.port()});
+    std::optional<milliseconds> silence_at_failure;
+    client.get("a", [&](const store_answer& answer) {
+        CHECK(answer.status == store_status::unknown);
+        silence_at_failure = client.silent_for(event_loop::now());
+    });
+    REQUIRE(loop_until(loop, [&] { return client.silent_for(event_loop::now()) >= 600ms; }));
+    silent = false;
+    bool answered = false;
+    client.get("b", [&](const store_answer&) { answered = true; });
+    REQUIRE(loop_until(loop, [&] { return answered; }));
+    CHECK_FALSE(silence_at_failure.has_value()); // The first call still waits.
+    CHECK(client.silent_for(event_loop::now()) < 300ms);
+    // Asked all along, the store answers all along.
+    REQUIRE(loop_until(loop, [&] {
+        client.get("c", [](const store_answer&) {});
+        return silence_at_failure.has_value();
+    }));
+    CHECK(*silence_at_failure < 300ms);
+}
