The machines' owner waits for its list before it begins the next round

Cause: with an owner dead a round waits 150 ms for its answer, rounds begin every 160 ms, and a list that comes after the next round has begun is dropped. So one dead owner stopped all moves of all pools, and a platform whose lists take over 160 ms stopped them for good. Change: a round isn't overtaken while its list is on the way, for a second at most. Tests: two in tests/node/fleet_test.cpp, seen failing on the code before.

--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds round_interval = 160ms;
 /// A round goes on without the owners that have not answered by then.
 constexpr milliseconds answers_bound = 150ms;
+/// Longest time that a round waits for the list of machines. A list takes some milliseconds, fifty times as
+/// long when the platform is slow, and several calls in a large fleet.
+constexpr milliseconds list_patience = 1s;
 /// A VM that was asked for is ordered away in a round of its own, right after its owner could take it out of
 /// its record: one write to the store, 6 ms.
 constexpr milliseconds at_once = 15ms;
@@ -79,6 +82,7 @@
 
 void fleet_task::ask_pools() {
     ++m_round;
+    m_round_began_at = event_loop::now();
     m_demands.clear();
     m_empty_vms.clear();
     const std::vector<std::string> pools = m_parts.configuration.current().working_pools();
@@ -122,12 +126,17 @@
     }
 }
 
+/// The next round waits for the list. Guards against rounds that overtake themselves: with one pool's owner
+/// dead a round waits for its answer for almost the whole interval, the list came after the next round had
+/// begun and was dropped, and no pool got a machine until that owner was replaced, 2.2 s later.
 void fleet_task::list_machines() {
+    m_timer->start(list_patience);
     m_parts.machines.list(
         [this, round = m_round, alive = m_lifetime.watch()](const platform::machine_list& list) {
-            if (alive.expired() || round != m_round) {
+            if (alive.expired() || round != m_round || m_stopped) {
                 return;
             }
+            m_timer->start(std::max(0ms, m_round_began_at + round_interval - event_loop::now()));
             if (!list.good) {
                 log_event(event_id::machines_unknown, {{"round", round}});
                 return;
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -95,6 +95,7 @@
     std::unique_ptr<timer> m_answers_bound;
 
     std::uint64_t m_round = 0;
+    timestamp m_round_began_at{0};
     std::set<std::string> m_unanswered; ///< Pools whose owners have not answered in this round.
     std::map<std::string, jobs::pool_demand> m_demands; ///< As answered in this round.
     struct latest_demand {
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -37,8 +37,12 @@
     queue.target_latency = 5s;
     jobs::fleet_configuration result;
     result.version = 2;
-    result.queues = {queue};
-    result.pools = {{"p", false}, {"spare", true}};
+    jobs::queue_settings other = queue;
+    other.name = "fares";
+    other.prefix = "/fares/";
+    other.pool = "q";
+    result.queues = {queue, other};
+    result.pools = {{"p", false}, {"q", false}, {"spare", true}};
     result.max_body_bytes = 65'536;
     return platform::encode_configuration(result);
 }
@@ -58,13 +62,21 @@
     return answer;
 }
 
-/// Whether a machine is ordered into the pool whose owner takes that long to answer.
-bool pool_gets_machines(milliseconds owner_takes) {
+/// How long those take to answer whom the machines' owner asks.
+struct answer_times {
+    milliseconds owner{20};  ///< Of the pool that needs machines.
+    milliseconds list{0};    ///< The platform, for its list of machines.
+    bool other_owner = true; ///< Whether the owner of another pool answers at all.
+};
+
+/// Whether a machine is ordered into the pool that needs them.
+bool pool_gets_machines(const answer_times& times) {
     event_loop loop;
     fakes::platform_store store(loop);
     REQUIRE(store.listen({"127.0.0.1", 0}));
     store.put(std::string(platform::configuration_key), configuration());
     int moves = 0;
+    std::vector<std::unique_ptr<timer>> answers;
     http_server machines(loop, {}, [&](const std::shared_ptr<server_request>& request) {
         http_headers headers;
         headers.add("Content-Type", "application/json");
@@ -75,7 +87,10 @@
         }
         const boost::json::array all{machine("m1", "p"), machine("m2", "p"), machine("m3", "spare"),
                                      machine("m4", "spare")};
-        request->reply(200, headers, boost::json::serialize(boost::json::object{{"machines", all}}));
+        answers.push_back(loop.make_timer([request, headers, all] {
+            request->reply(200, headers, boost::json::serialize(boost::json::object{{"machines", all}}));
+        }));
+        answers.back()->start(times.list);
     });
     REQUIRE(machines.listen({"127.0.0.1", 0}));
     node::node_settings settings;
@@ -90,11 +105,14 @@
     platform::machine_client machine_client(loop, {"127.0.0.1", machines.port()});
     node::configuration_task configured(loop, client, [] {});
     std::unique_ptr<node::fleet_task> fleet;
-    std::vector<std::unique_ptr<timer>> answers;
     std::unique_ptr<node::membership_task> membership;
-    const auto ask_pool = [&](const node::peer_request&, const node::peer_server::reply& done) {
-        answers.push_back(loop.make_timer([done] { done(full_pool()); }));
-        answers.back()->start(owner_takes);
+    const auto ask_pool = [&](const node::peer_request& request, const node::peer_server::reply& done) {
+        if (request.pool == "p") {
+            answers.push_back(loop.make_timer([done] { done(full_pool()); }));
+            answers.back()->start(times.owner);
+        } else if (times.other_owner) {
+            done(node::answer_of(node::peer_outcome::ok));
+        }
     };
     membership = std::make_unique<node::membership_task>(
         loop, settings, client,
@@ -123,6 +141,24 @@
     start_test_log();
     for (const milliseconds owner_takes : {20ms, 100ms, 250ms}) {
         INFO("the pool's owner answers after ", owner_takes.count(), " ms");
-        CHECK(pool_gets_machines(owner_takes));
+        CHECK(pool_gets_machines({.owner = owner_takes}));
     }
 }
+
+TEST_CASE("a pool gets machines while another pool's owner is dead") {
+    // A turn of demand begins while a node is dead or cut off that owns another pool: the pool's callers are
+    // late or turned away for two seconds, and spares stand idle. The machines' owner waits 150 ms for the
+    // dead one, and drops the list of machines that comes after its next round has begun, each time.
+    start_test_log();
+    for (const milliseconds list_takes : {0ms, 20ms, 200ms}) {
+        INFO("the list of machines takes ", list_takes.count(), " ms");
+        CHECK(pool_gets_machines({.list = list_takes, .other_owner = false}));
+    }
+}
+
+TEST_CASE("a list of machines that takes longer than a round is used") {
+    // The platform is slow, fifty times its usual few milliseconds: no pool gets a machine for as long as it
+    // lasts, since each list comes after the next round has begun.
+    start_test_log();
+    CHECK(pool_gets_machines({.list = 300ms}));
+}
