--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -107,7 +107,7 @@
 /// a replayed turn of three times the room, whose machines come after 2.5 s, 28 of 150 jobs were refused and
 /// 120 ended in time; with this none is refused, 133 end in time and 17 late. Mean worth of six days 0.556
 /// without it, 0.586 with it (four plays each). Accepting late jobs without such machines serves fewer in
-/// time: at twice a day's load the share of worth that is earned fell from 0.52 to 0.46.
+/// time: at twice a day's load the share of worth that is earned fell from 0.51 to 0.46.
 [[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
                                       std::int64_t longest_chain_ms, const pool_load& load);
 
