Starts go out no faster than they are answered; stops are not repeated to VMs that don't answer

A pool gets a hundred VMs within a second, its owner (0.12 cores, 2 Mbit/s) sends 250 to 668 starts in one turn, 110 to 150 KB of the 250 KB that its link carries in a second. Change: a window of 32 KB of starts without an answer, each counted for 0.3 s at most; it opens again when half of it is free. A stop is repeated only to a VM that answers. Ruled out: a count in place of bytes (payloads may have 4 KB); a window that adapts (a fixed one keeps the queue of the narrowest link at an eighth of a second). Tests: with both guards taken out three of the four new cases fail.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -14,6 +14,7 @@
 #include "jobs/placement.hpp"
 #include "jobs/queue_count.hpp"
 #include "jobs/scheduler.hpp"
+#include "jobs/start_window.hpp"
 #include "jobs/upkeep.hpp"
 #include "jobs/vm.hpp"
 #include "jobs/vm_record.hpp"
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -27,7 +27,7 @@
 
 scheduler::scheduler(scheduler_settings settings, std::uint32_t epoch, timestamp now)
     : m_settings(settings), m_first_attempt(epoch * settings.attempts_per_epoch),
-      m_unaccounted_until(now + settings.unaccounted_window) {}
+      m_unaccounted_until(now + settings.unaccounted_window), m_starts_on_way(settings.starts) {}
 
 const queue_settings* scheduler::queue_of(const job_state& job) const {
     const auto found = std::ranges::find(m_queues, job.spec().queue, &queue_settings::name);
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -4,6 +4,7 @@
 #include "jobs/label_meters.hpp"
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/start_window.hpp"
 #include "jobs/work_gauge.hpp"
 
 #include <deque>
@@ -27,6 +28,7 @@
     std::size_t busy_runs = 3; ///< Runs that end by themselves; a VM with so many is looked at closely.
     std::uint32_t attempts_per_epoch = 1000; ///< Attempt numbers of one owner; its successor's are higher.
     placement_settings placement;
+    start_window_settings starts;
 };
 
 /// Start a run.
@@ -145,6 +147,9 @@
     /// only then does silence of a VM prove anything, since a successor that reaches it would renew its
     /// lease.
     [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms, bool certain);
+    /// Starts were held back until earlier ones are answered, and enough of these are. To be asked with each
+    /// answer, so that the next decision comes at once.
+    [[nodiscard]] bool may_start_more() const noexcept { return m_starts_on_way.reopens(); }
     [[nodiscard]] pool_load load() const;
     /// What the pool needs, and its VMs.
     [[nodiscard]] pool_demand demand(timestamp now);
@@ -237,6 +242,7 @@
     std::size_t m_obtainable_vms = 0;
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
+    start_window m_starts_on_way;
     decisions m_out;
 };
 
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -91,7 +91,9 @@
                 const bool stopping =
                     item.phase == run_phase::stopping ||
                     (item.phase == run_phase::unsettled && item.stop_sent_at != timestamp(0));
-                if (stopping && item.stop_acked_at == timestamp(0) &&
+                // Not to a VM that doesn't answer: its lease renewals find out when it does, and stops
+                // repeated for all that may run there would fill a narrow link.
+                if (stopping && vm.reachable && item.stop_acked_at == timestamp(0) &&
                     now - item.stop_sent_at >= m_settings.stop_repeat) {
                     stop_run(id, item, now);
                 }
@@ -110,7 +112,8 @@
 
 void scheduler::stop_orphans(vm_state& vm, timestamp now) {
     for (orphan_run& orphan : vm.orphans()) {
-        if (orphan.stop_sent_at == timestamp(0) || now - orphan.stop_sent_at >= m_settings.stop_repeat) {
+        const bool repeat = vm.reachable && now - orphan.stop_sent_at >= m_settings.stop_repeat;
+        if (orphan.stop_sent_at == timestamp(0) || repeat) {
             orphan.stop_sent_at = now;
             m_out.stops.push_back({vm.info().incarnation, orphan.task, orphan.attempt});
         }
@@ -255,6 +258,9 @@
         if (task.done || !task.runs.empty() || (task.unaccounted && !step.speculative)) {
             continue;
         }
+        if (!m_starts_on_way.open(now)) {
+            return;
+        }
         if (!place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, step.data_rack, now)) {
             return; // All tasks of a step are alike: where one finds no room, none does.
         }
@@ -280,6 +286,7 @@
     vm->add_task(id, counted_need(step), step.endless);
     const std::string ticket = advice == nullptr ? std::string() : *advice->ticket(item.vm, now);
     m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, ticket});
+    m_starts_on_way.sent(id, attempt, job.spec().payload.size(), now);
     job.add_run(id, std::move(item));
     return true;
 }
@@ -312,7 +319,7 @@
 /// end when they wait too long.
 void scheduler::place_gang(job_state& job, step_place place, timestamp now) {
     const step_spec& step = job.spec().steps[place.step];
-    if (job.idle(place) != step.count) {
+    if (job.idle(place) != step.count || !m_starts_on_way.open(now)) {
         return;
     }
     std::uint32_t attempt = m_first_attempt;
@@ -338,6 +345,7 @@
         while (m_out.starts.size() > before) {
             const start_order order = m_out.starts.back();
             m_out.starts.pop_back();
+            m_starts_on_way.settled(order.task, order.attempt);
             drop_run(job, order.task, order.attempt, order.vm, now);
         }
         return;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -114,6 +114,7 @@
                                timestamp now) {
     const auto job = m_jobs.find(order.task.job);
     const auto vm = m_vms.find(order.vm);
+    m_starts_on_way.settled(order.task, order.attempt);
     if (vm != m_vms.end() && clock_ms > 0) {
         vm->second.heard(clock_ms, now);
     }
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -204,19 +204,19 @@
 void pool_task::send_start(const jobs::start_order& order) {
     const auto vm = m_scheduler.vms().find(order.vm);
     const jobs::job_state* job = m_scheduler.find_job(order.task.job);
-    m_parts.vms.start(vm->second.info(), m_held.token, order, job->spec().payload,
-                      [this, order, token = m_held.token,
-                       alive = m_lifetime.watch()](const platform::order_answer& answer) {
-                          if (alive.expired()) {
-                              return;
-                          }
-                          m_scheduler.start_answered(order, answer.outcome, answer.clock_ms,
-                                                     event_loop::now());
-                          check_answer(order.vm, answer.outcome, "start", order.task, order.attempt, token);
-                          if (answer.outcome != jobs::order_outcome::accepted) {
-                              decide_soon();
-                          }
-                      });
+    m_parts.vms.start(
+        vm->second.info(), m_held.token, order, job->spec().payload,
+        [this, order, token = m_held.token,
+         alive = m_lifetime.watch()](const platform::order_answer& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            m_scheduler.start_answered(order, answer.outcome, answer.clock_ms, event_loop::now());
+            check_answer(order.vm, answer.outcome, "start", order.task, order.attempt, token);
+            if (answer.outcome != jobs::order_outcome::accepted || m_scheduler.may_start_more()) {
+                decide_soon();
+            }
+        });
 }
 
 void pool_task::send_stop(const jobs::stop_order& order) {
--- a/tests/jobs/pool_bench.hpp
+++ b/tests/jobs/pool_bench.hpp
@@ -94,11 +94,16 @@
     std::vector<start_order> start_all(bool certain = true) {
         std::vector<start_order> starts = decide(certain).starts;
         for (const start_order& order : starts) {
-            m_scheduler.start_answered(order, order_outcome::accepted, vm_clock(), m_now);
+            accept(order);
         }
         return starts;
     }
 
+    /// The VM accepts the start.
+    void accept(const start_order& order) {
+        m_scheduler.start_answered(order, order_outcome::accepted, vm_clock(), m_now);
+    }
+
     void pass(milliseconds time) { m_now += time; }
 
     /// Stores all that has changed.
--- /dev/null
+++ b/tests/jobs/start_window_test.cpp
@@ -0,0 +1,90 @@
+#include "jobs/pool_bench.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+constexpr std::size_t many_vms = 20;
+constexpr std::uint32_t many_tasks = 640;
+
+/// Twenty VMs of 32 cores with room for all tasks of one job.
+pool_bench pool_with_room() {
+    pool_bench b;
+    for (std::size_t i = 0; i < many_vms; ++i) {
+        b.vm("v" + std::to_string(i));
+    }
+    b.job("j", {pool_bench::step(many_tasks)});
+    return b;
+}
+
+std::size_t bytes_of(const std::vector<start_order>& starts) {
+    const start_window_settings settings;
+    return starts.size() * (settings.overhead_bytes + std::string("payload").size());
+}
+
+} // namespace
+
+TEST_CASE("starts go out no faster than they are answered") {
+    // Callers of a busy pool see nothing start for seconds, and then everything twice. A hundred VMs had come
+    // at once, the owner sent them 668 starts in one turn, and its link of 2 Mbit/s took three seconds for
+    // these: all timed out, were stopped and sent anew, and the owner's own lease renewal timed out behind
+    // them.
+    pool_bench b = pool_with_room();
+    const start_window_settings settings;
+    std::size_t started = 0;
+    for (int turn = 0; turn < 100 && started < many_tasks; ++turn) {
+        const decisions wanted = b.decide();
+        CHECK(bytes_of(wanted.starts) <= settings.most_bytes + settings.overhead_bytes + 7);
+        CHECK(!wanted.starts.empty());
+        started += wanted.starts.size();
+        for (const start_order& order : wanted.starts) {
+            b.accept(order);
+        }
+    }
+    CHECK(started == many_tasks);
+}
+
+TEST_CASE("starts that wait for answers are decided on again when half of them are answered") {
+    pool_bench b = pool_with_room();
+    const std::vector<start_order> first = b.decide().starts;
+    REQUIRE(first.size() < many_tasks);
+    CHECK(b.decide().starts.empty());
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        CHECK(b.pool().may_start_more() == (i > first.size() / 2));
+        b.accept(first[i]);
+    }
+    CHECK(b.pool().may_start_more());
+    CHECK(!b.decide().starts.empty());
+}
+
+TEST_CASE("VMs that don't answer hold the starts of others up for a moment only") {
+    // A rack loses power while a turn of demand begins. The starts on their way to it are never answered; the
+    // rest of the pool must not wait for their timeout.
+    pool_bench b = pool_with_room();
+    const std::size_t first = b.decide().starts.size();
+    REQUIRE(first < many_tasks);
+    b.pass(start_window_settings{}.answer_patience + 1ms);
+    CHECK(b.decide().starts.size() == first);
+}
+
+TEST_CASE("stops are not repeated to a VM that doesn't answer") {
+    // A VM is cut off while a dozen cancelled tasks run there. Repeated every 0.6 s for each of them, the
+    // stops of a whole zone take up the link of the pool's owner; they can't arrive, and the VM's lease ends
+    // the runs.
+    pool_bench b;
+    b.vm("v1");
+    b.job("j", {pool_bench::step(4)});
+    const std::vector<start_order> starts = b.decide().starts;
+    for (const start_order& order : starts) {
+        b.accept(order);
+    }
+    b.pool().cancel("j", b.now());
+    CHECK(b.decide().stops.size() == starts.size());
+    b.pool().vm_unreachable("v1");
+    b.pass(700ms);
+    CHECK(b.decide().stops.empty());
+    b.report("v1", {pool_bench::running(starts.front())});
+    b.pass(1ms);
+    CHECK(!b.decide().stops.empty());
+}
