What an owner gets started in a second counts for admission and for the VMs that its pool asks for

Admission counted by cores and saw 2 to 3 s of wait; the pool asked for more VMs, which others lacked. Change: while starts are held back for 0.4 s or longer, the work started in a second bounds the room that admission counts with, and the need that is told.

--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -66,10 +66,21 @@
     return rank;
 }
 
+std::int64_t pool_load::usable_part(std::int64_t need_millicores) const noexcept {
+    if (!sustained_millicores) {
+        return need_millicores;
+    }
+    return std::min(need_millicores, endless_millicores + *sustained_millicores);
+}
+
+/// Room for work that waits, with `further` beside the VMs that take work now.
+std::int64_t pool_load::serving_millicores(std::int64_t further) const noexcept {
+    const std::int64_t room = usable_millicores - endless_millicores + further;
+    return std::max<std::int64_t>(1, std::min(room, sustained_millicores.value_or(room)));
+}
+
 milliseconds pool_load::wait() const noexcept {
-    const std::int64_t millicores =
-        std::max<std::int64_t>(1, usable_millicores - endless_millicores + arriving_millicores);
-    return milliseconds(waiting_work / millicores);
+    return milliseconds(waiting_work / serving_millicores(arriving_millicores));
 }
 
 milliseconds pool_load::shortest_wait() const noexcept {
@@ -77,10 +88,9 @@
     if (as_is <= machine_lead) {
         return as_is;
     }
-    const std::int64_t millicores =
-        std::max<std::int64_t>(1, usable_millicores - endless_millicores + arriving_millicores);
-    const std::int64_t left = waiting_work - millicores * machine_lead.count();
-    return machine_lead + milliseconds(left / (millicores + obtainable_millicores));
+    const std::int64_t left = waiting_work - serving_millicores(arriving_millicores) * machine_lead.count();
+    return machine_lead +
+           milliseconds(left / serving_millicores(arriving_millicores + obtainable_millicores));
 }
 
 void demand_meter::arrived(const std::string& job, std::int64_t work, timestamp now) {
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace siskinpaddle::jobs {
 
@@ -40,6 +41,9 @@
     std::int64_t used_millicores = 0;    ///< ... the room that runs take there ...
     std::int64_t endless_millicores = 0; ///< ... and the part of it that long-running tasks keep.
     std::size_t usable_vms = 0;
+    /// What the owner can keep at work, where it gets starts out more slowly than there is room: its link or
+    /// its processor binds, and VMs beyond that would idle.
+    std::optional<std::int64_t> sustained_millicores;
 
     std::int64_t arriving_millicores = 0;   ///< Of VMs that are on their way to the pool ...
     std::int64_t obtainable_millicores = 0; ///< ... and of machines that no pool wants just now.
@@ -49,10 +53,15 @@
     [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
         return used_millicores + (runnable_work + coming_work) / drain_time_ms;
     }
+    /// The part of a need that the owner can make use of.
+    [[nodiscard]] std::int64_t usable_part(std::int64_t need_millicores) const noexcept;
     /// How long the pool takes for the work that waits, with the machines that are on their way.
     [[nodiscard]] milliseconds wait() const noexcept;
     /// The same, with the machines that can be had as well once they have come.
     [[nodiscard]] milliseconds shortest_wait() const noexcept;
+
+  private:
+    [[nodiscard]] std::int64_t serving_millicores(std::int64_t further) const noexcept;
 };
 
 /// How long machines take to come: a round of their owner, and the 1.8 s from the order to the first task.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -74,6 +74,7 @@
             largest = std::max(largest, vm.info().capacity.cpu_millicores);
         }
     }
+    load.sustained_millicores = m_sustained_millicores;
     load.arriving_millicores = largest * static_cast<std::int64_t>(m_arriving_vms);
     load.obtainable_millicores = largest * static_cast<std::int64_t>(m_obtainable_vms);
     return load;
@@ -83,8 +84,8 @@
     pool_demand result;
     const pool_load present = load();
     m_demand.update(present.wanted_millicores(), present.endless_millicores, now);
-    result.need_millicores = m_demand.present();
-    result.keep_millicores = m_demand.kept();
+    result.need_millicores = present.usable_part(m_demand.present());
+    result.keep_millicores = present.usable_part(m_demand.kept());
     result.least_vms = vms_for_endless(present.usable_vms);
     result.labels = m_labels.update(wanted_by_label(now), now);
     for (const auto& [name, vm] : m_vms) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -243,6 +243,8 @@
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
     start_window m_starts_on_way;
+    std::optional<std::int64_t>
+        m_sustained_millicores; ///< While starts are held back; as of the last decision.
     decisions m_out;
 };
 
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -210,6 +210,10 @@
             }
         });
     }
+    if (m_starts_on_way.open(now)) {
+        m_starts_on_way.caught_up();
+    }
+    m_sustained_millicores = m_starts_on_way.sustained_millicores(now);
 }
 
 /// What is still waiting after placing. Work that is late already doesn't stand before anybody, and neither
@@ -286,7 +290,8 @@
     vm->add_task(id, counted_need(step), step.endless);
     const std::string ticket = advice == nullptr ? std::string() : *advice->ticket(item.vm, now);
     m_out.starts.push_back({item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, ticket});
-    m_starts_on_way.sent(id, attempt, job.spec().payload.size(), now);
+    m_starts_on_way.sent(id, attempt, job.spec().payload.size(),
+                         step.endless ? 0 : work_of(step, 1, job.spec().queue, m_gauge), now);
     job.add_run(id, std::move(item));
     return true;
 }
--- a/jobs/start_window.hpp
+++ b/jobs/start_window.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace siskinpaddle::jobs {
 
@@ -17,6 +18,10 @@
     /// A start without an answer counts for this long. Beyond it the VM is silent rather than the link slow,
     /// and a few silent VMs must not hold up the starts of all others.
     milliseconds answer_patience = 300ms;
+    milliseconds rate_span = 1s; ///< Over which the rate of starts is taken ...
+    /// ... and how long starts must have been held back for it to mean anything: a burst that goes out at
+    /// once says nothing about a rate.
+    milliseconds least_span = 400ms;
 };
 
 /// Bounds the starts that are on their way to a pool's VMs. Answers an owner on a narrow link or a slow
@@ -28,12 +33,19 @@
   public:
     explicit start_window(start_window_settings settings = {}) : m_settings(settings) {}
 
-    void sent(const task_id& task, std::uint32_t attempt, std::size_t payload_bytes, timestamp now);
+    /// `work`: of the task, millicore-milliseconds.
+    void sent(const task_id& task, std::uint32_t attempt, std::size_t payload_bytes, std::int64_t work,
+              timestamp now);
     /// The start was answered, or given up.
     void settled(const task_id& task, std::uint32_t attempt);
     /// Whether another start may be sent. After it was full once it opens again when half of it is free, so
     /// that starts go out in batches rather than one with each answer.
     [[nodiscard]] bool open(timestamp now);
+    /// To be called when all that waited was placed, as far as there is room.
+    void caught_up() noexcept { m_held_since.reset(); }
+    /// Millicores that starts keep at work when they go out as fast as they are answered; nothing while the
+    /// window does not hold any back, or has done so only for a moment.
+    [[nodiscard]] std::optional<std::int64_t> sustained_millicores(timestamp now);
     /// Starts were held back, and there is room for the next ones.
     [[nodiscard]] bool reopens() const noexcept { return m_full && m_bytes < m_settings.most_bytes / 2; }
 
@@ -45,12 +57,19 @@
         timestamp sent_at{0};
     };
 
+    struct started_work {
+        std::int64_t work = 0;
+        timestamp at{0};
+    };
+
     void forget_silent(timestamp now);
 
     start_window_settings m_settings;
     std::deque<entry> m_entries; ///< By the time at which they were sent.
     std::size_t m_bytes = 0;
     bool m_full = false;
+    std::optional<timestamp> m_held_since; ///< Starts have been held back ever since.
+    std::deque<started_work> m_started;    ///< Of the last moments, by time.
 };
 
 } // namespace siskinpaddle::jobs
--- a/tests/jobs/start_window_test.cpp
+++ b/tests/jobs/start_window_test.cpp
@@ -88,3 +88,38 @@
     b.pass(1ms);
     CHECK(!b.decide().stops.empty());
 }
+
+TEST_CASE("a pool whose owner gets starts out slowly counts as slow, and asks for no more VMs") {
+    // Callers are told that their jobs are accepted and wait for six seconds, while other pools lack the VMs
+    // that idle here: the pool has room for all that waits, but its owner's link lets out a fifth of the
+    // starts that would fill it. Counted by room the queue looks short, and further VMs seem to help.
+    pool_bench b = pool_with_room();
+    const std::int64_t room = b.pool().load().usable_millicores;
+    b.job("k", {pool_bench::step(many_tasks)});
+    std::vector<start_order> unanswered;
+    for (int turn = 0; turn < 6; ++turn) {
+        const std::vector<start_order> starts = b.decide().starts;
+        unanswered.insert(unanswered.end(), starts.begin(), starts.end());
+        b.pass(100ms);
+        // A third of the window is answered in a tenth of a second.
+        const std::size_t answered = std::min<std::size_t>(27, unanswered.size());
+        for (std::size_t i = 0; i < answered; ++i) {
+            b.accept(unanswered[i]);
+        }
+        unanswered.erase(unanswered.begin(), unanswered.begin() + static_cast<std::ptrdiff_t>(answered));
+    }
+    const pool_load load = b.pool().load();
+    REQUIRE(load.sustained_millicores);
+    CHECK(*load.sustained_millicores < room);
+    CHECK(load.wait().count() == load.waiting_work / *load.sustained_millicores);
+    CHECK(b.pool().demand(b.now()).need_millicores <= *load.sustained_millicores);
+}
+
+TEST_CASE("a burst that goes out at once says nothing about a rate") {
+    pool_bench b = pool_with_room();
+    for (int turn = 0; turn < 20; ++turn) {
+        b.start_all();
+        b.pass(5ms);
+    }
+    CHECK(!b.pool().load().sustained_millicores);
+}
