--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/read_on.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <event2/buffer.h>
@@ -53,6 +54,7 @@
 
 struct http_client::connection {
     endpoint to;
+    exchange* user = nullptr; ///< The exchange that it serves now.
     evhttp_connection* handle = nullptr;
     bool wrote = false; ///< Bytes of the present request were handed to the socket.
     bool resets_on_close = false;
@@ -83,10 +85,7 @@
         item->owner->m_bytes_sent += info->n_added;
     }
 
-    static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self) {
-        const auto* item = static_cast<connection*>(self);
-        read_on(input, bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle)), info->n_added);
-    }
+    static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self);
 
     /// However the connection ends, also with the process, what the kernel still holds of it is dropped.
     /// Answers requests that are held up by a partition: closed in order, the connection would deliver them
@@ -110,6 +109,7 @@
     void start() {
         m_connection = m_owner.take_connection(m_call.to, m_call.fresh_connection);
         m_connection->wrote = false;
+        m_connection->user = this;
         m_request = evhttp_request_new(on_complete, this);
         evhttp_request_set_error_cb(m_request, on_error);
         evkeyvalq* fields = evhttp_request_get_output_headers(m_request);
@@ -128,7 +128,20 @@
     }
 
     callback take_callback() { return std::move(m_done); }
-    std::unique_ptr<connection> take_connection() { return std::move(m_connection); }
+    std::unique_ptr<connection> take_connection() {
+        m_connection->user = nullptr;
+        return std::move(m_connection);
+    }
+
+    /// A part of the answer has come. Over a narrow link a large answer takes longer than a silent peer may:
+    /// given up half read and asked for again, it would never arrive.
+    void received_part() {
+        if (m_ended || m_call.longest <= m_call.timeout) {
+            return;
+        }
+        const milliseconds left = m_began_at + m_call.longest - event_loop::now();
+        m_deadline.start(std::clamp(left, 0ms, m_call.timeout));
+    }
 
   private:
     static void on_error(evhttp_request_error error, void* self) {
@@ -210,8 +223,17 @@
     evhttp_request_error m_error = EVREQ_HTTP_EOF;
     bool m_failed = false;
     bool m_ended = false;
+    timestamp m_began_at = event_loop::now();
 };
 
+void http_client::connection::on_input(evbuffer* input, const evbuffer_cb_info* info, void* self) {
+    const auto* item = static_cast<connection*>(self);
+    if (info->n_added > 0 && item->user != nullptr) {
+        item->user->received_part();
+    }
+    read_on(input, bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle)), info->n_added);
+}
+
 http_client::http_client(event_loop& loop, http_client_limits limits) : m_loop(loop), m_limits(limits) {
     m_idle_timer = loop.make_timer([this] { drop_idle(); });
     m_idle_timer->start(m_limits.max_idle_time);
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -37,6 +37,9 @@
     http_headers headers;
     std::string body;
     milliseconds timeout{1000};
+    /// An answer that goes on arriving may take this long in all; `timeout` then bounds its pauses. Zero: the
+    /// whole exchange ends within `timeout`.
+    milliseconds longest{0};
     /// Use a new connection. A kept one may be closed by the other side just as the request is sent, which
     /// leaves open whether it ran; a request that must not run twice can't be sent again then.
     bool fresh_connection = false;
--- a/tests/net/raw_server.hpp
+++ b/tests/net/raw_server.hpp
@@ -44,6 +44,13 @@
         return {"127.0.0.1", ntohs(bound.sin_port)};
     }
 
+    /// Sends more on all open connections.
+    void send_more(const std::string& bytes) {
+        for (bufferevent* item : m_open) {
+            bufferevent_write(item, bytes.data(), bytes.size());
+        }
+    }
+
     int requests = 0; ///< Request heads that arrived.
     int resets = 0;   ///< Connections that the client reset ...
     int closes = 0;   ///< ... or closed in order, so that all it ever sent still arrives.
