Entries refuse for pools that turned jobs away just before, in place of leaving jobs in a silent owner's inbox

An owner that answers late counts as silent for a second; what came then was left in its inbox, which nobody judges. Change: an entry remembers a pool's refusal for load for two seconds, as long as a dead owner takes to be replaced. If the owner can't be asked meanwhile, the job is looked up in the store and refused with the owner's Retry-After if it isn't there. What was sent to an owner and not answered goes on being left in the inbox: a refusal of it might not be true.

--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds retry_after_start = 1s;
 /// An owner that did not answer is not asked again for this long; the store is, at once.
 constexpr milliseconds silent_owner_pause = 1s;
+/// A pool that was overloaded counts as such for this long, as long as a dead owner takes to be replaced.
+constexpr milliseconds overload_memory = 2s;
 /// Above the largest body that a configuration allows so far; the configured bound is checked per call.
 constexpr std::size_t largest_body = 1U << 20U;
 
@@ -175,27 +177,54 @@
 void ingress_task::submit_answered(const client_context& client, const peer_answer& answer) {
     switch (outcome_of(answer)) {
     case peer_outcome::ok:
+        m_overloads.erase(client.call.pool);
         observe(client, "ok");
         platform::answer_accepted(*client.request);
         return;
     case peer_outcome::overloaded:
+        m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
         refuse_for_load(client, answer);
         return;
+    case peer_outcome::unknown:
+        submit_by_store(client, true);
+        return;
     default:
-        submit_by_store(client, outcome_of(answer) == peer_outcome::unknown);
+        if (const overload* recent = recent_overload(client.call.pool)) {
+            refuse_unless_stored(client, recent->retry_after);
+            return;
+        }
+        submit_by_store(client, false);
         return;
     }
 }
 
+/// Whether the pool's owner lately turned jobs away. Answers an owner that is silent because it is
+/// overloaded: what is left in its inbox then is accepted without its judgement, hundreds of jobs a second
+/// that nobody has room for.
+const ingress_task::overload* ingress_task::recent_overload(const std::string& pool) const {
+    const auto found = m_overloads.find(pool);
+    const bool recent = found != m_overloads.end() && event_loop::now() - found->second.at <= overload_memory;
+    return recent ? &found->second : nullptr;
+}
+
+void ingress_task::refuse_overloaded(const client_context& client, milliseconds retry_after) {
+    observe(client, "overloaded");
+    platform::answer_overloaded(*client.request, retry_after);
+}
+
 /// Tells that the job is not accepted. An owner whose copy of the inbox is old may have judged the repeat of
 /// a job that lies there, and that it will run: then the store is asked first.
 void ingress_task::refuse_for_load(const client_context& client, const peer_answer& answer) {
     const milliseconds retry_after(answer.retry_after_ms);
     if (milliseconds(answer.age_ms) <= jobs::oldest_count) {
-        observe(client, "overloaded");
-        platform::answer_overloaded(*client.request, retry_after);
+        refuse_overloaded(client, retry_after);
         return;
     }
+    refuse_unless_stored(client, retry_after);
+}
+
+/// An earlier try of the same job may have been accepted although its client heard nothing.
+void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after) {
     look_up_job(m_parts.store, client.call.pool, client.call.job,
                 [this, client, retry_after, alive = m_lifetime.watch()](const lookup_answer& found) {
                     if (alive.expired()) {
@@ -207,8 +236,7 @@
                         observe(client, "ok");
                         platform::answer_accepted(*client.request);
                     } else {
-                        observe(client, "overloaded");
-                        platform::answer_overloaded(*client.request, retry_after);
+                        refuse_overloaded(client, retry_after);
                     }
                 });
 }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -61,6 +61,11 @@
         std::uint64_t jobs = 0;
         timestamp at{0};
     };
+    /// The latest refusal of a pool's owner for load.
+    struct overload {
+        timestamp at{0};
+        milliseconds retry_after{0};
+    };
     struct inbox_write {
         client_context client;
         timestamp sent_at;
@@ -76,6 +81,9 @@
     void count_answered(const client_context& client, const peer_answer& answer);
     void tell_count(const client_context& client, const cached_count& count, std::string_view from);
     void refuse_for_load(const client_context& client, const peer_answer& answer);
+    void refuse_unless_stored(const client_context& client, milliseconds retry_after);
+    void refuse_overloaded(const client_context& client, milliseconds retry_after);
+    [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
     void submit_by_store(const client_context& client, bool may_be_stored);
     void status_by_store(const client_context& client);
     void cancel_by_store(const client_context& client);
@@ -89,6 +97,7 @@
     timestamp m_reached_store_at{0};
     std::map<std::string, timestamp> m_silent_owners;    ///< Incarnation -> until when it is not asked.
     std::map<std::string, cached_count> m_counts;        ///< By queue.
+    std::map<std::string, overload> m_overloads;         ///< By pool.
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Whose clients have no answer yet.
     std::uint64_t m_next_write = 1;
     lifetime m_lifetime;
