Late work keeps a share of its pool's room, and gets machines that nobody needs

Cause: jobs past their objective counted for nothing: they asked for no machines, and admission promised all room to new jobs, which overtake. Change: admission leaves up to a quarter of the room to late work; a pool tells the capacity that its late work can use beside its need, and the plan of machines fills it from machines that no pool needs. Ruled out: late work in the need itself (a pool with a hundred late jobs would ask for twice the fleet, which pools whose callers can still be in time would lack). Tests: order and balance, each with its story.

--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -23,6 +23,7 @@
     std::size_t least = 0;                         ///< It keeps these whatever others need.
     std::size_t wanted = 0;                        ///< Its share of what there is, by its need now.
     std::size_t keep = 0;                          ///< Above this it gives machines back.
+    std::size_t late = 0;                          ///< It can use so many more for work that is late.
     std::vector<const balance_machine*> idle;      ///< May leave at once.
     std::vector<const balance_machine*> clearable; ///< May leave when their short runs have ended.
 
@@ -124,6 +125,7 @@
     account.least = std::max({settings.least_vms, hosts, static_cast<std::size_t>(demand.least_vms)});
     account.wanted = std::max(account.least, vms_for(demand.need_millicores, each, settings));
     account.keep = std::max(account.wanted, vms_for(demand.keep_millicores, each, settings));
+    account.late = vms_for(demand.late_millicores, each, settings);
     return account;
 }
 
@@ -149,6 +151,24 @@
     return 0;
 }
 
+/// Gives machines that nobody needs to pools with late work, most to the pool that can use most. Answers a
+/// burst that left accepted jobs behind: they ask for nothing in time, so their pool gave its machines away
+/// and never finished them, while machines idled. Returns how many are still left.
+std::size_t share_unwanted(std::vector<pool_account>& pools, std::size_t unwanted) {
+    std::vector<pool_account*> by_late;
+    for (pool_account& pool : pools) {
+        by_late.push_back(&pool);
+    }
+    std::ranges::stable_sort(by_late, std::greater{}, &pool_account::late);
+    for (pool_account* pool : by_late) {
+        const std::size_t given = std::min(unwanted, pool->late);
+        pool->wanted += given;
+        pool->keep = std::max(pool->keep, pool->wanted);
+        unwanted -= given;
+    }
+    return unwanted;
+}
+
 class planner {
   public:
     planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares,
@@ -282,7 +302,7 @@
     for (const pool_account& pool : pools) {
         available += pool.have;
     }
-    const std::size_t unwanted = share_out(pools, available);
+    const std::size_t unwanted = share_unwanted(pools, share_out(pools, available));
     planner work(std::move(pools), std::move(spares), memory);
     work.plan().unwanted = unwanted;
     work.fill_labels();
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -42,6 +42,9 @@
     std::int64_t need_millicores = 0; ///< Capacity that would keep its jobs within their objectives now.
     std::int64_t keep_millicores =
         0; ///< The same, falling only slowly: what is worth keeping for what may come.
+    /// Further capacity for accepted work that is late. Served from machines that no pool needs for work that
+    /// can still be in time.
+    std::int64_t late_millicores = 0;
     /// VMs that its long-running tasks need at least: few of a step may share one, however small they are.
     std::uint64_t least_vms = 0;
     std::vector<label_demand> labels; ///< Each is contained in the figures above.
@@ -49,7 +52,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive) {
-        archive(need_millicores, keep_millicores, least_vms, labels, vms);
+        archive(need_millicores, keep_millicores, late_millicores, least_vms, labels, vms);
     }
 };
 
--- a/jobs/order.cpp
+++ b/jobs/order.cpp
@@ -12,6 +12,8 @@
 /// Share of the objective that the end of a job may take up that will be late. Below the factor above which
 /// it is of no use, since estimates of work are off by a fifth to a half.
 constexpr double late_admission = 2.5;
+/// Share of a pool's room that late work may take from new jobs.
+constexpr double late_share = 0.25;
 /// Share of the objective that the expected end may take up. Above 1 jobs are taken that most likely end
 /// late, below it machines idle whenever the estimate of the queue is too long.
 constexpr double admission_slack = 1.0;
@@ -73,10 +75,13 @@
     return std::min(need_millicores, endless_millicores + *sustained_millicores);
 }
 
-/// Room for work that waits, with `further` beside the VMs that take work now.
+/// Room for work that waits, with `further` beside the VMs that take work now. Late work keeps its share:
+/// with all of the room promised to new jobs, accepted ones that are late once are never done.
 std::int64_t pool_load::serving_millicores(std::int64_t further) const noexcept {
-    const std::int64_t room = usable_millicores - endless_millicores + further;
-    return std::max<std::int64_t>(1, std::min(room, sustained_millicores.value_or(room)));
+    const std::int64_t all = usable_millicores - endless_millicores + further;
+    const std::int64_t room = std::min(all, sustained_millicores.value_or(all));
+    const auto most_late = static_cast<std::int64_t>(static_cast<double>(room) * late_share);
+    return std::max<std::int64_t>(1, room - std::min(most_late, late_millicores()));
 }
 
 milliseconds pool_load::wait() const noexcept {
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -31,12 +31,15 @@
 
 /// Within this time work that waits should be done, ms: well within objectives of two seconds and more.
 inline constexpr std::int64_t drain_time_ms = 1000;
+/// Within this time work that is late should be done: its callers wait, but no longer for an objective.
+inline constexpr std::int64_t late_drain_time_ms = 4000;
 
 /// Load of a pool, as admission sees it.
 struct pool_load {
     std::int64_t waiting_work = 0;  ///< Millicore-milliseconds that go before a new job.
     std::int64_t runnable_work = 0; ///< The part of it that could run now; the rest waits for earlier steps.
     std::int64_t coming_work = 0;   ///< Of occurrences that are due by the time that machines take to come.
+    std::int64_t late_work = 0;     ///< Of accepted jobs that are late; it goes after a new job, but is done.
     std::int64_t usable_millicores = 0;  ///< Capacity of the VMs that take work ...
     std::int64_t used_millicores = 0;    ///< ... the room that runs take there ...
     std::int64_t endless_millicores = 0; ///< ... and the part of it that long-running tasks keep.
@@ -53,6 +56,8 @@
     [[nodiscard]] std::int64_t wanted_millicores() const noexcept {
         return used_millicores + (runnable_work + coming_work) / drain_time_ms;
     }
+    /// Capacity that late work would use were it to be done within its drain time.
+    [[nodiscard]] std::int64_t late_millicores() const noexcept { return late_work / late_drain_time_ms; }
     /// The part of a need that the owner can make use of.
     [[nodiscard]] std::int64_t usable_part(std::int64_t need_millicores) const noexcept;
     /// How long the pool takes for the work that waits, with the machines that are on their way.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -65,6 +65,7 @@
     load.waiting_work = m_waiting_work;
     load.runnable_work = m_runnable_work;
     load.coming_work = m_coming_work;
+    load.late_work = m_late_work;
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
@@ -86,6 +87,8 @@
     m_demand.update(present.wanted_millicores(), present.endless_millicores, now);
     result.need_millicores = present.usable_part(m_demand.present());
     result.keep_millicores = present.usable_part(m_demand.kept());
+    result.late_millicores = std::max<std::int64_t>(
+        0, present.usable_part(result.need_millicores + present.late_millicores()) - result.need_millicores);
     result.least_vms = vms_for_endless(present.usable_vms);
     result.labels = m_labels.update(wanted_by_label(now), now);
     for (const auto& [name, vm] : m_vms) {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -234,6 +234,7 @@
     std::int64_t m_waiting_work = 0;
     std::int64_t m_runnable_work = 0;
     std::int64_t m_coming_work = 0;
+    std::int64_t m_late_work = 0;
     milliseconds m_wall_offset{0}; ///< Time of day less our clock, as of the last decision.
     work_gauge m_gauge;
     demand_meter m_demand;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -216,13 +216,15 @@
     m_sustained_millicores = m_starts_on_way.sustained_millicores(now);
 }
 
-/// What is still waiting after placing. Work that is late already doesn't stand before anybody, and neither
-/// does an occurrence that is not due: with all of them counted, a job of six occurrences in half a minute
-/// kept out every other job of its pool, which idled meanwhile. Machines are asked for ahead of due times.
+/// What is still waiting after placing. Work that is late already doesn't stand before anybody and is counted
+/// apart; nor does an occurrence that is not due: with all of them counted, a job of six occurrences in half
+/// a minute kept out every other job of its pool, which idled meanwhile. Machines are asked for ahead of due
+/// times.
 void scheduler::measure_waiting(timestamp now) {
     m_waiting_work = 0;
     m_runnable_work = 0;
     m_coming_work = 0;
+    m_late_work = 0;
     for (const auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.idle_total() == 0) {
             continue;
@@ -236,6 +238,8 @@
                 m_coming_work += waiting_of(job, occurrence, m_gauge).runnable;
             } else if (rank_of(job, *queue_of(job), begins_at, now).group <= 1) {
                 count_waiting(job, occurrence);
+            } else {
+                m_late_work += waiting_of(job, occurrence, m_gauge).all;
             }
         }
     }
--- a/tests/jobs/balance_test.cpp
+++ b/tests/jobs/balance_test.cpp
@@ -306,3 +306,29 @@
         CHECK(b.cores("seats") <= 320 * 1.15 + 32);
     }
 }
+
+TEST_CASE("accepted work that is late gets the machines that nobody needs, and none that somebody does") {
+    // A burst leaves ninety accepted jobs behind that are late. Their pool asked for nothing more and gave
+    // its machines away, so these were never done, while a third of the fleet stood idle.
+    struct situation {
+        const char* what = "";
+        std::int64_t other_need = 0; ///< Cores.
+        std::size_t expected = 0;    ///< VMs of the pool with late work.
+    };
+    for (const situation& item : {situation{"the other pool needs little", 64, 13},
+                                  situation{"the other pool needs nearly all", 32 * 15, 2}}) {
+        INFO(item.what);
+        fleet_bench b;
+        b.pool("late", 2);
+        b.pool("other", 2);
+        b.pool("spare", 16);
+        b.demands.erase("spare");
+        b.need("late", 32);
+        b.demands["late"].late_millicores = 32 * 1000 * 9;
+        b.need("other", item.other_need);
+        for (int round = 0; round < 4; ++round) {
+            b.plan();
+        }
+        CHECK(b.count("late") == item.expected);
+    }
+}
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -134,6 +134,18 @@
     }
 }
 
+TEST_CASE("work that is late keeps a share of the room from new jobs") {
+    // Callers are told that their jobs are accepted and never hear of them again: a burst leaves jobs that
+    // are late, and each new job that could still be in time goes before them, for the rest of the day.
+    const job_spec job = pool_bench::record("j", {pool_bench::step(8)}).spec;
+    pool_load present = load(70, 64); // With all of the room 1.1 s of waiting, of 1.2 s that are allowed.
+    CHECK(admit(job, quotes(), 1000, present).accepted);
+    present.late_work = 1'000'000'000;
+    CHECK(!admit(job, quotes(), 1000, present).accepted);
+    present.waiting_work = 48 * 1'000'000; // One second for three quarters of the room.
+    CHECK(admit(job, quotes(), 1000, present).accepted);
+}
+
 TEST_CASE("a turn that rises over seconds has its machines asked for ahead") {
     // Quotes of the first seconds of each turn were late: the rate rises from nothing to 160 jobs a second in
     // four seconds, machines take two to come, and what was asked for was the rate of the last 1.5 s.
