--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -98,9 +98,7 @@
 }
 
 /// What a machine counts for: they differ in size, and it is not known which of them a pool will get. With
-/// all counted as the largest of the pool's own, a pool of smaller ones got too few (a fleet of three sizes:
-/// mean worth of six days 0.49, played three times each, against 0.55). By the cores that the pool has
-/// instead of their number: no better (0.54).
+/// all counted as the largest of the pool's own, a pool of smaller ones would get too few.
 std::int64_t mean_millicores(const std::vector<balance_machine>& machines) {
     std::int64_t sum = 0;
     for (const balance_machine& machine : machines) {
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -112,9 +112,9 @@
 /// cost nothing, when nobody needs them. Where all together need more than there is, each gets the same share
 /// of its need, so that a pool whose turn ends gives way to the one whose turn begins. Machines with the
 /// labels that a pool's tasks require come first and leave last: counted by cores alone a pool whose tasks
-/// want one kind of machine got another and asked for no more, and jobs were never done (6 of 1,000 on quiet
-/// days with three kinds of machine, 1 of 2,000 since). Only VMs on which nothing runs are moved.
-/// `spare_pool` may be empty: then nothing is given back. Pools without an entry in `demands` are left alone.
+/// want one kind of machine would get another and ask for no more, and its jobs would never be done. Only VMs
+/// on which nothing runs are moved. `spare_pool` may be empty: then nothing is given back. Pools without an
+/// entry in `demands` are left alone.
 [[nodiscard]] balance_plan plan_balance(const std::vector<balance_machine>& machines,
                                         const std::map<std::string, pool_demand>& demands,
                                         const std::string& spare_pool, const balance_settings& settings,
--- a/jobs/order.hpp
+++ b/jobs/order.hpp
@@ -112,16 +112,12 @@
 
 /// Accepts a job if it can reach its objective behind the work that waits, so that accepted work is finished
 /// in time and the rest is told at once to come back later. Answers bursts and turns above the pool's room:
-/// with everything accepted, all jobs end late. In a replayed turn of five times the room 70 of 400 jobs end
-/// in time and 20 late, against 16 and 120 with everything accepted (the order test). Long-running jobs are
-/// always accepted; they need room, not turns.
+/// with everything accepted, all jobs end late. Long-running jobs are always accepted; they need room, not
+/// turns.
 ///
 /// While there are machines that no pool wants, a job that will be late is accepted as well if it will be of
-/// some use: its room is taken from nobody, and a caller who is refused seldom has time for a second try. In
-/// a replayed turn of three times the room, whose machines come after 2.5 s, 28 of 150 jobs were refused and
-/// 120 ended in time; with this none is refused, 133 end in time and 17 late. Mean worth of six days 0.556
-/// without it, 0.586 with it (four plays each). Accepting late jobs without such machines serves fewer in
-/// time: at twice a day's load the share of worth that is earned fell from 0.51 to 0.46.
+/// some use: its room is taken from nobody, and a caller who is refused seldom has time for a second try.
+/// Accepting late jobs without such machines would serve fewer in time.
 [[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
                                       std::int64_t longest_chain_ms, const pool_load& load);
 
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -19,9 +19,8 @@
         return false;
     }
     if (!vm.orphans().empty()) {
-        // They still hold room, and how much is not known. With tasks started beside them VMs that don't
-        // check their capacity were loaded over it in 4 of 6 replayed days on which nodes restarted in turn
-        // and jobs were cancelled; in none of the same 6 since.
+        // They still hold room, and how much is not known: tasks started beside them would load a VM that
+        // doesn't check its capacity over it.
         return false;
     }
     if (!vm.ever_heard() || now - vm.heard_at() > settings.silence || vm.set_aside_at(now)) {
--- a/jobs/queue_count.hpp
+++ b/jobs/queue_count.hpp
@@ -23,9 +23,9 @@
 /// The queue's count of waiting jobs, or nothing if jobs may be missing. Pure; thread-safe.
 ///
 /// Answers the peak of a turn at a busy owner, and a change of owner: hundreds of jobs lie in the inbox,
-/// their clients told that they are accepted. An owner that counted only what it had taken told 29 of 117.
-/// One that follows the inbox late, or that another node may have replaced, can't know what is missing and
-/// tells nothing.
+/// their clients told that they are accepted. An owner that counts only what it has taken tells a
+/// part of them. One that follows the inbox late, or that another node may have replaced, can't know what is
+/// missing and tells nothing.
 [[nodiscard]] constexpr std::optional<std::size_t> whole_count(const count_basis& known) noexcept {
     if (!known.certain_owner || known.inbox_age > oldest_count) {
         return std::nullopt;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -216,10 +216,8 @@
 }
 
 /// A VM with as many short tasks hears of an end within the time of a close look anyway, so that close looks
-/// cost few calls more (2 %). A look whose answer is lost is found out about as much sooner: until then no
-/// end on the VM is heard of and no room there is used again. With one look in twenty unanswered a pool in
-/// its turn used 554 of 800 cores while 3.6 s of work waited; worth of that day 0.40 before, 0.455 since
-/// (four plays each).
+/// cost few calls more. A look whose answer is lost is found out about as much sooner: until then no end on
+/// the VM is heard of and no room there is used again.
 bool scheduler::wants_close_look(const std::string& name) const {
     const auto found = m_vms.find(name);
     if (found == m_vms.end()) {
--- a/jobs/start_window.hpp
+++ b/jobs/start_window.hpp
@@ -11,8 +11,8 @@
 
 /// Figures of the window.
 struct start_window_settings {
-    /// Bytes of starts that may be on their way at a time. A link of 2 Mbit/s carries them in an eighth of a
-    /// second; with answers after 5 ms they allow thousands of starts a second.
+    /// Bytes of starts that may be on their way at a time: what the owner's link carries in a fraction of the
+    /// timeouts of all that shares it.
     std::size_t most_bytes = 32UL * 1024;
     std::size_t overhead_bytes = 400; ///< Of a start beside its payload: header fields, names, numbers.
     /// A start without an answer counts for this long. Beyond it the VM is silent rather than the link slow,
--- a/jobs/vm_record.hpp
+++ b/jobs/vm_record.hpp
@@ -24,7 +24,7 @@
 /// before it starts a task that the earlier one may have started: 10.7 s for one that does not answer. So a
 /// VM leaves the record as soon as nothing can run there: before its machine is ordered away, and when it has
 /// been silent for longer than its lease. Answers an owner that dies while a turn ends and its machines
-/// leave: its successor waited for dozens of VMs that were gone (five seconds without a start, 260 VMs idle).
+/// leave: its successor waited for dozens of VMs that were gone.
 [[nodiscard]] constexpr bool belongs_in_record(const record_view& vm) noexcept {
     if (!vm.settled) {
         return true;
--- a/jobs/work_gauge.hpp
+++ b/jobs/work_gauge.hpp
@@ -12,8 +12,7 @@
 ///
 /// Answers two ways in which declared figures mislead admission and the demand for machines:
 /// - Tasks fill a VM by memory before its processor is full. Counted by processor alone such a VM looks half
-///   empty, its pool asks for no machines, and its queue stands still (seen: 35 of 96 cores used, 4.5 s of
-///   work waiting, 200 machines spare).
+///   empty, its pool asks for no machines, and its queue stands still.
 /// - Estimates are wrong together, not only one by one: all tasks of a queue may take 1.4 times what was
 ///   declared, so a turn of demand asks for too few machines for as long as it lasts.
 class work_gauge {
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -89,8 +89,8 @@
 
     /// However the connection ends, also with the process, what the kernel still holds of it is dropped.
     /// Answers requests that are held up by a partition: closed in order, the connection would deliver them
-    /// when the partition heals, long after they were given up and what they asked for was done otherwise
-    /// (seen: an order about a machine carried out six seconds late, after one of the next owner's).
+    /// when the partition heals, long after they were given up and what they asked for was done otherwise:
+    /// an order about a machine would be carried out after one of the next owner's.
     void reset_on_close() {
         const linger drop_unsent{1, 0};
         const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(handle));
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -44,9 +44,7 @@
     [[nodiscard]] bool idle() const noexcept { return m_server.in_progress() == 0; }
     /// When the store was last reached by an owner on another node that answers this one. An owner's answer
     /// alone proves nothing: cut off together with this node it still answers, and can accept nothing. With
-    /// readiness judged by that answer alone, and clients' connections kept, 22 to 35 of 900 requests a day
-    /// ended unserved in the zone that was cut off; mean worth of five days 0.471, against 0.515 since (five
-    /// plays each).
+    /// readiness judged by that answer alone clients of a zone that is cut off would go on coming here.
     [[nodiscard]] timestamp reached_store_at() const noexcept { return m_reached_store_at; }
 
   private:
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -12,9 +12,8 @@
 
 /// A dead node's duties wait this long for a new owner; runs on VMs outlive it under their own leases of six
 /// seconds. Renewed three times within it, so that one renewal that is lost, found out about after
-/// `renew_timeout` and repeated, costs nothing. With three seconds a pool whose owner died in a turn of
-/// demand stood without decisions, and all pools without machines, one second longer: mean worth of the days
-/// of both deployments 0.492 against 0.508 (60 plays each, standard error 0.004).
+/// `renew_timeout` and repeated, costs nothing. Longer, a pool whose owner died in a turn of demand
+/// stands without decisions, and all pools without machines.
 constexpr milliseconds lease_ttl = 2s;
 constexpr milliseconds renew_interval = 600ms;
 constexpr milliseconds retry_interval = 200ms;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -15,8 +15,8 @@
 /// The store was not reached for this long, neither from here nor through an owner elsewhere: no job can be
 /// accepted here, and the platform should send clients to other nodes. Above the interval of lease renewals
 /// (600 ms) and the answer of a slow store; one that was lost makes no difference, since the platform waits
-/// for two misses a second apart. At two seconds a cut-off zone's clients came back to it until nobody would
-/// wait for them any more: mean worth of five days 0.510, against 0.525 at one (six plays each).
+/// for two misses a second apart. Longer, a cut-off zone's clients come back to it until nobody would wait
+/// for them any more.
 constexpr milliseconds reach_bound = 1s;
 constexpr milliseconds peer_timeout = 800ms;
 /// After SIGTERM the platform needs two misses of its readiness check, one a second, to send no more.
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -89,6 +89,11 @@
     if (settings.processor_share <= 0) {
         out.add("/processor_share", "must be a number above 0");
     }
+    const boost::json::value* link = root.child("link_mbps");
+    settings.link_mbps = link != nullptr && link->is_number() ? link->to_number<double>() : default_link_mbps;
+    if (settings.link_mbps <= 0) {
+        out.add("/link_mbps", "must be a number above 0");
+    }
     return settings;
 }
 
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -6,6 +6,9 @@
 
 namespace siskinpaddle::node {
 
+/// Of a link whose speed the settings leave out, Mbit/s.
+inline constexpr double default_link_mbps = 1000;
+
 /// Settings of one node process, checked.
 struct node_settings {
     std::string id;
@@ -24,6 +27,7 @@
     milliseconds upkeep_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
+    double link_mbps = default_link_mbps; ///< Of the machine's own link, each way.
     double processor_share = 1; ///< Of a core: how much of the work that is shared out this node should take.
 };
 
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -20,6 +20,15 @@
 /// which a restarted system has to serve again. With leases of ten seconds it would be 14.8 s.
 constexpr milliseconds longest_lease = 6s;
 
+/// What the starts that are on their way may take up of the link: answers, lease renewals and writes to the
+/// store share it, and have timeouts of 0.7 s and more.
+constexpr milliseconds starts_on_link = 125ms;
+
+std::size_t bytes_in(milliseconds time, double mbps) {
+    constexpr double bytes_per_ms_of_mbps = 125;
+    return static_cast<std::size_t>(static_cast<double>(time.count()) * mbps * bytes_per_ms_of_mbps);
+}
+
 jobs::scheduler_settings scheduler_settings_for(const node_settings& settings) {
     jobs::scheduler_settings result;
     result.lease = std::min(settings.vm_lease, longest_lease);
@@ -27,6 +36,7 @@
     // slow.
     result.unaccounted_window = membership_task::grace_after_lease +
                                 std::chrono::duration_cast<milliseconds>(result.lease * 1.03) + 500ms;
+    result.starts.most_bytes = bytes_in(starts_on_link, settings.link_mbps);
     return result;
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -46,8 +46,7 @@
     /// Answers submits that wait for a store that has fallen silent: whoever's job was never sent is refused,
     /// the others are told that the outcome is unknown; their write is repeated until it is known. Called
     /// several times a second. Guards against clients that are held until their deadline and have no time
-    /// left for the try that would be accepted. On a day with four outages of 2 to 3.5 s in turns of demand
-    /// the share of worth that is earned was 0.583 without it, 0.636 with it (five plays).
+    /// left for the try that would be accepted.
     void answer_for_silence();
     /// Orders nothing more; what is changed is still stored. `done` is called once all is stored.
     void wind_down(std::function<void()> done);
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -9,7 +9,6 @@
 /// A watch is cut and begun anew this often; a connection that went silent is found within this time.
 constexpr milliseconds watch_wait = 2s;
 /// Each VM writes its registration every second and a half, so watches of many VMs would return all the time:
-/// 121 calls a second for 48 VMs and four owners without the pause, 9 with it, counted by the store's client.
 constexpr milliseconds watch_pause = 400ms;
 /// While machines are on their way to the pool: each tenth of a second that they idle there is paid for, and
 /// callers wait for them.
