A new owner counts no adopted run as at work while its predecessor may just have stopped it

Nodes restart in turn while a wave lasts. At 16.71, 16.74 and 16.95 s the owner orders three long-running tasks of a step to stop, of which 3 may be away, and stops itself; at 17.22 s its successor finds all of them running at 100, since a stop takes up to 0.9 s, and at 17.30 s orders stops for the same upkeep, one of them of a fourth task. Change: an adopted run counts as at work only once the longest stop has passed since it was found (new setting stop_ms, from the platform's bounds; 1 s if left out).

--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -24,6 +24,7 @@
     std::string vm; ///< Incarnation.
     run_phase phase = run_phase::starting;
     bool from_scratch = false; ///< Ordered by this owner without a checkpoint.
+    bool adopted = false;      ///< Ordered by an earlier owner; `started_at` is when it was found.
     timestamp started_at{0};
     std::int64_t start_deadline = 0;  ///< On the VM's clock: the start is refused from then on.
     std::int64_t confirmed_clock = 0; ///< The VM's clock when it confirmed the run.
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -24,6 +24,7 @@
     milliseconds start_patience = 1500ms;
     /// How long after a takeover runs of the earlier owner may live on VMs that don't answer.
     milliseconds unaccounted_window = 12s;
+    milliseconds stop_time = 1s;      ///< A run that is stopped ends, and is listed until then, within this.
     milliseconds stop_repeat = 600ms; ///< A stop without an answer is sent again after this.
     std::size_t busy_runs = 3; ///< Runs that end by themselves; a VM with so many is looked at closely.
     std::uint32_t attempts_per_epoch = 1000; ///< Attempt numbers of one owner; its successor's are higher.
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -57,8 +57,13 @@
 }
 
 /// A run counts as at work only while its VM answers: a VM that went dark takes its runs with it before their
-/// lease has run out, and moving another task meanwhile would pass the step's disruption budget.
+/// lease has run out, and moving another task meanwhile would pass the step's disruption budget. Nor does a
+/// run count that an earlier owner may have stopped just before it lost the pool: its VM lists it as running
+/// until it has ended, and a new owner that goes on emptying VMs would stop as many again.
 bool scheduler::at_work(const run& item, timestamp now) const {
+    if (item.adopted && now - item.started_at <= m_settings.stop_time) {
+        return false;
+    }
     const auto vm = m_vms.find(item.vm);
     return item.phase == run_phase::running && item.percent >= 100 && vm != m_vms.end() &&
            vm->second.reachable && now - vm->second.heard_at() <= m_settings.placement.silence;
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -140,6 +140,7 @@
         adopted.attempt = item.attempt;
         adopted.vm = incarnation;
         adopted.phase = run_phase::running;
+        adopted.adopted = true;
         adopted.started_at = now;
         adopted.progress_at = now;
         const bool unwanted = task.done || is_final(job.phase()) ||
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -77,6 +77,9 @@
     settings.order_quiet = read_duration(root, "order_quiet_ms", 1, one_hour_ms, out);
     settings.grace = read_duration(root, "grace_s", 1000, one_hour_ms, out);
     settings.keep_ended = read_duration(root, "keep_ended_s", 1000, 24 * one_hour_ms, out);
+    if (root.child("stop_ms") != nullptr) {
+        settings.stop_time = read_duration(root, "stop_ms", 1, one_hour_ms, out);
+    }
     settings.upkeep_time = read_duration(root, "upkeep_s", 1000, one_hour_ms, out);
     settings.move_time = read_duration(root, "move_s", 1000, one_hour_ms, out);
     const boost::json::value* rate = root.child("machine_orders_per_s");
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -8,6 +8,8 @@
 
 /// Of a link whose speed the settings leave out, Mbit/s.
 inline constexpr double default_link_mbps = 1000;
+/// Of a VM that stops a run, where the settings leave it out.
+inline constexpr milliseconds default_stop_time = 1s;
 
 /// Settings of one node process, checked.
 struct node_settings {
@@ -24,6 +26,7 @@
     milliseconds order_quiet{0}; ///< Two holders of a machine may not order within this of each other.
     milliseconds grace{0};       ///< From SIGTERM to SIGKILL.
     milliseconds keep_ended{0};  ///< How long clients may ask for an ended job.
+    milliseconds stop_time = default_stop_time; ///< Longest time that a VM takes to stop a run.
     milliseconds upkeep_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -36,6 +36,7 @@
     // slow.
     result.unaccounted_window = membership_task::grace_after_lease +
                                 std::chrono::duration_cast<milliseconds>(result.lease * 1.03) + 500ms;
+    result.stop_time = settings.stop_time;
     result.starts.most_bytes = bytes_in(starts_on_link, settings.link_mbps);
     return result;
 }
--- a/tests/doors/door_test.cpp
+++ b/tests/doors/door_test.cpp
@@ -337,7 +337,7 @@
         R"({"id":"n","availability_zone":"z","clients":"10.1.0.9:8624","readiness":"10.1.0.9:8622","address":"10.1.0.9",
         "peer_port":7060,"metrics_port":9464,"store":"10.200.1.7:8621","machines":"10.200.0.107:8621","advice":null,
         "vm_lease_ms":6000,"order_quiet_ms":3000,"grace_s":6,"keep_ended_s":120,"upkeep_s":2,"move_s":1.5,
-        "machine_orders_per_s":64.0})";
+        "machine_orders_per_s":64.0,"stop_ms":900,"link_mbps":20.0})";
     findings none;
     static_cast<void>(node::parse_node_settings(parse_json(text, "", none), none));
     REQUIRE(none.empty());
