--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -154,6 +154,7 @@
 /// and never finished them, while machines idled. Returns how many are still left.
 std::size_t share_unwanted(std::vector<pool_account>& pools, std::size_t unwanted) {
     std::vector<pool_account*> by_late;
+    by_late.reserve(pools.size());
     for (pool_account& pool : pools) {
         by_late.push_back(&pool);
     }
