--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -17,6 +17,7 @@
 #include "jobs/start_window.hpp"
 #include "jobs/upkeep.hpp"
 #include "jobs/vm.hpp"
+#include "jobs/vm_end.hpp"
 #include "jobs/vm_record.hpp"
 #include "jobs/vm_state.hpp"
 #include "jobs/work_gauge.hpp"
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/start_window.hpp"
+#include "jobs/vm_end.hpp"
 #include "jobs/work_gauge.hpp"
 
 #include <deque>
@@ -71,6 +72,7 @@
     std::vector<pace_order> paces;
     std::vector<advice_request> questions; ///< To the policy service.
     std::vector<scheduler_note> notes;
+    std::vector<vm_end> ended_vms; ///< Those that were in use; for the log.
 };
 
 /// What has to be stored next, and what may be told once it is.
@@ -122,9 +124,9 @@
     /// wait.
     [[nodiscard]] const std::set<std::string>& unheard() const noexcept { return m_unheard; }
     /// This life of the VM has certainly ended.
-    void vm_gone(const std::string& vm, timestamp now);
+    void vm_gone(const std::string& vm, vm_end_cause cause, timestamp now);
     void take_report(const std::string& vm, const vm_report& report, timestamp now);
-    void vm_unreachable(const std::string& vm);
+    void vm_unreachable(const std::string& vm, timestamp now);
     void start_answered(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
                         timestamp now);
     void stop_answered(const stop_order& order, order_outcome outcome, std::int64_t clock_ms, timestamp now);
@@ -195,7 +197,8 @@
     void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                   timestamp now);
     void forget_earlier_lives(const vm_info& alive, timestamp now);
-    void drop_runs_of(vm_state& vm, const char* why, timestamp now);
+    void drop_runs_of(vm_state& vm, vm_end_cause cause, timestamp now);
+    [[nodiscard]] vm_end describe_end(const vm_state& vm, vm_end_cause cause, timestamp now) const;
     void stop_run(const task_id& id, run& item, timestamp now);
     void stop_all(job_state& job, timestamp now);
     void finish(job_state& job, job_phase phase, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -37,7 +37,7 @@
         vm_state& vm = item->second;
         const bool lapsed = vm.ever_heard() && now > vm.lapses_at();
         if (lapsed && !vm.vacant()) {
-            drop_runs_of(vm, "lease-lapsed", now);
+            drop_runs_of(vm, vm_end_cause::lapsed, now);
         }
         const bool forgettable =
             !vm.listed && vm.vacant() && !m_unheard.contains(item->first) && (lapsed || !vm.ever_heard());
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -212,7 +212,31 @@
     }
 }
 
-void scheduler::drop_runs_of(vm_state& vm, const char* why, timestamp now) {
+vm_end scheduler::describe_end(const vm_state& vm, vm_end_cause cause, timestamp now) const {
+    vm_end end;
+    end.vm = vm.info().incarnation;
+    end.machine = vm.info().machine;
+    end.cause = cause;
+    end.draining = vm.info().draining;
+    end.silent_from = vm.silent_from() == timestamp(0) ? now : vm.silent_from();
+    const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
+    for (const task_id& id : tasks) {
+        for (const run& item : m_jobs.find(id.job)->second.task(id).runs) {
+            if (item.vm == end.vm) {
+                const milliseconds age = std::max<milliseconds>(0ms, end.silent_from - item.started_at);
+                const bool confirmed = item.phase == run_phase::running || item.confirmed_clock > 0;
+                end.runs.push_back({id, item.attempt, age, confirmed});
+            }
+        }
+    }
+    return end;
+}
+
+void scheduler::drop_runs_of(vm_state& vm, vm_end_cause cause, timestamp now) {
+    if (vm_end end = describe_end(vm, cause, now); !end.runs.empty()) {
+        m_out.ended_vms.push_back(std::move(end));
+    }
+    const char* why = cause == vm_end_cause::lapsed ? "lease-lapsed" : "vm-gone";
     const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
     const std::string incarnation = vm.info().incarnation;
     for (const task_id& id : tasks) {
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -40,19 +40,20 @@
     m_unheard.insert(info.incarnation);
 }
 
-void scheduler::vm_gone(const std::string& vm, timestamp now) {
+void scheduler::vm_gone(const std::string& vm, vm_end_cause cause, timestamp now) {
     const auto found = m_vms.find(vm);
     m_unheard.erase(vm);
     if (found == m_vms.end()) {
         return;
     }
-    drop_runs_of(found->second, "vm-gone", now);
+    drop_runs_of(found->second, cause, now);
     m_vms.erase(found);
 }
 
-void scheduler::vm_unreachable(const std::string& vm) {
+void scheduler::vm_unreachable(const std::string& vm, timestamp now) {
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
         found->second.reachable = false;
+        found->second.missed_answer(now);
     }
 }
 
@@ -106,7 +107,7 @@
     }
     for (const std::string& name : ended) {
         note("earlier-life-ended", name, nullptr, 0);
-        vm_gone(name, now);
+        vm_gone(name, vm_end_cause::superseded, now);
     }
 }
 
@@ -137,6 +138,9 @@
         job->second.set_begun();
         return;
     case order_outcome::unknown:
+        if (vm != m_vms.end()) {
+            vm->second.missed_answer(now);
+        }
         if (item->phase == run_phase::starting) {
             item->phase = run_phase::unsettled;
             // A stop settles it soonest. But a long-running task that is there is at work, and stopping it
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -23,11 +23,18 @@
     }
     m_clock_ms = clock_ms;
     m_heard_at = answered_at;
+    m_silent_from = timestamp(0);
     if (full_until_clock && clock_ms > *full_until_clock) {
         full_until_clock.reset();
     }
 }
 
+void vm_state::missed_answer(timestamp now) noexcept {
+    if (m_silent_from == timestamp(0)) {
+        m_silent_from = now;
+    }
+}
+
 std::int64_t vm_state::deadline(timestamp now, milliseconds lease) const {
     return ever_heard() ? m_clock_ms + (now - m_heard_at + lease).count() : 0;
 }
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -35,6 +35,10 @@
     void heard(std::int64_t clock_ms, timestamp answered_at);
     [[nodiscard]] bool ever_heard() const noexcept { return m_clock_ms >= 0; }
     [[nodiscard]] timestamp heard_at() const noexcept { return m_heard_at; }
+    /// A call to it got no answer.
+    void missed_answer(timestamp now) noexcept;
+    /// Its first missing answer since it was last heard; 0: none is missing.
+    [[nodiscard]] timestamp silent_from() const noexcept { return m_silent_from; }
 
     /// Deadline on the VM's clock, `lease` from now; 0 when its clock is not known yet.
     [[nodiscard]] std::int64_t deadline(timestamp now, milliseconds lease) const;
@@ -81,6 +85,7 @@
     vm_info m_info;
     std::int64_t m_clock_ms = -1;
     timestamp m_heard_at{0};
+    timestamp m_silent_from{0};
     std::int64_t m_granted = 0;
     std::multiset<task_id> m_tasks;
     std::vector<orphan_run> m_orphans;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -90,7 +90,7 @@
         return;
     }
     if (answer.outcome == jobs::order_outcome::wrong_incarnation) {
-        m_scheduler.vm_gone(vm, now);
+        m_scheduler.vm_gone(vm, jobs::vm_end_cause::replaced, now);
     } else if (answer.outcome == jobs::order_outcome::refused_fenced) {
         ownership_lost("fence", token);
     } else if (link->second.failures++ == 0) {
@@ -100,7 +100,7 @@
                                              {"outcome", name_of(answer.outcome)},
                                              {"lapses_in_ms", (known->second.lapses_at() - now).count()}});
     }
-    m_scheduler.vm_unreachable(vm);
+    m_scheduler.vm_unreachable(vm, now);
     decide_soon();
     renew_later(vm, std::min(longest_retry, renewal_retry * std::max(1, link->second.failures)));
 }
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -11,6 +11,8 @@
 /// How often decisions are looked at without an event: leases that ran out, stops to repeat.
 constexpr milliseconds decide_interval = 200ms;
 constexpr milliseconds load_interval = 1s;
+/// Most runs that a log line names.
+constexpr std::size_t runs_in_line = 12;
 /// A watch is begun anew this often; a connection that went silent is found within this time.
 constexpr milliseconds inbox_wait = 1200ms;
 
@@ -160,7 +162,7 @@
                                     {"inbox_age_ms", inbox_age().count()}});
 }
 
-/// One line for each step that got tasks placed, and one for each note.
+/// One line for each step that got tasks placed, one for each note and one for each VM that ended in use.
 void pool_task::log_decisions(const jobs::decisions& wanted) const {
     for (std::size_t i = 0; i < wanted.starts.size();) {
         const jobs::task_id& first = wanted.starts[i].task;
@@ -189,6 +191,27 @@
                    {"task", note.task ? platform::encode_task(*note.task) : std::string("-")},
                    {"attempt", note.attempt}});
     }
+    for (const jobs::vm_end& end : wanted.ended_vms) {
+        log_vm_end(end);
+    }
+}
+
+void pool_task::log_vm_end(const jobs::vm_end& end) const {
+    m_parts.counters.count("vm_ends_" + std::string(name_of(end.cause)));
+    std::string runs;
+    for (const jobs::ended_run& item : std::span(end.runs).first(std::min(end.runs.size(), runs_in_line))) {
+        runs += (runs.empty() ? "" : ",") + platform::encode_task(item.task) + "#" +
+                std::to_string(item.attempt) + "+" + std::to_string(item.age.count()) +
+                (item.confirmed ? "" : "?");
+    }
+    log_event(event_id::vm_ended, {{"pool", m_pool},
+                                   {"vm", end.vm},
+                                   {"machine", end.machine},
+                                   {"cause", name_of(end.cause)},
+                                   {"draining", static_cast<int>(end.draining)},
+                                   {"silent_ms", (event_loop::now() - end.silent_from).count()},
+                                   {"count", end.runs.size()},
+                                   {"runs", runs.empty() ? std::string("-") : runs}});
 }
 
 void pool_task::check_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
@@ -204,9 +227,9 @@
                                       {"attempt", attempt},
                                       {"outcome", name_of(outcome)}});
     if (outcome == jobs::order_outcome::wrong_incarnation) {
-        m_scheduler.vm_gone(vm, event_loop::now());
+        m_scheduler.vm_gone(vm, jobs::vm_end_cause::replaced, event_loop::now());
     } else if (outcome == jobs::order_outcome::not_sent) {
-        m_scheduler.vm_unreachable(vm);
+        m_scheduler.vm_unreachable(vm, event_loop::now());
     } else if (outcome == jobs::order_outcome::refused_fenced) {
         ownership_lost("fence", token);
     }
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -190,7 +190,7 @@
                                 found->phase == platform::machine_phase::upkeep;
         const bool elsewhere = found->pool != m_pool;
         if (taken_down || elsewhere) {
-            m_scheduler.vm_gone(vm, event_loop::now());
+            m_scheduler.vm_gone(vm, jobs::vm_end_cause::ordered, event_loop::now());
         }
     }
     decide_soon();
--- a/tests/jobs/cancelled_jobs_test.cpp
+++ b/tests/jobs/cancelled_jobs_test.cpp
@@ -161,7 +161,7 @@
         CHECK(b.decide().starts.size() == 4);
     }
     SUBCASE("its lease has run out on a VM that does not answer") {
-        b.pool().vm_unreachable("v1");
+        b.pool().vm_unreachable("v1", b.now());
         b.pass(20'000ms);
         b.decide();
         CHECK(b.pool().is_settled("v1"));
@@ -181,7 +181,7 @@
             pool_bench b(1);
             b.pool().restore_job(cancelled_record(b, shape), std::nullopt, b.now());
             b.pool().expect_vm(b.info("v1"));
-            b.pool().vm_unreachable("v1");
+            b.pool().vm_unreachable("v1", b.now());
             b.pool().cancel("j", b.now());
             b.store();
             b.pass(2 * keep_ended);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -65,7 +65,7 @@
         b.report("lost", {});
     }
     SUBCASE("until its life has certainly ended") {
-        b.pool().vm_gone("lost", b.now());
+        b.pool().vm_gone("lost", vm_end_cause::replaced, b.now());
     }
     SUBCASE("until the last lease of the old owner has run out") {
         b.pass(pool_bench::settings().unaccounted_window + 1ms);
@@ -81,7 +81,7 @@
     pool_bench b(1);
     b.pool().restore_job(b.record("j", {pool_bench::step(1)}), std::nullopt, b.now());
     b.pool().expect_vm(b.info("crashed"));
-    b.pool().vm_unreachable("crashed");
+    b.pool().vm_unreachable("crashed", b.now());
     vm_info later = b.info("later");
     later.machine = b.info("crashed").machine;
     b.pool().list_vm(later);
@@ -101,7 +101,7 @@
     const auto first = b.start_all();
     REQUIRE(first.size() == 1);
     CHECK(b.pool().renewal_deadline("v1", b.now()) == b.vm_clock() + 6000);
-    b.pool().vm_unreachable("v1");
+    b.pool().vm_unreachable("v1", b.now());
     b.pool().list_vm(b.info("v2"));
     for (int i = 0; i < 11; ++i) {
         b.pass(500ms);
@@ -125,7 +125,7 @@
     b.vm("v1");
     b.job("j", {pool_bench::step(1)});
     REQUIRE(b.start_all().size() == 1);
-    b.pool().vm_unreachable("v1");
+    b.pool().vm_unreachable("v1", b.now());
     b.pool().list_vm(b.info("v2"));
     b.pass(20'000ms);
     b.report("v2", {});
@@ -146,7 +146,7 @@
     for (const start_order& order : starts) {
         b.report(order.vm, {b.running(order)});
     }
-    b.pool().vm_unreachable(starts[0].vm);
+    b.pool().vm_unreachable(starts[0].vm, b.now());
     b.pool().cordon(starts[1].vm, true);
     CHECK(b.decide().stops.empty());
     b.report(starts[0].vm, {b.running(starts[0])});
--- a/tests/jobs/start_window_test.cpp
+++ b/tests/jobs/start_window_test.cpp
@@ -81,7 +81,7 @@
     }
     b.pool().cancel("j", b.now());
     CHECK(b.decide().stops.size() == starts.size());
-    b.pool().vm_unreachable("v1");
+    b.pool().vm_unreachable("v1", b.now());
     b.pass(700ms);
     CHECK(b.decide().stops.empty());
     b.report("v1", {pool_bench::running(starts.front())});
--- /dev/null
+++ b/tests/jobs/vm_end_test.cpp
@@ -0,0 +1,39 @@
+#include "jobs/pool_bench.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+TEST_CASE("the end of a VM tells what shows it, and what ended how long after its start") {
+    struct row {
+        const char* name;
+        vm_end_cause cause;
+        milliseconds passed; ///< From the last answer to the end.
+    };
+    const std::array rows{row{"another life at its address", vm_end_cause::replaced, 3600ms},
+                          row{"moved by its machine's owner", vm_end_cause::ordered, 100ms},
+                          row{"silent past its lease", vm_end_cause::lapsed, 6500ms}};
+    for (const row& item : rows) {
+        CAPTURE(item.name);
+        pool_bench b;
+        b.vm("v1");
+        b.job("j", {pool_bench::step(2)});
+        const auto starts = b.start_all();
+        REQUIRE(starts.size() == 2);
+        b.report("v1", {b.running(starts[0])});
+        static_cast<void>(b.pool().renewal_deadline("v1", b.now()));
+        b.pass(12ms);
+        b.pool().vm_unreachable("v1", b.now());
+        b.pass(item.passed);
+        if (item.cause != vm_end_cause::lapsed) {
+            b.pool().vm_gone("v1", item.cause, b.now());
+        }
+        const std::vector<vm_end> ended = b.decide().ended_vms;
+        REQUIRE(ended.size() == 1);
+        CHECK(ended[0].vm == "v1");
+        CHECK(ended[0].machine == "m-v1");
+        CHECK(ended[0].cause == item.cause);
+        CHECK(b.now() - ended[0].silent_from == item.passed);
+        REQUIRE(ended[0].runs.size() == 2);
+        CHECK(ended[0].runs[0] == ended_run{starts[0].task, 1, 12ms, true});
+    }
+}
