--- /dev/null
+++ b/tests/fakes/task_machine.cpp
@@ -0,0 +1,86 @@
+#include "fakes/task_machine.hpp"
+
+#include "platform/platform.hpp"
+
+namespace siskinpaddle::fakes {
+
+namespace {
+
+/// The platform takes a VM that went silent off its list after three heartbeats.
+constexpr milliseconds delist_after = 4500ms;
+
+} // namespace
+
+task_machine::task_machine(event_loop& loop, platform_store& store, settings options)
+    : m_loop(loop), m_store(store), m_settings(std::move(options)),
+      m_crash_timer(loop.make_timer([this] { crash(); })),
+      m_life_timer(loop.make_timer([this] { begin_life(); })) {}
+
+bool task_machine::start() {
+    begin_life();
+    return !m_failed;
+}
+
+void task_machine::begin_life() {
+    if (m_vm != nullptr || m_held_down > 0) {
+        return;
+    }
+    const std::string incarnation = m_settings.name + "-" + std::to_string(++m_lives);
+    m_vm = std::make_unique<task_vm>(m_loop, incarnation, m_settings.run_time);
+    m_vm->set_machine(m_settings.name);
+    m_vm->set_clock_rate(m_settings.clock_rate);
+    // Not from within the VM's own timer.
+    m_vm->on_crash([this] { m_crash_timer->start(0ms); });
+    m_failed = !m_vm->listen({"127.0.0.1", m_port});
+    m_port = m_vm->port();
+    if (m_on_life) {
+        m_on_life({"127.0.0.1", m_port});
+    }
+    m_store.put(platform::vm_key(incarnation),
+                m_vm->registration(m_settings.pool, m_registered_port.value_or(m_port)));
+}
+
+void task_machine::crash() {
+    if (m_vm == nullptr) {
+        return;
+    }
+    for (task_vm::run_record run : m_vm->runs()) {
+        if (run.ended == timestamp(0)) {
+            run.ended = event_loop::now();
+            run.how = "crashed";
+        }
+        m_past_runs.push_back({m_vm->incarnation(), run});
+    }
+    m_to_delist[m_vm->incarnation()] = event_loop::now() + delist_after;
+    m_vm.reset();
+    m_life_timer->start(m_settings.down_time);
+}
+
+void task_machine::hold_down(bool on) {
+    m_held_down += on ? 1 : -1;
+    if (m_held_down == 0 && m_vm == nullptr) {
+        m_life_timer->start(0ms);
+    }
+}
+
+void task_machine::tend() {
+    std::erase_if(m_to_delist, [this](const auto& item) {
+        if (event_loop::now() < item.second) {
+            return false;
+        }
+        m_store.remove(platform::vm_key(item.first));
+        return true;
+    });
+}
+
+std::vector<vm_run> task_machine::runs() const {
+    std::vector<vm_run> result = m_past_runs;
+    if (m_vm != nullptr) {
+        for (const task_vm::run_record& run : m_vm->runs()) {
+            result.push_back({m_vm->incarnation(), run});
+        }
+    }
+    return result;
+}
+
+} // namespace siskinpaddle::fakes
--- /dev/null
+++ b/tests/fakes/task_machine.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "fakes/platform_store.hpp"
+#include "fakes/task_vm.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinpaddle::fakes {
+
+/// A run with the life of a VM that had it.
+struct vm_run {
+    std::string vm;
+    task_vm::run_record run;
+};
+
+/// Stand-in of a machine: one life of a VM after the other, at the same address, each registered in the
+/// store. A life ends when it is crashed or when a task crashes it; the next one begins after the down time.
+class task_machine {
+  public:
+    struct settings {
+        std::string name;
+        std::string pool = "p";
+        milliseconds run_time{100};
+        milliseconds down_time{300};
+        double clock_rate = 1;
+    };
+
+    task_machine(event_loop& loop, platform_store& store, settings options);
+
+    /// Begins the first life. Returns false if it can't listen.
+    [[nodiscard]] bool start();
+    /// Ends the present life, if there is one.
+    void crash();
+    /// No life begins while it is held down. Calls with `true` and `false` pair up.
+    void hold_down(bool on);
+    /// From now on its VMs register under this port; for one that is reached through a proxy.
+    void register_port(std::uint16_t port) { m_registered_port = port; }
+    /// Called with the address of each new life before it is registered.
+    void on_life(std::function<void(endpoint)> handler) { m_on_life = std::move(handler); }
+    /// Removes entries of lives that have been silent for three heartbeats; call often.
+    void tend();
+
+    /// Null while it is down.
+    [[nodiscard]] task_vm* vm() const noexcept { return m_vm.get(); }
+    [[nodiscard]] std::uint32_t lives() const noexcept { return m_lives; }
+    /// All runs of all lives. Those that a crash ended have `how` "crashed".
+    [[nodiscard]] std::vector<vm_run> runs() const;
+
+  private:
+    void begin_life();
+
+    event_loop& m_loop;
+    platform_store& m_store;
+    settings m_settings;
+    std::unique_ptr<task_vm> m_vm;
+    std::unique_ptr<timer> m_crash_timer;
+    std::unique_ptr<timer> m_life_timer;
+    std::function<void(endpoint)> m_on_life;
+    std::optional<std::uint16_t> m_registered_port;
+    std::uint16_t m_port = 0;
+    std::uint32_t m_lives = 0;
+    std::uint32_t m_held_down = 0;
+    bool m_failed = false; ///< It could not listen.
+    std::vector<vm_run> m_past_runs;
+    std::map<std::string, timestamp> m_to_delist;
+};
+
+} // namespace siskinpaddle::fakes
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -4,6 +4,7 @@
 #include "platform/wire.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 namespace siskinpaddle::fakes {
 
@@ -14,17 +15,30 @@
 constexpr milliseconds tick_interval = 10ms;
 /// The VM's clock is not ours.
 constexpr std::int64_t clock_offset_ms = 77'000;
+constexpr std::string_view crash_prefix = "crashes its VM: ";
 
 std::int64_t number(const boost::json::object& object, std::string_view key) {
     const boost::json::value* found = object.if_contains(key);
     return found == nullptr ? 0 : found->to_number<std::int64_t>();
 }
 
+/// Whether the payload lets this task crash its VM.
+bool crashes(const std::string& payload, const std::string& task) {
+    return payload.starts_with(crash_prefix) &&
+           payload.substr(crash_prefix.size()) == task.substr(task.rfind('.') + 1);
+}
+
 } // namespace
 
+std::string task_vm::crash_payload(std::uint32_t index) {
+    std::ostringstream text;
+    text << crash_prefix << index;
+    return text.str();
+}
+
 task_vm::task_vm(event_loop& loop, std::string incarnation, milliseconds run_time)
-    : m_loop(loop), m_incarnation(std::move(incarnation)), m_run_time(run_time),
-      m_server(loop, {}, [this](const request_handle& request) { take(request); }),
+    : m_loop(loop), m_incarnation(std::move(incarnation)), m_machine("m-" + m_incarnation),
+      m_run_time(run_time), m_server(loop, {}, [this](const request_handle& request) { take(request); }),
       m_timer(loop.make_timer([this] { tick(); })) {
     m_timer->start(tick_interval);
 }
@@ -37,7 +51,7 @@
 std::string task_vm::registration(const std::string& pool, std::uint16_t port) const {
     jobs::vm_info info;
     info.incarnation = m_incarnation;
-    info.machine = "m-" + m_incarnation;
+    info.machine = m_machine;
     info.pool = pool;
     info.address = "127.0.0.1";
     info.port = port;
@@ -130,7 +144,11 @@
     }
     m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
     m_highest[task] = attempt;
-    const bool endless = body.at(wire::payload).as_string() == endless_payload;
+    const std::string payload(body.at(wire::payload).as_string());
+    const bool endless = payload == endless_payload;
+    if (crashes(payload, task)) {
+        m_crashes_at = std::min(m_crashes_at.value_or(timestamp::max()), event_loop::now() + crash_delay);
+    }
     m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0), endless});
     return {};
 }
@@ -192,8 +210,17 @@
     m_ends.push_back({m_next_end++, run});
 }
 
+/// Only once: the machine ends this life then.
+void task_vm::crash_if_due() {
+    if (m_crashes_at && event_loop::now() >= *m_crashes_at && m_on_crash) {
+        m_silent = true;
+        std::exchange(m_on_crash, {})();
+    }
+}
+
 void task_vm::tick() {
     m_timer->start(tick_interval);
+    crash_if_due();
     carry_out_late();
     for (std::size_t i = 0; i < m_runs.size(); ++i) {
         if (m_runs[i].ended != timestamp(0)) {
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
 
     /// Tasks of jobs with this payload don't end by themselves.
     static constexpr std::string_view endless_payload = "runs until it is stopped";
+    /// With this payload the job's tasks of this index crash their VM a moment after they have begun.
+    [[nodiscard]] static std::string crash_payload(std::uint32_t index);
+    static constexpr milliseconds crash_delay{10};
 
     task_vm(event_loop& loop, std::string incarnation, milliseconds run_time);
 
@@ -44,6 +48,11 @@
     [[nodiscard]] const std::string& incarnation() const noexcept { return m_incarnation; }
     [[nodiscard]] const std::vector<run_record>& runs() const noexcept { return m_runs; }
 
+    /// The machine that it says it runs on; its own name otherwise.
+    void set_machine(std::string machine) { m_machine = std::move(machine); }
+    /// Called once when a task crashes the VM. It answers nothing from then on, and is to be destroyed.
+    void on_crash(std::function<void()> handler) { m_on_crash = std::move(handler); }
+
     /// Answers nothing more; what runs goes on until its lease ends.
     void set_silent(bool silent) { m_silent = silent; }
     /// Neither carries the next so many stops out nor answers them.
@@ -85,12 +94,14 @@
     void answer_renewals();
     void finish(std::size_t run, const char* how);
     void tick();
+    void crash_if_due();
     [[nodiscard]] std::int64_t clock_ms() const;
     [[nodiscard]] boost::json::object lists() const;
     void reply(const request_handle& request, int code, boost::json::object body) const;
 
     event_loop& m_loop;
     std::string m_incarnation;
+    std::string m_machine;
     milliseconds m_run_time;
     http_server m_server;
     std::unique_ptr<timer> m_timer;
@@ -108,6 +119,8 @@
     std::int64_t m_next_end = 1;
     bool m_silent = false;
     double m_clock_rate = 1;
+    std::optional<timestamp> m_crashes_at;
+    std::function<void()> m_on_crash;
 };
 
 } // namespace siskinpaddle::fakes
--- a/tests/jobs/vm_end_test.cpp
+++ b/tests/jobs/vm_end_test.cpp
@@ -13,7 +13,7 @@
                           row{"moved by its machine's owner", vm_end_cause::ordered, 100ms},
                           row{"silent past its lease", vm_end_cause::lapsed, 6500ms}};
     for (const row& item : rows) {
-        CAPTURE(item.name);
+        INFO(std::string(item.name));
         pool_bench b;
         b.vm("v1");
         b.job("j", {pool_bench::step(2)});
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fakes/platform_store.hpp"
+#include "fakes/task_machine.hpp"
 #include "fakes/task_vm.hpp"
 #include "net/free_port.hpp"
 #include "net/loop_until.hpp"
@@ -96,6 +97,16 @@
         return *vms.back();
     }
 
+    /// A machine whose VM begins another life a moment after each crash.
+    fakes::task_machine& add_machine(const std::string& name, milliseconds run_time) {
+        fakes::task_machine::settings options;
+        options.name = name;
+        options.run_time = run_time;
+        machines.push_back(std::make_unique<fakes::task_machine>(loop, store, options));
+        REQUIRE(machines.back()->start());
+        return *machines.back();
+    }
+
     /// Sends over a connection of its own and waits for the answer.
     http_answer answer_to(http_call request) {
         request.timeout = 6s; // Above the deadline that the call names.
@@ -122,9 +133,9 @@
         return answer_to(std::move(request));
     }
 
-    static std::string job_body(int tasks) {
+    static std::string job_body(int tasks, const std::string& payload = "s") {
         jobs::job_spec spec;
-        spec.payload = "s";
+        spec.payload = payload;
         spec.steps.resize(1);
         spec.steps[0].count = static_cast<std::uint32_t>(tasks);
         spec.steps[0].need = {500, 64, 0};
@@ -132,7 +143,14 @@
         return platform::encode_job(spec);
     }
 
-    bool until(const std::function<bool()>& condition) { return loop_until(loop, condition); }
+    bool until(const std::function<bool()>& condition) {
+        return loop_until(loop, [&] {
+            for (const auto& machine : machines) {
+                machine->tend();
+            }
+            return condition();
+        });
+    }
 
     /// Leaves jobs of one task in the pool's inbox, as entries do whose clients are told that they are
     /// accepted.
@@ -241,6 +259,7 @@
     fakes::platform_store store;
     http_client client;
     std::vector<std::unique_ptr<fakes::task_vm>> vms;
+    std::vector<std::unique_ptr<fakes::task_machine>> machines;
     std::map<std::string, running_node> nodes;
 };
 
