What crashes VM after VM is found, isolated and given up

Cause: an owner restarts whatever a VM's end took with it, at once and without limit; nothing counts VMs that end beneath a task. Only ends that a living VM reports use attempts up. Evidence: the log of the test below before this change shows the same starts again in the decision that drops the runs, in one owner's life; a change of owner makes no difference. Change: each abrupt end of a VM is held against the tasks that had run there for less than 5 s (jobs/suspicion, pure), stored with the job's progress before they start again, cleared by an end as done, by 5 s of running, or when the VM answers after all. Suspected tasks run apart from each other on few VMs, those with two crashes where no other job's run can be blamed; the third crash there, the fourth in company or the fifth end in a row of any kind gives the task up, and its job is shown as failed. A new owner takes the end of a recorded VM for one under the stored suspects that it finds nowhere. Ordered, announced and mass ends blame nobody. Why it works: a task that crashes each VM that starts it is started four times at most while its pool isn't lost in one stroke, and what ran beside it ends its isolated run and is cleared. Two tests of silent VMs store once more before the restart that they expect: what is held against a task is stored first, and they check that it does not start before.

--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -157,6 +157,9 @@
         if (!item.checkpoint.empty()) {
             result.checkpoints[number] = item.checkpoint;
         }
+        if (!item.crashes.empty()) {
+            result.crashes[number] = item.crashes;
+        }
     }
     return result;
 }
@@ -181,6 +184,9 @@
     if (const auto saved = progress.checkpoints.find(number); saved != progress.checkpoints.end()) {
         item.checkpoint = saved->second;
     }
+    if (const auto ended = progress.crashes.find(number); ended != progress.crashes.end()) {
+        item.crashes = ended->second;
+    }
     if (at < progress.done.size() && progress.done[at] == done_mark) {
         mark_done(id);
         m_begun = true;
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/fleet_configuration.hpp"
+#include "jobs/suspicion.hpp"
 #include "jobs/vm.hpp"
 
 #include <cstdint>
@@ -48,7 +49,9 @@
     bool unaccounted = false;
     std::string checkpoint;
     std::vector<run> runs;
-    std::vector<std::string> failed_on; ///< VMs on which it failed; others are tried first.
+    std::vector<std::string> failed_on;  ///< VMs on which it failed; others are tried first.
+    std::vector<crash_evidence> crashes; ///< VMs that ended under it, oldest first.
+    std::uint64_t crashes_change = 0;    ///< The job's change that added the last of them.
     timestamp idle_since{0};
 };
 
@@ -59,10 +62,23 @@
     std::string done; ///< For each task '1' if it is done, else '0'.
     std::map<std::uint32_t, std::vector<std::uint32_t>> failed_attempts;
     std::map<std::uint32_t, std::string> checkpoints;
+    std::map<std::uint32_t, std::vector<crash_evidence>> crashes;
 
+    // What is held against tasks stands at the end and only if there is any, so that records without it are
+    // those that earlier versions of the program read and wrote.
     template <typename Archive>
-    void serialize(Archive& archive) {
+    void save(Archive& archive) const {
         archive(phase, done, failed_attempts, checkpoints);
+        if (!crashes.empty()) {
+            archive(crashes);
+        }
+    }
+    template <typename Archive>
+    void load(Archive& archive) {
+        archive(phase, done, failed_attempts, checkpoints);
+        if (archive.left() > 0) {
+            archive(crashes);
+        }
     }
 };
 
@@ -120,6 +136,9 @@
     void remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now);
     void mark_done(const task_id& id);
 
+    /// Whether everything that is held against the task is stored. Precondition: contains(id).
+    [[nodiscard]] bool crashes_stored(const task_id& id) const { return task(id).crashes_change <= stored; }
+
     [[nodiscard]] job_progress progress() const;
     /// Takes over what an earlier owner stored; tasks that aren't done become unaccounted.
     void restore(const job_progress& progress);
--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -15,6 +15,7 @@
 #include "jobs/queue_count.hpp"
 #include "jobs/scheduler.hpp"
 #include "jobs/start_window.hpp"
+#include "jobs/suspicion.hpp"
 #include "jobs/upkeep.hpp"
 #include "jobs/vm.hpp"
 #include "jobs/vm_end.hpp"
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -13,8 +13,12 @@
     return static_cast<std::size_t>(std::distance(first, last));
 }
 
-bool may_take(const vm_state& vm, const step_spec& step, const resources& need, const task_id& task,
-              const placement_settings& settings, timestamp now) {
+/// Whether the VM takes tasks of the step, were there room.
+bool is_open(const vm_state& vm, const step_spec& step, const task_id& task,
+             const placement_settings& settings, timestamp now) {
+    if (!vm.isolates.empty() && vm.isolates != task.job) {
+        return false;
+    }
     if (!vm.listed || !vm.reachable || vm.cordoned || vm.info().draining || vm.full_until_clock) {
         return false;
     }
@@ -30,12 +34,14 @@
         step.required_label != vm.info().rack) {
         return false;
     }
-    if (!need.fits_in(vm.room())) {
-        return false;
-    }
     return step.max_per_vm == 0 || runs_of_step(vm, task) < step.max_per_vm;
 }
 
+bool may_take(const vm_state& vm, const step_spec& step, const resources& need, const task_id& task,
+              const placement_settings& settings, timestamp now) {
+    return need.fits_in(vm.room()) && is_open(vm, step, task, settings, now);
+}
+
 /// Whether the queue's policy, if it has one, lets the VM take tasks just now.
 bool is_allowed(const step_advice* advice, const std::string& incarnation, timestamp now) {
     return advice == nullptr || advice->ticket(incarnation, now) != nullptr;
@@ -84,14 +90,38 @@
     const resources need = counted_need(step);
     const std::vector<std::string>& failed_on = job.task(task).failed_on;
     vm_state* best = nullptr;
-    std::tuple<bool, bool, int, bool, double> best_cost;
+    std::tuple<bool, bool, bool, int, bool, double> best_cost;
     for (auto& [incarnation, vm] : vms) {
         if (!may_take(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now)) {
             continue;
         }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
         const bool far = !near_rack.empty() && near_rack != vm.info().rack;
-        const std::tuple cost{failed_here, far, vm.strikes(), !vm.hosts_endless(), -fullness(vm, need)};
+        const std::tuple cost{
+            failed_here,        far, vm.has_other_suspects(task.job), vm.strikes(), !vm.hosts_endless(),
+            -fullness(vm, need)};
+        if (best == nullptr || cost < best_cost) {
+            best = &vm;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+vm_state* choose_vm_for_suspect(vm_table& vms, const job_state& job, const task_id& task,
+                                const placement_settings& settings, const step_advice* advice,
+                                const std::string& near_rack, bool may_widen, timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    const resources need = counted_need(step);
+    vm_state* best = nullptr;
+    std::tuple<bool, bool, bool, std::size_t> best_cost;
+    for (auto& [incarnation, vm] : vms) {
+        if (!may_take(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now) ||
+            (vm.suspect_jobs.empty() && !may_widen)) {
+            continue;
+        }
+        const bool far = !near_rack.empty() && near_rack != vm.info().rack;
+        const std::tuple cost{vm.has_other_suspects(task.job), vm.hosts_endless(), far, vm.tasks().size()};
         if (best == nullptr || cost < best_cost) {
             best = &vm;
             best_cost = cost;
@@ -100,6 +130,15 @@
     return best;
 }
 
+bool could_take(const vm_state& vm, const job_state& job, const task_id& task,
+                const placement_settings& settings, const step_advice* advice, timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    resources most = vm.info().capacity;
+    most -= vm.endless_used();
+    return counted_need(step).fits_in(most) && is_open(vm, step, task, settings, now) &&
+           is_allowed(advice, vm.info().incarnation, now);
+}
+
 std::string rack_for_gang(const vm_table& vms, const job_state& job, const task_id& task,
                           const placement_settings& settings, const step_advice* advice, timestamp now) {
     const step_spec& step = job.spec().steps[task.step];
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -32,6 +32,16 @@
                                   const placement_settings& settings, const step_advice* advice,
                                   const std::string& near_rack, timestamp now);
 
+/// The same for a suspected task: a VM without suspected tasks of other jobs if there is one, then the one
+/// whose end would harm least. `may_widen`: also one that no suspected task runs on yet.
+[[nodiscard]] vm_state* choose_vm_for_suspect(vm_table& vms, const job_state& job, const task_id& task,
+                                              const placement_settings& settings, const step_advice* advice,
+                                              const std::string& near_rack, bool may_widen, timestamp now);
+
+/// Whether the VM could take the task were it empty but for its long-running tasks.
+[[nodiscard]] bool could_take(const vm_state& vm, const job_state& job, const task_id& task,
+                              const placement_settings& settings, const step_advice* advice, timestamp now);
+
 /// The rack for a gang that would be slowed down by a distance between its members: one with room for the
 /// whole step, if possible that of its data, else the one with least to spare, so that larger gangs still
 /// find theirs. Empty when no single rack has room; the gang is then spread, since late is worth more than
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -90,6 +90,9 @@
     result.late_millicores = std::max<std::int64_t>(
         0, present.usable_part(result.need_millicores + present.late_millicores()) - result.need_millicores);
     result.least_vms = vms_for_endless(present.usable_vms);
+    if (m_isolation_lacks_vm) {
+        result.least_vms = std::max<std::uint64_t>(result.least_vms, present.usable_vms + 1);
+    }
     result.labels = m_labels.update(wanted_by_label(now), now);
     for (const auto& [name, vm] : m_vms) {
         vm_load item;
@@ -175,7 +178,8 @@
     job_progress stored = progress.value_or(job_progress{});
     job.restore(stored);
     job.durable_final = is_final(job.phase());
-    m_jobs.emplace(record.spec.id, std::move(job));
+    const auto& added = m_jobs.emplace(record.spec.id, std::move(job)).first->second;
+    suspect_again(added);
 }
 
 cancel_outcome scheduler::cancel(const std::string& job, timestamp now) {
@@ -193,6 +197,7 @@
 void scheduler::finish(job_state& job, job_phase phase, timestamp now) {
     job.set_phase(phase);
     job.final_at = now;
+    forget_suspicions(job.spec().id);
     changed(job, true);
     stop_all(job, now);
 }
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -5,6 +5,7 @@
 #include "jobs/order.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/start_window.hpp"
+#include "jobs/suspicion.hpp"
 #include "jobs/vm_end.hpp"
 #include "jobs/work_gauge.hpp"
 
@@ -66,6 +67,14 @@
     std::uint32_t attempt = 0;
 };
 
+/// What is held against a task has changed.
+struct suspicion_change {
+    task_id task;
+    suspicion level = suspicion::none;
+    std::vector<crash_evidence> evidence;
+    std::string why;
+};
+
 struct decisions {
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
@@ -73,6 +82,7 @@
     std::vector<advice_request> questions; ///< To the policy service.
     std::vector<scheduler_note> notes;
     std::vector<vm_end> ended_vms; ///< Those that were in use; for the log.
+    std::vector<suspicion_change> suspicions;
 };
 
 /// What has to be stored next, and what may be told once it is.
@@ -203,6 +213,35 @@
     void stop_all(job_state& job, timestamp now);
     void finish(job_state& job, job_phase phase, timestamp now);
 
+    // VMs that end under tasks.
+    /// The end of a VM that is only known to be silent.
+    struct silent_end {
+        vm_end end;
+        bool mass = false;
+    };
+
+    void take_vm_end(const vm_end& end, timestamp now);
+    [[nodiscard]] bool ended_in_mass(const vm_end& end) const;
+    void hold_against(const task_id& id, const std::string& vm, evidence_kind kind, timestamp now);
+    void reconsider(const task_id& id, std::string_view why, timestamp now);
+    void give_task_up(const task_id& id, timestamp now);
+    void explain_by(const task_state& culprit, const std::string& job);
+    void clear_suspicion(job_state& job, const task_id& id, const char* why);
+    void suspect_again(const job_state& restored);
+    void forget_suspicions(const std::string& job);
+    void silent_vm_answers(const std::string& vm, timestamp now);
+    void silent_vm_ended(const std::string& vm, timestamp now);
+    void machine_answers(const vm_info& alive, timestamp now);
+    void infer_ends(timestamp now);
+    void mark_suspects();
+    [[nodiscard]] std::size_t usable_vms() const;
+    [[nodiscard]] vm_state* choose_vm_for(const job_state& job, const task_id& id, const step_advice* advice,
+                                          const std::string& near_rack, timestamp now);
+    [[nodiscard]] vm_state* choose_isolated_vm(const job_state& job, const task_id& id,
+                                               const step_advice* advice, timestamp now);
+    [[nodiscard]] std::size_t unproven_others(const vm_state& vm, const std::string& job,
+                                              timestamp now) const;
+
     // Deciding.
     void give_up_lapsed(timestamp now);
     void account(timestamp now);
@@ -247,6 +286,11 @@
     std::size_t m_obtainable_vms = 0;
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, step_advice> m_advice;
+    std::set<task_id> m_suspects; ///< Tasks under which VMs have ended.
+    recent_ends m_recent_ends;
+    std::map<std::string, silent_end> m_silent_ends; ///< By VM.
+    std::vector<std::string> m_ended_unheard; ///< VMs of the earlier owner that crashed before they answered.
+    bool m_isolation_lacks_vm = false; ///< A task to be isolated finds no VM without long-running ones.
     start_window m_starts_on_way;
     std::optional<std::int64_t>
         m_sustained_millicores; ///< While starts are held back; as of the last decision.
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -25,6 +25,8 @@
         give_up_lapsed(now);
         account(now);
     }
+    m_isolation_lacks_vm = false;
+    mark_suspects();
     m_wall_offset = milliseconds(wall_ms) - now;
     tend_runs(now);
     place_waiting(now);
@@ -50,7 +52,9 @@
         return;
     }
     m_accounted = true;
+    infer_ends(now);
     m_unheard.clear();
+    m_ended_unheard.clear();
     for (auto& [id, job] : m_jobs) {
         job.account_for_all();
     }
@@ -274,7 +278,9 @@
         if (!m_starts_on_way.open(now)) {
             return;
         }
-        if (!place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, step.data_rack, now)) {
+        const bool placed =
+            place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, step.data_rack, now);
+        if (!placed && task.crashes.empty()) {
             return; // All tasks of a step are alike: where one finds no room, none does.
         }
     }
@@ -282,11 +288,17 @@
 
 bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt,
                            const std::string& near_rack, timestamp now) {
+    if (!job.crashes_stored(id)) {
+        return false;
+    }
     const step_advice* advice = advice_for(job, {id.occurrence, id.step});
-    vm_state* vm = choose_vm(m_vms, job, id, m_settings.placement, advice, near_rack, now);
+    vm_state* vm = choose_vm_for(job, id, advice, near_rack, now);
     if (vm == nullptr) {
         return false;
     }
+    if (suspicion_of(job.task(id).crashes) >= suspicion::suspected) {
+        vm->suspect_jobs.insert(id.job);
+    }
     run item;
     item.attempt = attempt;
     item.vm = vm->info().incarnation;
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -38,10 +38,12 @@
 
 void scheduler::take_done(job_state& job, const task_id& id, timestamp now) {
     const step_spec& step = job.spec().steps[id.step];
+    clear_suspicion(job, id, "done");
     if (step.endless) {
         return; // It is to run until it is cancelled: however it ends, it starts again.
     }
     const auto finish_task = [&](const task_id& item) {
+        clear_suspicion(job, item, "done");
         job.mark_done(item);
         for (run& other : job.task(item).runs) {
             if (!step.gang) {
@@ -167,6 +169,9 @@
         known->progress_at = now;
     }
     known->usage = item.usage;
+    if (now - known->started_at >= proven_after) {
+        clear_suspicion(job, item.task, "proven");
+    }
     if (!item.checkpoint.empty()) {
         task.checkpoint = item.checkpoint;
     }
@@ -217,6 +222,7 @@
     end.vm = vm.info().incarnation;
     end.machine = vm.info().machine;
     end.cause = cause;
+    end.heard = vm.ever_heard();
     end.draining = vm.info().draining;
     end.silent_from = vm.silent_from() == timestamp(0) ? now : vm.silent_from();
     const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
@@ -233,8 +239,9 @@
 }
 
 void scheduler::drop_runs_of(vm_state& vm, vm_end_cause cause, timestamp now) {
-    if (vm_end end = describe_end(vm, cause, now); !end.runs.empty()) {
-        m_out.ended_vms.push_back(std::move(end));
+    const vm_end end = describe_end(vm, cause, now);
+    if (!end.runs.empty()) {
+        m_out.ended_vms.push_back(end);
     }
     const char* why = cause == vm_end_cause::lapsed ? "lease-lapsed" : "vm-gone";
     const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
@@ -250,6 +257,7 @@
         }
     }
     vm.set_orphans({});
+    take_vm_end(end, now);
 }
 
 } // namespace siskinpaddle::jobs
--- /dev/null
+++ b/jobs/scheduler_suspects.cpp
@@ -0,0 +1,331 @@
+#include "jobs/scheduler.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace siskinpaddle::jobs {
+
+namespace {
+
+/// A suspected task waits this long for room on the VMs that suspected tasks run on already.
+constexpr milliseconds widen_after = 1500ms;
+/// A task to be isolated waits this long for a VM without long-running tasks; machines come within it.
+constexpr milliseconds isolation_patience = 2500ms;
+/// A silent VM whose fate has not shown by then doesn't tell it any more.
+constexpr milliseconds silent_memory = 60s;
+/// One of so many usable VMs may be kept for isolated tasks at a time.
+constexpr std::size_t isolated_share = 8;
+
+bool takes_work(const vm_state& vm) {
+    return vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining;
+}
+
+} // namespace
+
+// --- Evidence ---
+
+void scheduler::take_vm_end(const vm_end& end, timestamp now) {
+    const bool mass = ended_in_mass(end);
+    if (end.heard && end.cause != vm_end_cause::ordered) {
+        m_recent_ends.add(end.vm, end.silent_from, now);
+    }
+    std::erase_if(m_silent_ends,
+                  [now](const auto& item) { return now - item.second.end.silent_from > silent_memory; });
+    if (end.cause == vm_end_cause::lapsed) {
+        m_silent_ends[end.vm] = {end, mass};
+    }
+    for (const blamed_run& item : blame(end, mass)) {
+        hold_against(item.task, end.vm, item.kind, now);
+    }
+}
+
+bool scheduler::ended_in_mass(const vm_end& end) const {
+    std::vector<timestamp> silent{end.silent_from};
+    std::size_t heard = 0;
+    for (const auto& [name, vm] : m_vms) {
+        heard += vm.ever_heard() ? 1 : 0;
+        if (name != end.vm && vm.ever_heard() && vm.silent_from() != timestamp(0)) {
+            silent.push_back(vm.silent_from());
+        }
+    }
+    return is_mass_loss(m_recent_ends.together(end.silent_from, silent), heard);
+}
+
+void scheduler::hold_against(const task_id& id, const std::string& vm, evidence_kind kind, timestamp now) {
+    const auto found = m_jobs.find(id.job);
+    if (found == m_jobs.end() || is_final(found->second.phase()) || found->second.task(id).done) {
+        return;
+    }
+    task_state& task = found->second.task(id);
+    if (std::ranges::find(task.crashes, vm, &crash_evidence::vm) != task.crashes.end()) {
+        return;
+    }
+    task.crashes.push_back({vm, kind});
+    m_suspects.insert(id);
+    reconsider(id, name_of(kind), now);
+}
+
+/// After a change of what is held against the task, which is stored before the task starts again.
+void scheduler::reconsider(const task_id& id, std::string_view why, timestamp now) {
+    job_state& job = m_jobs.find(id.job)->second;
+    task_state& task = job.task(id);
+    changed(job, true);
+    task.crashes_change = job.changed;
+    const suspicion level = suspicion_of(task.crashes);
+    m_out.suspicions.push_back({id, level, task.crashes, std::string(why)});
+    if (level == suspicion::given_up) {
+        give_task_up(id, now);
+    }
+}
+
+void scheduler::give_task_up(const task_id& id, timestamp now) {
+    job_state& job = m_jobs.find(id.job)->second;
+    explain_by(job.task(id), id.job);
+    finish(job, job_phase::failed, now);
+}
+
+/// What the culprit's VMs held against tasks of other jobs hardly counts any more.
+void scheduler::explain_by(const task_state& culprit, const std::string& job) {
+    for (const task_id& id : m_suspects) {
+        if (id.job == job) {
+            continue;
+        }
+        job_state& other = m_jobs.find(id.job)->second;
+        bool explained = false;
+        for (crash_evidence& item : other.task(id).crashes) {
+            const bool same =
+                std::ranges::find(culprit.crashes, item.vm, &crash_evidence::vm) != culprit.crashes.end();
+            explained = explained || (same && item.kind != evidence_kind::explained);
+            item.kind = same ? evidence_kind::explained : item.kind;
+        }
+        if (explained) {
+            changed(other, false);
+            m_out.suspicions.push_back({id, suspicion_of(other.task(id).crashes), other.task(id).crashes,
+                                        std::string(name_of(evidence_kind::explained))});
+        }
+    }
+}
+
+void scheduler::clear_suspicion(job_state& job, const task_id& id, const char* why) {
+    if (m_suspects.erase(id) == 0) {
+        return;
+    }
+    m_out.suspicions.push_back({id, suspicion::none, std::move(job.task(id).crashes), why});
+    job.task(id).crashes.clear();
+    changed(job, false);
+}
+
+/// What an earlier owner stored.
+void scheduler::suspect_again(const job_state& restored) {
+    if (is_final(restored.phase())) {
+        return;
+    }
+    restored.each_step([&](step_place place) {
+        for (std::uint32_t index = 0; index < restored.spec().steps[place.step].count; ++index) {
+            const task_id id = restored.id_of(place, index);
+            if (!restored.task(id).crashes.empty()) {
+                m_suspects.insert(id);
+            }
+        }
+    });
+}
+
+void scheduler::forget_suspicions(const std::string& job) {
+    m_suspects.erase(m_suspects.lower_bound({job, 0, 0, 0}), m_suspects.lower_bound({job + '\0', 0, 0, 0}));
+}
+
+/// A VM that was silent past its lease answers: it was cut off, and nothing crashed it.
+void scheduler::silent_vm_answers(const std::string& vm, timestamp now) {
+    const auto found = m_silent_ends.find(vm);
+    if (found == m_silent_ends.end()) {
+        return;
+    }
+    for (const ended_run& item : found->second.end.runs) {
+        if (!m_suspects.contains(item.task)) {
+            continue;
+        }
+        job_state& job = m_jobs.find(item.task.job)->second;
+        if (std::erase_if(job.task(item.task).crashes,
+                          [&](const crash_evidence& one) { return one.vm == vm; }) == 0) {
+            continue;
+        }
+        if (job.task(item.task).crashes.empty()) {
+            clear_suspicion(job, item.task, "vm-answers");
+        } else {
+            reconsider(item.task, "vm-answers", now);
+        }
+    }
+    m_silent_ends.erase(found);
+}
+
+/// A VM that was silent past its lease did crash: another life shows it.
+void scheduler::silent_vm_ended(const std::string& vm, timestamp now) {
+    auto known = m_silent_ends.extract(vm);
+    if (known.empty()) {
+        return;
+    }
+    silent_end& item = known.mapped();
+    item.end.cause = vm_end_cause::superseded;
+    for (const blamed_run& blamed : blame(item.end, item.mass)) {
+        if (!m_suspects.contains(blamed.task)) {
+            continue;
+        }
+        task_state& task = m_jobs.find(blamed.task.job)->second.task(blamed.task);
+        const auto one = std::ranges::find(task.crashes, vm, &crash_evidence::vm);
+        if (one != task.crashes.end() && one->kind == evidence_kind::silent) {
+            one->kind = blamed.kind;
+            reconsider(blamed.task, name_of(blamed.kind), now);
+        }
+    }
+}
+
+void scheduler::machine_answers(const vm_info& alive, timestamp now) {
+    std::vector<std::string> ended;
+    for (const auto& [vm, item] : m_silent_ends) {
+        if (item.end.machine == alive.machine && vm != alive.incarnation) {
+            ended.push_back(vm);
+        }
+    }
+    for (const std::string& vm : ended) {
+        silent_vm_ended(vm, now);
+    }
+}
+
+/// An earlier owner may have started a suspected task on a VM that has crashed since, and may have died
+/// before it heard of that. Answers owners that are killed one after the other while a task crashes VMs:
+/// each would begin to count anew.
+void scheduler::infer_ends(timestamp now) {
+    std::set<std::string> known;
+    for (const task_id& id : m_suspects) {
+        for (const crash_evidence& item : m_jobs.find(id.job)->second.task(id).crashes) {
+            known.insert(item.vm);
+        }
+    }
+    const auto is_new = [&](const std::string& vm) { return !known.contains(vm); };
+    const auto crashed = std::ranges::find_if(m_ended_unheard, is_new);
+    const auto silent = std::ranges::find_if(m_unheard, is_new);
+    if (crashed == m_ended_unheard.end() && silent == m_unheard.end()) {
+        return;
+    }
+    const bool certain = crashed != m_ended_unheard.end();
+    const std::string vm = certain ? *crashed : *silent;
+    const std::set<task_id> suspects = m_suspects;
+    for (const task_id& id : suspects) {
+        const task_state& task = m_jobs.find(id.job)->second.task(id);
+        if (m_suspects.contains(id) && task.unaccounted && task.runs.empty()) {
+            hold_against(id, vm, certain ? evidence_kind::inferred : evidence_kind::silent, now);
+        }
+    }
+}
+
+// --- Placing ---
+
+std::size_t scheduler::usable_vms() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_vms, [](const auto& item) { return takes_work(item.second); }));
+}
+
+/// Notes on the VMs where suspected tasks run, and ends the isolation of those that no task needs any more.
+void scheduler::mark_suspects() {
+    for (auto& [name, vm] : m_vms) {
+        vm.suspect_jobs.clear();
+    }
+    std::set<std::string> isolated;
+    for (const task_id& id : m_suspects) {
+        const task_state& task = m_jobs.find(id.job)->second.task(id);
+        const suspicion level = suspicion_of(task.crashes);
+        if (level < suspicion::suspected) {
+            continue;
+        }
+        for (const run& item : task.runs) {
+            if (const auto vm = m_vms.find(item.vm); vm != m_vms.end()) {
+                vm->second.suspect_jobs.insert(id.job);
+            }
+        }
+        if (level == suspicion::isolated) {
+            isolated.insert(id.job);
+        }
+    }
+    for (auto& [name, vm] : m_vms) {
+        const bool needed =
+            isolated.contains(vm.isolates) && (takes_work(vm) || vm.suspect_jobs.contains(vm.isolates));
+        if (!needed) {
+            vm.isolates.clear();
+        }
+    }
+}
+
+vm_state* scheduler::choose_vm_for(const job_state& job, const task_id& id, const step_advice* advice,
+                                   const std::string& near_rack, timestamp now) {
+    const task_state& task = job.task(id);
+    const suspicion level = suspicion_of(task.crashes);
+    if (level < suspicion::suspected) {
+        return choose_vm(m_vms, job, id, m_settings.placement, advice, near_rack, now);
+    }
+    // Members of a gang run on several VMs at a time: they are kept apart, not isolated.
+    const bool gang = job.spec().steps[id.step].gang;
+    if (level == suspicion::isolated && !gang) {
+        return choose_isolated_vm(job, id, advice, now);
+    }
+    const auto at_risk = static_cast<std::size_t>(
+        std::ranges::count_if(m_vms, [](const auto& item) { return !item.second.suspect_jobs.empty(); }));
+    const bool may_widen =
+        gang || at_risk < most_at_risk(usable_vms()) || now - task.idle_since >= widen_after;
+    return choose_vm_for_suspect(m_vms, job, id, m_settings.placement, advice, near_rack, may_widen, now);
+}
+
+/// Runs of other jobs on the VM that could be blamed if it ended now.
+std::size_t scheduler::unproven_others(const vm_state& vm, const std::string& job, timestamp now) const {
+    std::size_t count = 0;
+    for (const task_id& id : vm.tasks()) {
+        if (id.job == job) {
+            continue;
+        }
+        for (const run& item : m_jobs.find(id.job)->second.task(id).runs) {
+            count += item.vm == vm.info().incarnation && now - item.started_at < proven_after ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+/// A VM for a task that is to run where no other job's run can be blamed. One is kept for its job until what
+/// runs there has ended or is proven, so that a pool without an empty VM isolates tasks, too.
+vm_state* scheduler::choose_isolated_vm(const job_state& job, const task_id& id, const step_advice* advice,
+                                        timestamp now) {
+    const std::string& name = job.spec().id;
+    std::size_t others = 0;
+    bool kept = false;
+    for (const auto& item : m_vms) {
+        kept = kept || item.second.isolates == name;
+        others += !item.second.isolates.empty() && item.second.isolates != name ? 1 : 0;
+    }
+    if (!kept && others >= std::max<std::size_t>(1, usable_vms() / isolated_share)) {
+        return nullptr;
+    }
+    vm_state* best = nullptr;
+    std::tuple<bool, std::size_t, std::size_t> best_cost;
+    for (auto& item : m_vms) {
+        vm_state& vm = item.second;
+        const bool fits = kept ? vm.isolates == name : !vm.has_other_suspects(name);
+        if (!fits || !could_take(vm, job, id, m_settings.placement, advice, now)) {
+            continue;
+        }
+        const std::tuple cost{vm.hosts_endless(), unproven_others(vm, name, now), vm.tasks().size()};
+        if (best == nullptr || cost < best_cost) {
+            best = &vm;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return nullptr;
+    }
+    if (!kept && best->hosts_endless() && now - job.task(id).idle_since < isolation_patience) {
+        m_isolation_lacks_vm = true;
+        return nullptr;
+    }
+    best->isolates = name;
+    const bool clean = unproven_others(*best, name, now) == 0;
+    return clean && counted_need(job.spec().steps[id.step]).fits_in(best->room()) ? best : nullptr;
+}
+
+} // namespace siskinpaddle::jobs
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -42,10 +42,14 @@
 
 void scheduler::vm_gone(const std::string& vm, vm_end_cause cause, timestamp now) {
     const auto found = m_vms.find(vm);
-    m_unheard.erase(vm);
+    const bool unheard = m_unheard.erase(vm) > 0;
     if (found == m_vms.end()) {
         return;
     }
+    if (unheard && cause != vm_end_cause::ordered && !found->second.info().draining) {
+        m_ended_unheard.push_back(vm);
+    }
+    silent_vm_ended(vm, now);
     drop_runs_of(found->second, cause, now);
     m_vms.erase(found);
 }
@@ -70,6 +74,7 @@
     }
     vm.heard(report.clock_ms, now);
     vm.reachable = true;
+    silent_vm_answers(name, now);
     for (const end_report& end : report.ended) {
         if (end.sequence > vm.seen) {
             vm.seen = end.sequence;
@@ -88,6 +93,7 @@
     }
     m_unheard.erase(name);
     forget_earlier_lives(vm.info(), now);
+    machine_answers(vm.info(), now);
     pace(vm);
 }
 
--- /dev/null
+++ b/jobs/suspicion.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "jobs/vm_end.hpp"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace siskinpaddle::jobs {
+
+/// How strongly the end of a VM speaks against a task that ran there.
+enum class evidence_kind : std::uint8_t {
+    alone,     ///< No other job had a run there that could have caused it.
+    shared,    ///< Other jobs had.
+    inferred,  ///< The VM ended under an earlier owner; that the task ran there is likely, not known.
+    explained, ///< A task that was given up since had run there, too.
+    mass,      ///< A good part of the pool's VMs ended together: a rack, an availability zone, a switch.
+    silent     ///< The VM is only known to be silent: it may live behind a partition.
+};
+
+template <typename Archive>
+std::uint8_t save_minimal(const Archive&, const evidence_kind& kind) {
+    return static_cast<std::uint8_t>(kind);
+}
+template <typename Archive>
+void load_minimal(const Archive&, evidence_kind& kind, const std::uint8_t& value) {
+    kind = static_cast<evidence_kind>(value);
+}
+
+/// A life of a VM that ended under a run of a task. Each life counts once against a task.
+struct crash_evidence {
+    std::string vm;
+    evidence_kind kind = evidence_kind::shared;
+
+    bool operator==(const crash_evidence&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(vm, kind);
+    }
+};
+
+/// What is held against a task.
+enum class suspicion : std::uint8_t {
+    none,
+    noted,     ///< A VM ended under it, in a way that hardly speaks against it.
+    suspected, ///< It runs apart from other suspected tasks, where it harms least.
+    isolated,  ///< It runs where no other job's run can be blamed for what happens to the VM.
+    given_up   ///< It has crashed VMs: its job fails.
+};
+
+/// Judges a task by the VMs that ended under it, oldest first. Pure; thread-safe.
+///
+/// A task is given up once three VMs have crashed under it and it was alone on the last one. Where that can't
+/// be brought about, one more suffices, and in any case the fifth end of a VM in a row. Answers a task that
+/// crashes every VM that starts it: without a bound it takes its pool down, one VM after the other. A task
+/// that only ran beside such a one is isolated for one run at most, ends it, and is cleared.
+[[nodiscard]] suspicion suspicion_of(std::span<const crash_evidence> evidence) noexcept;
+
+/// A run that has lasted this long did not crash its VM by being started there; ends of VMs say nothing
+/// against it, and what was held against its task is forgotten.
+inline constexpr milliseconds proven_after = 5s;
+
+/// Evidence against the task of one run that ended with its VM.
+struct blamed_run {
+    task_id task;
+    evidence_kind kind = evidence_kind::shared;
+
+    bool operator==(const blamed_run&) const = default;
+};
+
+/// Says what the end of a VM holds against the tasks that ran there; nothing for one that was ordered or
+/// announced. `mass`: so many others ended with it that the cause lies outside. Pure; thread-safe.
+[[nodiscard]] std::vector<blamed_run> blame(const vm_end& end, bool mass);
+
+/// Remembers when VMs of a pool went silent for good, to tell a loss of many from single crashes. Not
+/// thread-safe.
+class recent_ends {
+  public:
+    /// Precondition: `silent_from` is not later than `now`.
+    void add(const std::string& vm, timestamp silent_from, timestamp now);
+    /// VMs that went silent about when this one did, it included. `silent`: those that do not answer now and
+    /// have not ended yet.
+    [[nodiscard]] std::size_t together(timestamp silent_from, std::span<const timestamp> silent) const;
+
+  private:
+    struct entry {
+        std::string vm;
+        timestamp silent_from{0};
+    };
+    std::deque<entry> m_entries;
+};
+
+/// Whether so many ends at a time are a loss of many, in a pool of `pool_vms`. Pure; thread-safe.
+[[nodiscard]] bool is_mass_loss(std::size_t together, std::size_t pool_vms) noexcept;
+
+/// Most VMs of a pool that suspected tasks may run on at a time, so that they can't take the pool down.
+/// Pure; thread-safe.
+[[nodiscard]] std::size_t most_at_risk(std::size_t usable_vms) noexcept;
+
+} // namespace siskinpaddle::jobs
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::evidence_kind>{
+    std::pair{siskinpaddle::jobs::evidence_kind::alone, std::string_view("alone")},
+    std::pair{siskinpaddle::jobs::evidence_kind::shared, std::string_view("shared")},
+    std::pair{siskinpaddle::jobs::evidence_kind::inferred, std::string_view("inferred")},
+    std::pair{siskinpaddle::jobs::evidence_kind::explained, std::string_view("explained")},
+    std::pair{siskinpaddle::jobs::evidence_kind::mass, std::string_view("mass")},
+    std::pair{siskinpaddle::jobs::evidence_kind::silent, std::string_view("silent")}};
+
+template <>
+inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::suspicion>{
+    std::pair{siskinpaddle::jobs::suspicion::none, std::string_view("none")},
+    std::pair{siskinpaddle::jobs::suspicion::noted, std::string_view("noted")},
+    std::pair{siskinpaddle::jobs::suspicion::suspected, std::string_view("suspected")},
+    std::pair{siskinpaddle::jobs::suspicion::isolated, std::string_view("isolated")},
+    std::pair{siskinpaddle::jobs::suspicion::given_up, std::string_view("given-up")}};
--- a/jobs/vm_end.hpp
+++ b/jobs/vm_end.hpp
@@ -33,6 +33,7 @@
     std::string vm;
     std::string machine;
     vm_end_cause cause = vm_end_cause::replaced;
+    bool heard = true;        ///< This owner had heard of it; else it may have ended at any time.
     bool draining = false;    ///< It had said that it would leave.
     timestamp silent_from{0}; ///< Its first missing answer.
     std::vector<ended_run> runs;
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -52,6 +52,10 @@
     void remove_task(const task_id& task, const resources& need, bool endless);
     [[nodiscard]] bool hosts_endless() const noexcept { return m_endless > 0; }
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
+    /// Whether suspected tasks of other jobs than this one run there.
+    [[nodiscard]] bool has_other_suspects(const std::string& job) const {
+        return suspect_jobs.size() > (suspect_jobs.contains(job) ? 1U : 0U);
+    }
     /// Nothing runs there, or may yet start, as far as is known.
     [[nodiscard]] bool vacant() const noexcept { return m_tasks.empty() && m_orphans.empty(); }
     /// Nothing runs there, and what has ended there is stored.
@@ -74,11 +78,13 @@
     [[nodiscard]] bool set_aside_at(timestamp now) const noexcept { return now < m_aside_until; }
     [[nodiscard]] int strikes() const noexcept { return m_strikes; }
 
-    bool listed = true;            ///< The platform lists it.
-    bool reachable = true;         ///< Its last order was answered.
-    bool cordoned = false;         ///< No new runs: an upkeep or a move waits for it to be empty.
-    std::int64_t seen = 0;         ///< Ends up to here were taken in.
-    std::int64_t acknowledged = 0; ///< Ends up to here are stored, so the VM may forget them.
+    bool listed = true;                 ///< The platform lists it.
+    bool reachable = true;              ///< Its last order was answered.
+    bool cordoned = false;              ///< No new runs: an upkeep or a move waits for it to be empty.
+    std::set<std::string> suspect_jobs; ///< Jobs whose suspected tasks run there, as of the last decision.
+    std::string isolates;               ///< The job whose tasks alone may start there; empty: any.
+    std::int64_t seen = 0;              ///< Ends up to here were taken in.
+    std::int64_t acknowledged = 0;      ///< Ends up to here are stored, so the VM may forget them.
     std::optional<std::int64_t> full_until_clock; ///< It refused for want of room; wait for a newer report.
 
   private:
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -194,6 +194,28 @@
     for (const jobs::vm_end& end : wanted.ended_vms) {
         log_vm_end(end);
     }
+    for (const jobs::suspicion_change& change : wanted.suspicions) {
+        log_suspicion(change);
+    }
+}
+
+void pool_task::log_suspicion(const jobs::suspicion_change& change) const {
+    m_parts.counters.count("suspicions_" + std::string(name_of(change.level)));
+    std::string evidence;
+    for (const jobs::crash_evidence& item : change.evidence) {
+        evidence += (evidence.empty() ? "" : ",") + item.vm + ":" + std::string(name_of(item.kind));
+    }
+    event_id event = event_id::task_suspected;
+    if (change.level == jobs::suspicion::none) {
+        event = event_id::task_cleared;
+    } else if (change.level == jobs::suspicion::given_up) {
+        event = event_id::task_given_up;
+    }
+    log_event(event, {{"pool", m_pool},
+                      {"task", platform::encode_task(change.task)},
+                      {"level", name_of(change.level)},
+                      {"why", change.why},
+                      {"evidence", evidence.empty() ? std::string("-") : evidence}});
 }
 
 void pool_task::log_vm_end(const jobs::vm_end& end) const {
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -117,6 +117,7 @@
                       const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
     void log_decisions(const jobs::decisions& wanted) const;
     void log_vm_end(const jobs::vm_end& end) const;
+    void log_suspicion(const jobs::suspicion_change& change) const;
     void log_load(timestamp now);
 
     // Requests.
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -113,6 +113,9 @@
     count_answered = 1948,
     loop_late = 1949,
     wave_damaged = 1950,
+    task_suspected = 1951,
+    task_cleared = 1952,
+    task_given_up = 1953,
 };
 
 /// Catalogue line of an event.
@@ -215,6 +218,9 @@
     event_entry{event_id::count_answered, "count-answered", event_level::info},
     event_entry{event_id::loop_late, "loop-late", event_level::info},
     event_entry{event_id::wave_damaged, "wave-damaged", event_level::error},
+    event_entry{event_id::task_suspected, "task-suspected", event_level::warning},
+    event_entry{event_id::task_cleared, "task-cleared", event_level::info},
+    event_entry{event_id::task_given_up, "task-given-up", event_level::error},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -111,6 +111,8 @@
     }
     b.pass(800ms); // The VM's clock may be 2 % slow.
     b.report("v2", {});
+    CHECK(b.decide().starts.empty()); // That a VM ended under the task is stored first.
+    b.store();
     const auto again = b.decide().starts;
     REQUIRE(again.size() == 1);
     CHECK(again[0].vm == "v2");
@@ -130,6 +132,9 @@
     b.pass(20'000ms);
     b.report("v2", {});
     CHECK(b.decide(false).starts.empty());
+    CHECK(b.decide(false).ended_vms.empty());
+    CHECK(b.decide(true).ended_vms.size() == 1);
+    b.store();
     CHECK(b.decide(true).starts.size() == 1);
 }
 
