A pool whose VMs shrink asks for more of them, and VMs that check nothing are filled by what they said lately

Cause: the need for VMs is counted in machines by what they have at best; an owner that is cut off from the store goes on starting for seconds by the capacities of before. Event 1954 tells each change and whether what runs fits; it goes on, and nothing starts there.

--- a/jobs/fleet_configuration.hpp
+++ b/jobs/fleet_configuration.hpp
@@ -34,6 +34,8 @@
 struct pool_settings {
     std::string name;
     bool spare = false; ///< Its VMs are off; they wait to be moved to other pools.
+    /// Its VMs refuse what does not fit. Else they start whatever they are told to.
+    bool vms_check_capacity = true;
 };
 
 /// One version of the operator's configuration.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -9,6 +9,9 @@
 /// Queues that the configuration no longer names keep their jobs; these get the mildest terms.
 const queue_settings unknown_queue{};
 
+/// Beyond this a pool's VMs are as good as lost, and their loss shows elsewhere.
+constexpr double most_shrunk = 4;
+
 /// Tasks of the step that could start now, were there room for them. Those that an earlier owner may have
 /// started are not among them.
 std::uint64_t waiting_tasks(const job_state& job, step_place place) {
@@ -85,10 +88,14 @@
     pool_demand result;
     const pool_load present = load();
     m_demand.update(present.wanted_millicores(), present.endless_millicores, now);
-    result.need_millicores = present.usable_part(m_demand.present());
-    result.keep_millicores = present.usable_part(m_demand.kept());
-    result.late_millicores = std::max<std::int64_t>(
-        0, present.usable_part(result.need_millicores + present.late_millicores()) - result.need_millicores);
+    const std::int64_t need = present.usable_part(m_demand.present());
+    const std::int64_t with_late = present.usable_part(need + present.late_millicores());
+    const auto at_best = [shrunk = shrunk_by()](std::int64_t millicores) {
+        return static_cast<std::int64_t>(static_cast<double>(millicores) * shrunk);
+    };
+    result.need_millicores = at_best(need);
+    result.keep_millicores = at_best(present.usable_part(m_demand.kept()));
+    result.late_millicores = at_best(std::max<std::int64_t>(0, with_late - need));
     result.least_vms = vms_for_endless(present.usable_vms);
     if (m_isolation_lacks_vm) {
         result.least_vms = std::max<std::uint64_t>(result.least_vms, present.usable_vms + 1);
@@ -107,6 +114,23 @@
     return result;
 }
 
+/// How much more the pool's VMs have had than they have now. Machines are counted by what they have at best:
+/// without this a pool whose VMs have shrunk asks for as many as before, and its queue stands still.
+double scheduler::shrunk_by() const {
+    std::int64_t now = 0;
+    std::int64_t largest = 0;
+    for (const auto& [name, vm] : m_vms) {
+        if (vm.listed && !vm.info().draining) {
+            now += vm.info().capacity.cpu_millicores;
+            largest += vm.largest_millicores();
+        }
+    }
+    if (now <= 0) {
+        return 1;
+    }
+    return std::min(most_shrunk, static_cast<double>(largest) / static_cast<double>(now));
+}
+
 /// VMs that would let all long-running tasks run that wait now: those there, and as many more as the step
 /// needs that is short of most. Counted by VMs, not by room: a step of 25 tasks of which two may share a VM
 /// needs 13. Counted by room its pool asked for one VM at a time, each after the one before had come, and a
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -168,6 +168,8 @@
     [[nodiscard]] pool_load load() const;
     /// What the pool needs, and its VMs.
     [[nodiscard]] pool_demand demand(timestamp now);
+    /// Starts nothing while `held`: how much room the VMs have isn't known.
+    void hold_starts(bool held) noexcept { m_starts_held = held; }
     /// A job was handed in, accepted or not; it counts as demand for a while.
     void job_arrived(const job_spec& spec, timestamp now);
     /// VMs that are on their way to the pool, and machines that no pool wants. Holds until told anew, with
@@ -233,6 +235,7 @@
     void infer_ends(timestamp now);
     void mark_suspects();
     [[nodiscard]] std::size_t usable_vms() const;
+    [[nodiscard]] double shrunk_by() const;
     [[nodiscard]] vm_state* choose_vm_for(const job_state& job, const task_id& id, const step_advice* advice,
                                           const std::string& near_rack, timestamp now);
     [[nodiscard]] vm_state* choose_isolated_vm(const job_state& job, const task_id& id,
@@ -280,6 +283,7 @@
     work_gauge m_gauge;
     demand_meter m_demand;
     label_meters m_labels;
+    bool m_starts_held = false;
     std::size_t m_arriving_vms = 0;
     std::size_t m_obtainable_vms = 0;
     /// Job, occurrence and step -> the VMs that may run it; only for queues with a policy.
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -200,6 +200,9 @@
 };
 
 void scheduler::place_waiting(timestamp now) {
+    if (m_starts_held) {
+        return;
+    }
     std::vector<candidate> waiting;
     for (auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.idle_total() == 0) {
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+void vm_state::set_info(vm_info info) {
+    m_info = std::move(info);
+    m_largest_millicores = std::max(m_largest_millicores, m_info.capacity.cpu_millicores);
+}
+
 void vm_state::heard(std::int64_t clock_ms, timestamp answered_at) {
     if (clock_ms < m_clock_ms) {
         return; // Answers on different connections overtake each other.
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -25,10 +25,13 @@
 /// thread-safe.
 class vm_state {
   public:
-    explicit vm_state(vm_info info) : m_info(std::move(info)) {}
+    explicit vm_state(vm_info info)
+        : m_info(std::move(info)), m_largest_millicores(m_info.capacity.cpu_millicores) {}
 
     [[nodiscard]] const vm_info& info() const noexcept { return m_info; }
-    void set_info(vm_info info) { m_info = std::move(info); }
+    void set_info(vm_info info);
+    /// The most that this life of the VM has had; its capacity may shrink and grow while it runs.
+    [[nodiscard]] std::int64_t largest_millicores() const noexcept { return m_largest_millicores; }
 
     /// Takes a reading of the VM's clock. `answered_at` is when the answer reached us, so the VM's clock is
     /// at least `clock_ms` then.
@@ -89,6 +92,7 @@
 
   private:
     vm_info m_info;
+    std::int64_t m_largest_millicores = 0;
     std::int64_t m_clock_ms = -1;
     timestamp m_heard_at{0};
     timestamp m_silent_from{0};
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -80,6 +80,9 @@
     if (root.child("stop_ms") != nullptr) {
         settings.stop_time = read_duration(root, "stop_ms", 1, one_hour_ms, out);
     }
+    if (root.child("capacity_age_ms") != nullptr) {
+        settings.capacity_age = read_duration(root, "capacity_age_ms", 1, one_hour_ms, out);
+    }
     settings.upkeep_time = read_duration(root, "upkeep_s", 1000, one_hour_ms, out);
     settings.move_time = read_duration(root, "move_s", 1000, one_hour_ms, out);
     const boost::json::value* rate = root.child("machine_orders_per_s");
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -10,6 +10,8 @@
 inline constexpr double default_link_mbps = 1000;
 /// Of a VM that stops a run, where the settings leave it out.
 inline constexpr milliseconds default_stop_time = 1s;
+/// Of what VMs say of their capacity, where the settings leave it out.
+inline constexpr milliseconds default_capacity_age = 3s;
 
 /// Settings of one node process, checked.
 struct node_settings {
@@ -27,6 +29,9 @@
     milliseconds grace{0};       ///< From SIGTERM to SIGKILL.
     milliseconds keep_ended{0};  ///< How long clients may ask for an ended job.
     milliseconds stop_time = default_stop_time; ///< Longest time that a VM takes to stop a run.
+    /// How old our copy of the VMs' registrations may be when tasks are started on VMs that don't check their
+    /// capacity themselves.
+    milliseconds capacity_age = default_capacity_age;
     milliseconds upkeep_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -90,6 +90,8 @@
     std::ranges::copy_if(configuration.queues, std::back_inserter(queues),
                          [this](const jobs::queue_settings& item) { return item.pool == m_pool; });
     m_scheduler.configure(std::move(queues));
+    const jobs::pool_settings* pool = configuration.pool(m_pool);
+    m_vms_check_capacity = pool == nullptr || pool->vms_check_capacity;
     decide_soon();
 }
 
@@ -123,6 +125,8 @@
         return;
     }
     const timestamp now = event_loop::now();
+    const bool capacity_known = now - m_directory.complete_until() <= m_parts.settings.capacity_age;
+    m_scheduler.hold_starts(!m_vms_check_capacity && !capacity_known);
     const bool certain = now < m_parts.membership.certain_until(m_held.duty);
     const jobs::decisions wanted = m_scheduler.decide(now, wall_clock_ms(), certain);
     log_decisions(wanted);
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -93,6 +93,7 @@
 
     // VMs.
     void vm_changed(const std::string& vm, const std::optional<jobs::vm_info>& info);
+    void log_capacity(const jobs::vm_info& info) const;
     void record_vms();
     void record_written(const platform::store_answer& answer, std::int64_t token);
     void review_record();
@@ -177,6 +178,7 @@
     vm_directory m_directory;
     watch_task m_inbox_cancels; ///< Apart from the submits: in a full inbox they would be read seconds late.
     watch_task m_inbox;         ///< Submits.
+    bool m_vms_check_capacity = true; ///< Else they start whatever they are told to.
     bool m_ready = false;
     bool m_lost = false;
     bool m_winding_down = false;
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -27,6 +27,7 @@
         }
         return;
     }
+    log_capacity(*info);
     log_event(event_id::vm_listed, {{"pool", m_pool},
                                     {"vm", vm},
                                     {"machine", info->machine},
@@ -41,6 +42,26 @@
     m_record_timer->start(0ms); // Those that change together are recorded together.
 }
 
+/// What runs goes on where it is, also beyond a capacity that has shrunk; nothing is started there until it
+/// fits again.
+void pool_task::log_capacity(const jobs::vm_info& info) const {
+    const auto known = m_scheduler.vms().find(info.incarnation);
+    if (known == m_scheduler.vms().end() || known->second.info().capacity == info.capacity) {
+        return;
+    }
+    const jobs::vm_state& vm = known->second;
+    m_parts.counters.count("vm_capacity_changes");
+    log_event(event_id::vm_capacity_changed, {{"pool", m_pool},
+                                              {"vm", info.incarnation},
+                                              {"cpu", info.capacity.cpu_millicores},
+                                              {"cpu_before", vm.info().capacity.cpu_millicores},
+                                              {"cpu_used", vm.used().cpu_millicores},
+                                              {"memory_mb", info.capacity.memory_mb},
+                                              {"memory_mb_before", vm.info().capacity.memory_mb},
+                                              {"memory_mb_used", vm.used().memory_mb},
+                                              {"over", static_cast<int>(!vm.used().fits_in(info.capacity))}});
+}
+
 bool pool_task::belongs_in_record(const std::string& vm, bool listed) const {
     jobs::record_view view;
     view.listed = listed;
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -18,6 +18,8 @@
 
     /// VMs are about to appear: look more often.
     void expect_changes(bool expected);
+    /// The copy holds all that VMs had written up to this moment, by our own clock.
+    [[nodiscard]] timestamp complete_until() const noexcept { return m_watch.complete_until(); }
     /// Reads anew at once.
     void refresh() { m_watch.refresh(); }
 
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -116,6 +116,7 @@
     task_suspected = 1951,
     task_cleared = 1952,
     task_given_up = 1953,
+    vm_capacity_changed = 1954,
 };
 
 /// Catalogue line of an event.
@@ -221,6 +222,7 @@
     event_entry{event_id::task_suspected, "task-suspected", event_level::warning},
     event_entry{event_id::task_cleared, "task-cleared", event_level::info},
     event_entry{event_id::task_given_up, "task-given-up", event_level::error},
+    event_entry{event_id::vm_capacity_changed, "vm-capacity-changed", event_level::info},
     event_entry{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
--- a/tests/fakes/task_machine.cpp
+++ b/tests/fakes/task_machine.cpp
@@ -36,10 +36,23 @@
     if (m_on_life) {
         m_on_life({"127.0.0.1", m_port});
     }
-    m_store.put(platform::vm_key(incarnation),
+    register_vm();
+}
+
+void task_machine::register_vm() {
+    m_vm->set_capacity(m_capacity);
+    m_capacities.push_back({m_vm->incarnation(), event_loop::now(), m_capacity.cpu_millicores});
+    m_store.put(platform::vm_key(m_vm->incarnation()),
                 m_vm->registration(m_settings.pool, m_registered_port.value_or(m_port)));
 }
 
+void task_machine::set_capacity(const jobs::resources& capacity) {
+    m_capacity = capacity;
+    if (m_vm != nullptr) {
+        register_vm();
+    }
+}
+
 void task_machine::crash() {
     if (m_vm == nullptr) {
         return;
--- a/tests/fakes/task_machine.hpp
+++ b/tests/fakes/task_machine.hpp
@@ -12,6 +12,13 @@
 
 namespace siskinpaddle::fakes {
 
+/// What a VM had room for from a moment on.
+struct vm_capacity {
+    std::string vm;
+    timestamp from{0};
+    std::int64_t cpu_millicores = 0;
+};
+
 /// A run with the life of a VM that had it.
 struct vm_run {
     std::string vm;
@@ -36,6 +43,8 @@
     [[nodiscard]] bool start();
     /// Ends the present life, if there is one.
     void crash();
+    /// Its VM's capacity from now on, in later lives, too, as it says itself.
+    void set_capacity(const jobs::resources& capacity);
     /// No life begins while it is held down. Calls with `true` and `false` pair up.
     void hold_down(bool on);
     /// From now on its VMs register under this port; for one that is reached through a proxy.
@@ -50,9 +59,12 @@
     [[nodiscard]] std::uint32_t lives() const noexcept { return m_lives; }
     /// All runs of all lives. Those that a crash ended have `how` "crashed".
     [[nodiscard]] std::vector<vm_run> runs() const;
+    /// All capacities of all lives, in the order of time.
+    [[nodiscard]] const std::vector<vm_capacity>& capacities() const noexcept { return m_capacities; }
 
   private:
     void begin_life();
+    void register_vm();
 
     event_loop& m_loop;
     platform_store& m_store;
@@ -63,10 +75,12 @@
     std::function<void(endpoint)> m_on_life;
     std::optional<std::uint16_t> m_registered_port;
     std::uint16_t m_port = 0;
+    jobs::resources m_capacity{4000, 8192, 0};
     std::uint32_t m_lives = 0;
     std::uint32_t m_held_down = 0;
     bool m_failed = false; ///< It could not listen.
     std::vector<vm_run> m_past_runs;
+    std::vector<vm_capacity> m_capacities;
     std::map<std::string, timestamp> m_to_delist;
 };
 
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -58,7 +58,7 @@
     info.availability_zone = "z";
     info.kind = "a";
     info.rack = "r1";
-    info.capacity = {4000, 8192, 0};
+    info.capacity = m_capacity;
     return platform::encode_vm(info);
 }
 
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/jobs.hpp"
 #include "net/net.hpp"
 
 #include <boost/json.hpp>
@@ -48,6 +49,9 @@
     [[nodiscard]] const std::string& incarnation() const noexcept { return m_incarnation; }
     [[nodiscard]] const std::vector<run_record>& runs() const noexcept { return m_runs; }
 
+    /// What it says that it has room for. It starts whatever it is told to.
+    void set_capacity(const jobs::resources& capacity) { m_capacity = capacity; }
+    [[nodiscard]] const jobs::resources& capacity() const noexcept { return m_capacity; }
     /// The machine that it says it runs on; its own name otherwise.
     void set_machine(std::string machine) { m_machine = std::move(machine); }
     /// Called once when a task crashes the VM. It answers nothing from then on, and is to be destroyed.
@@ -103,6 +107,7 @@
     std::string m_incarnation;
     std::string m_machine;
     milliseconds m_run_time;
+    jobs::resources m_capacity{4000, 8192, 0};
     http_server m_server;
     std::unique_ptr<timer> m_timer;
     std::vector<run_record> m_runs;
--- a/tests/jobs/faulty_tasks_test.cpp
+++ b/tests/jobs/faulty_tasks_test.cpp
@@ -54,7 +54,7 @@
 }
 
 /// At each of the moments something happens; no task is faulty.
-std::function<void(crash_replay&)> at(std::vector<milliseconds> moments,
+std::function<void(crash_replay&)> at(const std::vector<milliseconds>& moments,
                                       const std::function<void(crash_replay&, std::size_t)>& event) {
     return [=](crash_replay& replay) {
         replay.on_step = [&replay, moments, event](milliseconds passed) {
