The soak plays tasks that crash their VMs and VMs that shrink, and checks BUDGET and LIMIT from the VMs' own records

Change: one job in thirty has a task that crashes every VM that starts it; a VM shrinks to a quarter in each five seconds of a plan, and its pool checks no capacity itself. The soak shares the stand-in machine with the tests. Checked: a faulty task is not started a third time by an owner in touch after three crashes, its job is shown as failed and stays so, no sound job is; no start brings a VM over the most it had said within the last 4.5 s.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t cancel_one_in = 8;
 /// One job in so many runs until it is cancelled; by then they hold a sixth of the room of four VMs.
 constexpr std::uint32_t endless_one_in = 24;
+/// One job in so many has a task that crashes every VM that starts it.
+constexpr std::uint64_t faulty_one_in = 30;
+constexpr std::uint64_t faulty_seed = 0xfa;
 /// Longer than an owner's lease, so that most of them see a change of owner.
 constexpr milliseconds endless_stay = 4s;
 /// How long after a job's acceptance every node that answers for its pool must know it.
@@ -42,7 +45,10 @@
 
 std::string body_of(const job_history& job) {
     jobs::job_spec spec;
-    spec.payload = job.endless ? fakes::task_vm::endless_payload : "s";
+    spec.payload = job.endless ? std::string(fakes::task_vm::endless_payload) : std::string("s");
+    if (job.faulty) {
+        spec.payload = fakes::task_vm::crash_payload(0);
+    }
     spec.steps.resize(1);
     spec.steps[0].count = job.tasks;
     spec.steps[0].endless = job.endless;
@@ -65,7 +71,8 @@
 
 callers::callers(event_loop& loop, world& deployment, std::uint64_t seed)
     : m_loop(loop), m_world(deployment), m_client(loop, {.max_idle_per_endpoint = 4, .max_idle_time = 60s}),
-      m_timer(loop.make_timer([this] { turn(); })), m_random(seed), m_seen(deployment.nodes()) {}
+      m_timer(loop.make_timer([this] { turn(); })), m_random(seed), m_faulty_random(seed ^ faulty_seed),
+      m_seen(deployment.nodes()) {}
 
 void callers::start() {
     turn();
@@ -143,6 +150,7 @@
     job_history& job = m_jobs[id.str()];
     job.tasks = 1 + static_cast<std::uint32_t>(m_random() % most_tasks);
     job.endless = endless;
+    job.faulty = !endless && m_submitting && m_faulty_random() % faulty_one_in == 0;
     job.submitted = event_loop::now();
     submit(id.str(), 1);
 }
@@ -196,10 +204,11 @@
 }
 
 void callers::ask(const std::string& id) {
-    send(some_node(), "GET", target_of(id), {}, [this, id](const http_answer& answer) { asked(id, answer); });
+    send(some_node(), "GET", target_of(id), {},
+         [this, id, failed = m_jobs[id].failed](const http_answer& answer) { asked(id, failed, answer); });
 }
 
-void callers::asked(const std::string& id, const http_answer& answer) {
+void callers::asked(const std::string& id, bool failed_before, const http_answer& answer) {
     job_history& job = m_jobs[id];
     if (answer.status != exchange_status::answered) {
         return;
@@ -208,11 +217,15 @@
         m_problems.push_back("accepted and not known: " + id);
     }
     job.completed = job.completed || answer.body.find("\"completed\"") != std::string::npos;
-    const bool lost = answer.body.find("\"cancelled\"") != std::string::npos ||
-                      answer.body.find("\"failed\"") != std::string::npos;
-    if (lost && !job.cancel_sent) {
+    const bool cancelled = answer.body.find("\"cancelled\"") != std::string::npos;
+    const bool failed = answer.body.find("\"failed\"") != std::string::npos;
+    if ((cancelled || (failed && !job.faulty)) && !job.cancel_sent) {
         m_problems.push_back("neither cancelled nor failed, and shown so: " + id + " " + answer.body);
     }
+    if (failed_before && answer.code == ok && !failed) {
+        m_problems.push_back("shown as failed, and as something else later: " + id + " " + answer.body);
+    }
+    job.failed = job.failed || failed;
 }
 
 void callers::ask_count(std::uint32_t node) {
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -45,7 +45,8 @@
     void submit(const std::string& id, std::uint32_t tries);
     void submit_answered(const std::string& id, std::uint32_t tries, const http_answer& answer);
     void ask(const std::string& id);
-    void asked(const std::string& id, const http_answer& answer);
+    /// `failed_before`: the job had been shown as failed when it was asked for.
+    void asked(const std::string& id, bool failed_before, const http_answer& answer);
     void cancel(const std::string& id);
     void cancel_endless();
     void ask_count(std::uint32_t node);
@@ -62,6 +63,7 @@
     http_client m_client;
     std::unique_ptr<timer> m_timer;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_faulty_random; ///< Apart, so that the rest of a seed's calls stays as it is.
     std::map<std::string, job_history> m_jobs;
     std::vector<seen_configuration> m_seen;
     std::vector<told_count> m_counts;
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -17,7 +17,7 @@
 constexpr std::int64_t longest_ms = 8000;
 
 /// Kinds that are drawn by themselves, so that they leave the rest of a seed's plan as it is.
-constexpr std::size_t kinds_apart = 2;
+constexpr std::size_t kinds_apart = 3;
 constexpr std::size_t kinds = enum_names<fault_kind>.size() - kinds_apart;
 /// Another sequence than that of the seed itself.
 constexpr std::uint64_t apart_seed = 0x510;
@@ -35,6 +35,14 @@
 constexpr std::int64_t shortest_hold_ms = 8000;
 constexpr std::int64_t longest_hold_ms = 10'000;
 
+/// A VM shrinks in each such part of the plan, some of them while others still are, past the time after which
+/// a shrunk capacity counts.
+constexpr std::int64_t shrink_every_ms = 5000;
+constexpr std::int64_t shrink_begins_ms = 3000;
+constexpr std::int64_t shortest_shrink_ms = 5000;
+constexpr std::int64_t longest_shrink_ms = 9000;
+constexpr std::uint64_t shrink_seed = 0x5148;
+
 bool is_momentary(fault_kind kind) {
     return kind == fault_kind::store_compact || kind == fault_kind::store_leases_lapse ||
            kind == fault_kind::new_configuration;
@@ -71,7 +79,12 @@
               random, length);
     add_apart(plan, fault_kind::store_holds_jobs,
               {hold_every_ms, hold_begins_ms, shortest_hold_ms, longest_hold_ms}, random, length);
-    std::ranges::stable_sort(plan, {}, &planned_fault::at);
+}
+
+void add_shrinking_vms(std::vector<planned_fault>& plan, std::uint64_t seed, milliseconds length) {
+    std::mt19937_64 random(seed ^ shrink_seed);
+    add_apart(plan, fault_kind::vm_shrinks,
+              {shrink_every_ms, shrink_begins_ms, shortest_shrink_ms, longest_shrink_ms}, random, length);
 }
 
 } // namespace
@@ -86,6 +99,8 @@
         at += milliseconds(static_cast<std::int64_t>(below(longest_gap_ms)));
         if (at >= length) {
             add_what_fills_the_inbox(plan, seed, length);
+            add_shrinking_vms(plan, seed, length);
+            std::ranges::stable_sort(plan, {}, &planned_fault::at);
             return plan;
         }
         const std::uint64_t together = below(burst_one_in) == 0 ? 2 + below(most_in_burst - 1) : 1;
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -33,8 +33,9 @@
     store_leases_lapse,
     new_configuration,
     // These are not drawn like the others: see make_plan().
-    node_slow,       ///< It gets the processor for moments only.
-    store_holds_jobs ///< Writes of jobs' records have no answer until it is over; all else goes on.
+    node_slow,        ///< It gets the processor for moments only.
+    store_holds_jobs, ///< Writes of jobs' records have no answer until it is over; all else goes on.
+    vm_shrinks        ///< The VM has less room until it is over, and says so.
 };
 
 /// One fault of a plan.
@@ -78,4 +79,5 @@
     std::pair{siskinpaddle::soak::fault_kind::store_leases_lapse, std::string_view("store-leases-lapse")},
     std::pair{siskinpaddle::soak::fault_kind::new_configuration, std::string_view("new-configuration")},
     std::pair{siskinpaddle::soak::fault_kind::node_slow, std::string_view("node-slow")},
-    std::pair{siskinpaddle::soak::fault_kind::store_holds_jobs, std::string_view("store-holds-jobs")}};
+    std::pair{siskinpaddle::soak::fault_kind::store_holds_jobs, std::string_view("store-holds-jobs")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_shrinks, std::string_view("vm-shrinks")}};
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// The users' bound on a task that crashes its VMs.
+constexpr std::size_t crashes_allowed = 3;
+constexpr std::size_t starts_too_many = 3;
+
 std::string job_of(const std::string& task) {
     return task.substr(0, task.find('.'));
 }
@@ -49,14 +53,37 @@
     }
 }
 
+/// Runs on the VM when this one began, it included.
+std::int64_t beside(const std::vector<vm_run>& of_vm, const vm_run& item, timestamp now) {
+    return std::ranges::count_if(of_vm, [&](const vm_run& other) {
+        return other.run.began <= item.run.began && end_of(other.run, now) > item.run.began;
+    });
+}
+
+/// The most that the VM said within `lag` before the moment.
+std::int64_t room_of(const std::string& vm, const std::vector<fakes::vm_capacity>& capacities, timestamp at,
+                     milliseconds lag) {
+    std::int64_t in_force = 0; ///< When the time began.
+    std::int64_t most = 0;
+    for (const fakes::vm_capacity& item : capacities) {
+        if (item.vm != vm || item.from > at) {
+            continue;
+        }
+        if (item.from <= at - lag) {
+            in_force = item.cpu_millicores;
+        } else {
+            most = std::max(most, item.cpu_millicores);
+        }
+    }
+    return std::max(most, in_force);
+}
+
 void check_room(const std::vector<vm_run>& of_vm, const ledger_bounds& bounds, timestamp now,
                 std::vector<std::string>& broken) {
     for (const vm_run& item : of_vm) {
-        const auto beside = std::ranges::count_if(of_vm, [&](const vm_run& other) {
-            return other.run.began <= item.run.began && end_of(other.run, now) > item.run.began;
-        });
-        if (static_cast<std::size_t>(beside) > bounds.runs_at_once) {
-            broken.push_back("more runs than fit: " + std::to_string(beside) + " at " + text_of(item));
+        const std::int64_t present = beside(of_vm, item, now);
+        if (static_cast<std::size_t>(present) > bounds.runs_at_once) {
+            broken.push_back("more runs than fit: " + std::to_string(present) + " at " + text_of(item));
             return;
         }
     }
@@ -150,6 +177,55 @@
     return broken;
 }
 
+std::vector<std::string> check_capacity(const std::vector<vm_run>& runs,
+                                        const std::vector<fakes::vm_capacity>& capacities,
+                                        const capacity_bounds& bounds, timestamp now) {
+    std::map<std::string, std::vector<vm_run>> by_vm;
+    for (const vm_run& item : runs) {
+        by_vm[item.vm].push_back(item);
+    }
+    std::vector<std::string> broken;
+    for (const auto& [vm, of_vm] : by_vm) {
+        for (const vm_run& item : of_vm) {
+            const std::int64_t room = room_of(vm, capacities, item.run.began, bounds.lag);
+            const std::int64_t used = beside(of_vm, item, now) * bounds.task_millicores;
+            if (used > room) {
+                broken.push_back("started beyond its VM's capacity of " + std::to_string(room) + ": " +
+                                 text_of(item));
+                break;
+            }
+        }
+    }
+    return broken;
+}
+
+std::vector<std::string> check_crashes(const std::map<std::string, job_history>& jobs,
+                                       const std::vector<vm_run>& runs,
+                                       const std::function<bool(const vm_run&)>& in_touch) {
+    std::map<std::string, std::vector<vm_run>> by_task;
+    for (const vm_run& item : runs) {
+        const auto job = jobs.find(job_of(item.run.task));
+        if (job != jobs.end() && job->second.faulty) {
+            by_task[item.run.task].push_back(item);
+        }
+    }
+    std::vector<std::string> broken;
+    for (auto& [task, of_task] : by_task) {
+        std::ranges::sort(of_task, {}, [](const vm_run& item) { return item.run.began; });
+        std::size_t crashes = 0;
+        std::size_t starts_after = 0;
+        for (const vm_run& item : of_task) {
+            starts_after += crashes >= crashes_allowed && in_touch(item) ? 1 : 0;
+            crashes += item.run.how == "crashed" ? 1 : 0;
+        }
+        if (starts_after >= starts_too_many) {
+            broken.push_back("started " + std::to_string(starts_after) + " times after " +
+                             std::to_string(crashes_allowed) + " crashes: " + task);
+        }
+    }
+    return broken;
+}
+
 bool went_back(const configuration_probe& probe) noexcept {
     const bool older_there = probe.there && probe.asked < probe.seen_before;
     const bool seen_missing = probe.missing && probe.asked == probe.seen_before;
@@ -159,7 +235,8 @@
 std::vector<std::string> unfinished(const std::map<std::string, job_history>& jobs) {
     std::vector<std::string> result;
     for (const auto& [id, job] : jobs) {
-        const bool over = job.endless ? job.cancelled != timestamp(0) : job.cancel_sent || job.completed;
+        const bool ended = job.faulty ? job.failed : job.completed;
+        const bool over = job.endless ? job.cancelled != timestamp(0) : job.cancel_sent || ended;
         if (job.accepted != timestamp(0) && !over) {
             result.push_back(id);
         }
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "fakes/task_vm.hpp"
+#include "fakes/task_machine.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +17,8 @@
 struct job_history {
     std::uint32_t tasks = 0;
     bool endless = false;   ///< Its tasks run until it is cancelled.
+    bool faulty = false;    ///< Its first task crashes every VM that starts it.
+    bool failed = false;    ///< It was shown as failed.
     bool may_run = false;   ///< A submit was answered with success, or had an unknown outcome.
     bool asking = false;    ///< A submit is on its way; its outcome is open.
     timestamp submitted{0}; ///< When it was first sent.
@@ -26,11 +29,7 @@
     bool completed = false;  ///< It was shown as completed.
 };
 
-/// A run with the VM that had it.
-struct vm_run {
-    std::string vm;
-    fakes::task_vm::run_record run;
-};
+using fakes::vm_run;
 
 /// What a node told of how many accepted jobs of the queue have not begun; a refusal tells nothing.
 struct told_count {
@@ -67,11 +66,27 @@
     milliseconds visible_within{3000};
 };
 
+/// Bounds of a VM's room.
+struct capacity_bounds {
+    std::int64_t task_millicores = 0;
+    milliseconds lag{0}; ///< How long a capacity of before may still be gone by.
+};
+
 /// Finds broken promises in what clients and VMs saw. Pure. `live` are the VMs that are up; runs of others
 /// ended when they crashed. `now` is when the records were read.
 [[nodiscard]] std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
                                                   const std::vector<vm_run>& runs,
                                                   const ledger_bounds& bounds, timestamp now);
+/// Starts that fill a VM beyond the most that it had said it had room for within `lag` before. What is being
+/// stopped counts. Pure; thread-safe.
+[[nodiscard]] std::vector<std::string> check_capacity(const std::vector<vm_run>& runs,
+                                                      const std::vector<fakes::vm_capacity>& capacities,
+                                                      const capacity_bounds& bounds, timestamp now);
+/// Faulty tasks that owners in touch start too often after VMs have crashed under them. `in_touch` is asked
+/// about runs. Pure; thread-safe.
+[[nodiscard]] std::vector<std::string> check_crashes(const std::map<std::string, job_history>& jobs,
+                                                     const std::vector<vm_run>& runs,
+                                                     const std::function<bool(const vm_run&)>& in_touch);
 /// Whether the process shows an older configuration than it had shown. A queue that is missing tells so only
 /// if its version was still the newest: an answer may come from after the next one came into force. Pure;
 /// thread-safe.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -25,6 +25,11 @@
 /// Once all faults are over an owner knows a job before its client does; the rest is for a busy machine.
 constexpr ledger_bounds settled_bounds{
     .runs_at_once = 8, .after_cancelling = 15s, .visible_within = milliseconds(1000)};
+/// VMs register again at once when their capacity changes; the platform's time for being in touch, and a
+/// heartbeat.
+constexpr milliseconds contact = 3s;
+constexpr milliseconds heartbeat = 1500ms;
+constexpr capacity_bounds room_bounds{.task_millicores = 500, .lag = contact + heartbeat};
 /// Within which each node must tell a count once nothing waits: the age of copies, and some ten requests.
 constexpr milliseconds count_bound = 8s;
 
@@ -63,12 +68,15 @@
     [[nodiscard]] std::string summary() const {
         std::size_t accepted = 0;
         std::size_t completed = 0;
+        std::size_t given_up = 0;
         for (const auto& [id, job] : m_callers.jobs()) {
+            given_up += job.failed ? 1 : 0;
             accepted += job.accepted != timestamp(0) ? 1 : 0;
             completed += job.completed ? 1 : 0;
         }
         std::string text = "jobs " + std::to_string(m_callers.jobs().size()) + " accepted " +
-                           std::to_string(accepted) + " completed " + std::to_string(completed) + " runs " +
+                           std::to_string(accepted) + " completed " + std::to_string(completed) +
+                           " given up " + std::to_string(given_up) + " runs " +
                            std::to_string(m_world.runs().size()) + " answers";
         for (const auto& [code, count] : m_callers.answers()) {
             text +=
@@ -189,6 +197,7 @@
              check_runs(m_callers.jobs(), m_world.runs(), bounds, event_loop::now())) {
             add(item);
         }
+        check_vms();
         const std::span<const told_count> counts(m_callers.counts());
         for (const std::string& item :
              check_counts(m_callers.jobs(), m_world.runs(), counts.subspan(m_counts_checked), bounds)) {
@@ -203,6 +212,19 @@
         }
     }
 
+    void check_vms() {
+        for (const std::string& item :
+             check_capacity(m_world.runs(), m_world.capacities(), room_bounds, event_loop::now())) {
+            add(item);
+        }
+        const auto in_touch = [this](const vm_run& item) {
+            return m_world.in_touch(item.run.token, item.run.began, contact);
+        };
+        for (const std::string& item : check_crashes(m_callers.jobs(), m_world.runs(), in_touch)) {
+            add(item);
+        }
+    }
+
     /// The same finding is met again at each check.
     void add(const std::string& problem) {
         const std::string kind = problem.substr(0, problem.find(" ["));
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -4,6 +4,7 @@
 #include "node/keys.hpp"
 #include "platform/platform.hpp"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <fstream>
@@ -24,8 +25,10 @@
 /// by which an owner holds its claim. Of 60, 150, 250 and 400 ms it is the one by which most of 12 seeds,
 /// played once each, found an owner that counts only the jobs it has taken: 0, 0, 2 and 1.
 constexpr milliseconds slow_period = 250ms;
-/// The platform takes a VM that went silent off its list after three heartbeats.
-constexpr milliseconds delist_after = 4500ms;
+/// How long a VM that a task has crashed is away.
+constexpr milliseconds vm_down_time = 1500ms;
+constexpr jobs::resources whole_vm{4000, 8192, 0};
+constexpr jobs::resources shrunk_vm{1000, 8192, 0};
 constexpr int lost_answers = 4;
 constexpr int late_writes = 2;
 /// VMs' clocks: the slowest that the platform allows, and a plain one, by turns.
@@ -89,9 +92,10 @@
         return false;
     }
     configure();
+    m_store.on_change([this](const std::string& key) { note_owner(key); });
     m_vms.resize(m_settings.vms);
     for (std::uint32_t i = 0; i < m_settings.vms; ++i) {
-        start_vm(i);
+        place_vm(i);
     }
     for (std::uint32_t i = 0; i < m_settings.nodes; ++i) {
         if (!place_node(i)) {
@@ -118,7 +122,8 @@
     configuration.version = m_version;
     configuration.queues = {queue("quotes", std::string(quotes_prefix)),
                             queue("extra", extra_prefix(m_version))};
-    configuration.pools = {{std::string(pool), false}};
+    // The stand-in VMs start whatever they are told to.
+    configuration.pools = {{std::string(pool), false, false}};
     configuration.max_body_bytes = 65'536;
     m_store.put(std::string(platform::configuration_key), platform::encode_configuration(configuration));
 }
@@ -171,49 +176,93 @@
 
 // --- VMs ---
 
-void world::start_vm(std::uint32_t number) {
+void world::place_vm(std::uint32_t number) {
     vm_place& place = m_vms[number];
-    const std::string name = "v" + std::to_string(number + 1) + "-" + std::to_string(++place.lives);
-    place.vm = std::make_unique<fakes::task_vm>(m_loop, name, run_times.at(number % run_times.size()));
-    place.vm->set_clock_rate(number % 2 == 0 ? slow_clock : 1);
-    if (!place.vm->listen({"127.0.0.1", 0})) {
-        m_problems.push_back("a stand-in VM can't listen");
+    fakes::task_machine::settings options;
+    options.name = "v" + std::to_string(number + 1);
+    options.pool = pool;
+    options.run_time = run_times.at(number % run_times.size());
+    options.down_time = vm_down_time;
+    options.clock_rate = number % 2 == 0 ? slow_clock : 1;
+    place.machine = std::make_unique<fakes::task_machine>(m_loop, m_store, options);
+    place.machine->on_life([this, &place](const endpoint& server) {
+        if (place.link == nullptr) {
+            place.link = std::make_unique<fault_proxy>(m_loop, server);
+            place.machine->register_port(place.link->listen());
+        }
+        place.link->set_server(server);
+    });
+    if (!place.machine->start()) {
+        m_problems.emplace_back("a stand-in VM can't listen");
     }
-    const endpoint server{"127.0.0.1", place.vm->port()};
-    if (place.link == nullptr) {
-        place.link = std::make_unique<fault_proxy>(m_loop, server);
-        place.port = place.link->listen();
+}
+
+void world::shrink_vm(vm_place& place, bool on) {
+    place.shrunk += on ? 1 : -1;
+    place.machine->set_capacity(place.shrunk > 0 ? shrunk_vm : whole_vm);
+}
+
+std::vector<vm_run> world::runs() const {
+    std::vector<vm_run> result;
+    for (const vm_place& place : m_vms) {
+        std::ranges::copy(place.machine->runs(), std::back_inserter(result));
     }
-    place.link->set_server(server);
-    m_store.put(platform::vm_key(name), place.vm->registration(std::string(pool), place.port));
+    return result;
 }
 
-void world::crash_vm(std::uint32_t number) {
-    vm_place& place = m_vms[number];
-    if (place.vm == nullptr) {
+std::vector<fakes::vm_capacity> world::capacities() const {
+    std::vector<fakes::vm_capacity> result;
+    for (const vm_place& place : m_vms) {
+        std::ranges::copy(place.machine->capacities(), std::back_inserter(result));
+    }
+    return result;
+}
+
+// --- Owners ---
+
+/// A claim writes the token's key and the owner's name together; the name comes last.
+void world::note_owner(const std::string& key) {
+    const std::string duty = node::pool_duty(std::string(pool));
+    if (key != node::alive_prefix + duty) {
         return;
     }
-    for (fakes::task_vm::run_record run : place.vm->runs()) {
-        if (run.ended == timestamp(0)) {
-            run.ended = event_loop::now();
-            run.how = "crashed";
+    for (const auto& place : m_nodes) {
+        if (m_store.holds(key, place->id)) {
+            m_owners[m_store.revision_of(node::owner_prefix + duty)] = place.get();
         }
-        m_past_runs.push_back({place.vm->incarnation(), run});
     }
-    m_to_delist[place.vm->incarnation()] = event_loop::now() + delist_after;
-    place.vm.reset();
 }
 
-std::vector<vm_run> world::runs() const {
-    std::vector<vm_run> result = m_past_runs;
-    for (const vm_place& place : m_vms) {
-        if (place.vm != nullptr) {
-            for (const fakes::task_vm::run_record& run : place.vm->runs()) {
-                result.push_back({place.vm->incarnation(), run});
-            }
-        }
+bool world::in_touch(std::int64_t token, timestamp at, milliseconds contact) const {
+    const auto owner = m_owners.find(token);
+    return owner != m_owners.end() && std::ranges::none_of(m_troubles, [&](const trouble& item) {
+               const bool concerns = item.node == nullptr || item.node == owner->second;
+               return concerns && item.from <= at && (!item.until || *item.until + contact >= at);
+           });
+}
+
+/// Faults of VMs and of the links to them, and new configurations, keep no owner from acting rightly.
+void world::note_trouble(const planned_fault& fault) {
+    const bool of_link =
+        (fault.kind >= fault_kind::store_link_delay && fault.kind <= fault_kind::store_link_silent) ||
+        fault.kind == fault_kind::client_link_reset;
+    const bool of_store =
+        (fault.kind >= fault_kind::store_silent && fault.kind <= fault_kind::store_leases_lapse) ||
+        fault.kind == fault_kind::store_holds_jobs;
+    if (of_link || is_node_fault(fault.kind)) {
+        const node_place* node = m_nodes[fault.target % m_settings.nodes].get();
+        m_troubles.push_back({fault, node, event_loop::now(), std::nullopt});
+    } else if (of_store) {
+        m_troubles.push_back({fault, nullptr, event_loop::now(), std::nullopt});
+    }
+}
+
+void world::end_trouble(const planned_fault& fault) {
+    const auto open = std::ranges::find_if(
+        m_troubles, [&](const trouble& item) { return item.fault == fault && !item.until; });
+    if (open != m_troubles.end()) {
+        open->until = event_loop::now();
     }
-    return result;
 }
 
 // --- Faults ---
@@ -302,6 +351,7 @@
 }
 
 void world::apply(const planned_fault& fault) {
+    note_trouble(fault);
     if (fault_proxy* link = link_of(fault)) {
         ++m_link_faults[link];
         link->set_mode(mode_of(fault.kind), link_delay);
@@ -313,8 +363,11 @@
     }
     switch (fault.kind) {
     case fault_kind::vm_crash:
-        ++m_vms[fault.target % m_settings.vms].held_down;
-        crash_vm(fault.target % m_settings.vms);
+        m_vms[fault.target % m_settings.vms].machine->hold_down(true);
+        m_vms[fault.target % m_settings.vms].machine->crash();
+        return;
+    case fault_kind::vm_shrinks:
+        shrink_vm(m_vms[fault.target % m_settings.vms], true);
         return;
     case fault_kind::store_silent:
     case fault_kind::store_busy:
@@ -343,6 +396,7 @@
 }
 
 void world::mend(const planned_fault& fault) {
+    end_trouble(fault);
     if (fault_proxy* link = link_of(fault)) {
         if (--m_link_faults[link] == 0) {
             link->set_mode(link_mode::pass);
@@ -350,10 +404,9 @@
     } else if (is_node_fault(fault.kind)) {
         mend_node(*m_nodes[fault.target % m_settings.nodes], fault.kind);
     } else if (fault.kind == fault_kind::vm_crash) {
-        const std::uint32_t number = fault.target % m_settings.vms;
-        if (--m_vms[number].held_down == 0) {
-            start_vm(number);
-        }
+        m_vms[fault.target % m_settings.vms].machine->hold_down(false);
+    } else if (fault.kind == fault_kind::vm_shrinks) {
+        shrink_vm(m_vms[fault.target % m_settings.vms], false);
     } else if (fault.kind == fault_kind::store_silent || fault.kind == fault_kind::store_busy) {
         set_store(fault.kind, false);
     } else if (fault.kind == fault_kind::store_holds_jobs) {
@@ -367,13 +420,9 @@
 
 void world::tend() {
     const timestamp now = event_loop::now();
-    std::erase_if(m_to_delist, [&](const auto& item) {
-        if (now < item.second) {
-            return false;
-        }
-        m_store.remove(platform::vm_key(item.first));
-        return true;
-    });
+    for (const vm_place& place : m_vms) {
+        place.machine->tend();
+    }
     for (const auto& place : m_nodes) {
         const bool running = place->process->running();
         if (!running && !place->ending) {
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "fakes/platform_store.hpp"
+#include "fakes/task_machine.hpp"
 #include "soak/child_process.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/fault_proxy.hpp"
 #include "soak/ledger.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +53,11 @@
 
     /// All runs that VMs have had, those of crashed VMs too.
     [[nodiscard]] std::vector<vm_run> runs() const;
+    /// What VMs had room for, those of crashed VMs too.
+    [[nodiscard]] std::vector<fakes::vm_capacity> capacities() const;
+    /// Whether the owner of the fencing token had been free of faults for `contact` at that moment, and the
+    /// store, too.
+    [[nodiscard]] bool in_touch(std::int64_t token, timestamp at, milliseconds contact) const;
     [[nodiscard]] const std::vector<std::string>& problems() const noexcept { return m_problems; }
 
   private:
@@ -73,18 +80,25 @@
         timestamp terminated{0};
     };
     struct vm_place {
-        std::unique_ptr<fakes::task_vm> vm;
+        std::unique_ptr<fakes::task_machine> machine;
         std::unique_ptr<fault_proxy> link;
-        std::uint16_t port = 0;
-        std::uint32_t lives = 0;
-        std::uint32_t held_down = 0;
+        std::uint32_t shrunk = 0; ///< Faults that leave it less room.
+    };
+    /// Time in which a node, or all of them, may not reach the store or the VMs.
+    struct trouble {
+        planned_fault fault;
+        const node_place* node = nullptr; ///< Null: all.
+        timestamp from{0};
+        std::optional<timestamp> until;
     };
 
     [[nodiscard]] bool place_node(std::uint32_t number);
     void start_node(node_place& place);
-    void start_vm(std::uint32_t number);
-    void crash_vm(std::uint32_t number);
-    void register_vms();
+    void place_vm(std::uint32_t number);
+    void shrink_vm(vm_place& place, bool on);
+    void note_owner(const std::string& key);
+    void note_trouble(const planned_fault& fault);
+    void end_trouble(const planned_fault& fault);
     void configure();
     void apply_to_node(node_place& place, fault_kind kind);
     void mend_node(node_place& place, fault_kind kind);
@@ -97,8 +111,8 @@
     fakes::platform_store m_store;
     std::vector<std::unique_ptr<node_place>> m_nodes;
     std::vector<vm_place> m_vms;
-    std::vector<vm_run> m_past_runs; ///< Of VMs that have crashed.
-    std::map<std::string, timestamp> m_to_delist;
+    std::map<std::int64_t, const node_place*> m_owners; ///< By fencing token.
+    std::vector<trouble> m_troubles;
     std::map<fault_proxy*, std::uint32_t> m_link_faults; ///< Open faults of each link.
     std::int64_t m_version = 2;
     std::uint32_t m_silent = 0;
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -226,6 +226,16 @@
     return found;
 }
 
+std::int64_t platform_store::revision_of(const std::string& key) const {
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? 0 : found->second.revision;
+}
+
+bool platform_store::holds(const std::string& key, const std::string& value) const {
+    const auto found = m_items.find(key);
+    return found != m_items.end() && found->second.value == encoded(value);
+}
+
 void platform_store::transact(const request_handle& request) {
     const boost::json::object body = boost::json::parse(request->body()).as_object();
     if (entries_of(body) > platform::max_transaction_entries) {
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -26,6 +26,10 @@
     void remove(const std::string& key);
     [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
     [[nodiscard]] std::size_t count(const std::string& prefix) const;
+    /// Revision of an item; 0: there is none.
+    [[nodiscard]] std::int64_t revision_of(const std::string& key) const;
+    /// Whether the item is there with this value.
+    [[nodiscard]] bool holds(const std::string& key, const std::string& value) const;
 
     /// Calls that have come so far for `path`, answered or not.
     [[nodiscard]] std::size_t calls(const std::string& path) const;
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -149,7 +149,14 @@
     if (crashes(payload, task)) {
         m_crashes_at = std::min(m_crashes_at.value_or(timestamp::max()), event_loop::now() + crash_delay);
     }
-    m_runs.push_back({task, attempt, event_loop::now(), timestamp(0), {}, timestamp(0), endless});
+    m_runs.push_back({task,
+                      attempt,
+                      event_loop::now(),
+                      timestamp(0),
+                      {},
+                      timestamp(0),
+                      endless,
+                      number(body, wire::fencing_token)});
     return {};
 }
 
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -28,6 +28,7 @@
         std::string how;
         timestamp acknowledged{0}; ///< When its end was acknowledged; 0: it was not.
         bool endless = false;      ///< It runs until it is stopped.
+        std::int64_t token = 0;    ///< Fencing token of its start.
     };
 
     /// Tasks of jobs with this payload don't end by themselves.
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -258,21 +258,86 @@
     CHECK(overlaps > plan.size() / 4);
 }
 
-TEST_CASE("what fills the inbox comes beside the faults that a seed has always given, and lasts") {
+TEST_CASE(
+    "what fills the inbox and shrinks VMs comes beside the faults that a seed has always given, and lasts") {
     std::vector<planned_fault> plan = make_plan(7, 20s);
     const auto is_slow = [](const planned_fault& item) { return item.kind == fault_kind::node_slow; };
     const auto holds = [](const planned_fault& item) { return item.kind == fault_kind::store_holds_jobs; };
+    const auto shrinks = [](const planned_fault& item) { return item.kind == fault_kind::vm_shrinks; };
+    CHECK(std::ranges::count_if(plan, shrinks) == 4);
     CHECK(std::ranges::count_if(plan, is_slow) == 6);
     CHECK(std::ranges::count_if(plan, holds) == 2);
     for (const planned_fault& item : plan) {
         CHECK((!is_slow(item) || item.lasts >= 6s));
         CHECK((!holds(item) || item.lasts >= 8s));
+        CHECK((!shrinks(item) || item.lasts >= 5s));
     }
     std::erase_if(plan, is_slow);
     std::erase_if(plan, holds);
+    std::erase_if(plan, shrinks);
     REQUIRE(plan.size() == 31);
     CHECK(plan.front() ==
           planned_fault{.at = 15ms, .lasts = 4028ms, .kind = fault_kind::node_pause, .target = 57053});
     CHECK(plan.back() ==
           planned_fault{.at = 19440ms, .lasts = 852ms, .kind = fault_kind::node_kill, .target = 54805});
 }
+
+// Guards against a check of the VMs' room that goes by the capacity of long ago, or forgets what is being
+// stopped.
+TEST_CASE("the soak finds starts beyond what a VM said it had room for") {
+    struct row {
+        const char* what = "";
+        std::vector<fakes::vm_capacity> capacities;
+        std::vector<vm_run> runs;
+        std::size_t problems = 0;
+    };
+    constexpr capacity_bounds room{.task_millicores = 500, .lag = 4500ms};
+    const std::vector<fakes::vm_capacity> shrunk{{"v", timestamp(1), 1000}, {"v", timestamp(10'000), 500}};
+    const vm_run early = run_of("j.0.0.0", "v", 2000, 30'000);
+    for (const row& item : {
+             row{"as many as fit", shrunk, {early, run_of("j.0.0.1", "v", 9000, 9500)}, 0},
+             row{"one more",
+                 shrunk,
+                 {early, run_of("j.0.0.1", "v", 9000, 9500), run_of("j.0.0.2", "v", 9100, 9200)},
+                 1},
+             row{"a moment after it shrank", shrunk, {early, run_of("j.0.0.1", "v", 14'000, 14'100)}, 0},
+             row{"later", shrunk, {early, run_of("j.0.0.1", "v", 15'000, 15'100)}, 1},
+             row{"what is left has ended",
+                 shrunk,
+                 {run_of("j.0.0.0", "v", 2000, 14'900), run_of("j.0.0.1", "v", 15'000, 15'100)},
+                 0},
+             row{"another VM", shrunk, {early, run_of("j.0.0.1", "w", 15'000, 15'100)}, 1},
+             row{"it grew",
+                 {{"v", timestamp(1), 500}, {"v", timestamp(3000), 1000}},
+                 {early, run_of("j.0.0.1", "v", 3001, 4000)},
+                 0},
+         }) {
+        INFO(std::string(item.what));
+        CHECK(check_capacity(item.runs, item.capacities, room, now).size() == item.problems);
+    }
+}
+
+// Guards against a check that takes the starts of owners out of touch, or of sound jobs, for breaches.
+TEST_CASE("the soak finds tasks that are started again and again after VMs have crashed under them") {
+    struct row {
+        const char* what = "";
+        std::size_t crashes = 0;      ///< Runs that end so, one after the other.
+        std::size_t out_of_touch = 0; ///< So many of the last.
+        bool faulty = true;
+        std::size_t problems = 0;
+    };
+    for (const row& item :
+         {row{"three", 3, 0, true, 0}, row{"five", 5, 0, true, 0}, row{"six", 6, 0, true, 1},
+          row{"six, the last by an owner out of touch", 6, 1, true, 0},
+          row{"six of a sound job", 6, 0, false, 0}}) {
+        INFO(std::string(item.what));
+        std::vector<vm_run> runs;
+        for (std::size_t i = 0; i < item.crashes; ++i) {
+            const auto began = static_cast<std::int64_t>(1000 * (i + 1));
+            runs.push_back(run_of("j0.0.0.0", "v" + std::to_string(i), began, began + 10, "crashed"));
+        }
+        const auto last_in_touch = static_cast<std::int64_t>(1000 * (item.crashes - item.out_of_touch));
+        const auto in_touch = [&](const vm_run& run) { return run.run.began <= timestamp(last_in_touch); };
+        CHECK(check_crashes(named({{.faulty = item.faulty}}), runs, in_touch).size() == item.problems);
+    }
+}
