A SIGHUP that arrives while a node starts doesn't end it

What operators would see: a node that ends by itself when settings change on machines that are just starting. Cause: until the event loop handles it, SIGHUP has its default effect, which is the end of the process. Change: it is ignored from the first line of main on; what it asks for, reading the settings, happens at start anyway. No test of its own: the moment between exec and main can't be told from outside.

--- a/node/siskinpaddle_node.cpp
+++ b/node/siskinpaddle_node.cpp
@@ -39,6 +39,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    // Until it is handled: settings that change while the process starts must not end it.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         TCLAP::CmdLine line(
             "Node process of siskinpaddle on the users' platform: takes clients' jobs, and owns "
