Crashes count that came at one age of their runs; sound tasks no longer queue for isolation since they were on two crashed VMs

What callers would see: accepted jobs wait a minute while a pool of four VMs clears suspects one by one; a faulty task is started a third time after three crashes. Cause: every task with two crashes was isolated, most of them sound; and one crash whose silence showed late (its start was carried out late, its VM's link was slow) made ages differ, so that three crashes that agreed counted for nothing. Change: of the crashes those count fully that came within 300 ms of the same age, the most that did; what isolates and what gives up goes by them. Placement looks at what is rare last, and marks VMs only while there are suspects.

--- /dev/null
+++ b/bench/decision_bench.cpp
@@ -0,0 +1,140 @@
+#include "jobs/jobs.hpp"
+
+#include <chrono>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::jobs;
+
+namespace {
+
+constexpr std::size_t tasks_each = 10;
+constexpr std::int64_t task_millicores = 4000;
+constexpr std::int64_t vm_millicores = 32'000;
+constexpr milliseconds step_time{100};
+
+/// A pool in a steady state: jobs of ten tasks that run on its VMs, and as many handed in as end. Some of the
+/// tasks are suspected of crashing VMs.
+class busy_pool {
+  public:
+    busy_pool(std::size_t vms, std::size_t tasks, std::size_t suspects) : m_pool({}, 0, m_now) {
+        queue_settings queue;
+        queue.name = "q";
+        queue.pool = "p";
+        queue.max_attempts = 3;
+        queue.stretch_factor = 1000;
+        m_pool.configure({queue});
+        for (std::size_t i = 0; i < vms; ++i) {
+            vm_info vm;
+            vm.incarnation = "v" + std::to_string(i);
+            vm.machine = "m" + std::to_string(i);
+            vm.capacity = {vm_millicores, 65'536, 0};
+            m_pool.list_vm(vm);
+            m_ends[vm.incarnation] = {};
+        }
+        report();
+        for (std::size_t i = 0; i < tasks / tasks_each; ++i) {
+            add_job(i < suspects / tasks_each);
+        }
+    }
+
+    /// Time that one decision takes, mean over so many steps; microseconds.
+    double decide(std::size_t steps) {
+        std::chrono::steady_clock::duration spent{0};
+        for (std::size_t i = 0; i < steps; ++i) {
+            m_now += step_time;
+            report();
+            const auto begin = std::chrono::steady_clock::now();
+            const decisions wanted = m_pool.decide(m_now, m_now.count(), true);
+            spent += std::chrono::steady_clock::now() - begin;
+            start(wanted.starts);
+            store();
+        }
+        return std::chrono::duration<double, std::micro>(spent).count() / static_cast<double>(steps);
+    }
+
+  private:
+    struct live_run {
+        start_order order;
+        timestamp began{0};
+    };
+
+    void add_job(bool suspected) {
+        job_record record;
+        record.spec.id = "j" + std::to_string(m_jobs++);
+        record.spec.queue = "q";
+        step_spec step;
+        step.count = tasks_each;
+        step.need = {task_millicores, 256, 0};
+        step.estimate_ms = 1000;
+        record.spec.steps = {step};
+        job_progress progress;
+        for (std::uint32_t i = 0; suspected && i < tasks_each; ++i) {
+            progress.crashes[i] = {{"gone", evidence_kind::shared, vm_fate::ended, 10}};
+        }
+        m_pool.restore_job(record, progress, m_now);
+    }
+
+    void start(const std::vector<start_order>& starts) {
+        for (const start_order& order : starts) {
+            m_runs[order.vm].push_back({order, m_now});
+            m_pool.start_answered(order, order_outcome::accepted, m_now.count(), m_now);
+        }
+    }
+
+    void report() {
+        for (auto& [vm, ends] : m_ends) {
+            vm_report told{m_now.count(), {}, {}};
+            std::erase_if(m_runs[vm], [&, &sequence = ends](const live_run& run) {
+                const bool ended = m_now - run.began >= 1s;
+                if (ended) {
+                    told.ended.push_back({++sequence, run.order.task, run.order.attempt, run_end::done, {}});
+                } else {
+                    told.running.push_back({run.order.task, run.order.attempt, {}, 100, 0});
+                }
+                return ended;
+            });
+            m_pool.take_report(vm, told, m_now);
+        }
+    }
+
+    void store() {
+        const store_round round = m_pool.begin_store();
+        for (const std::string& id : round.jobs) {
+            m_pool.job_stored(id, m_pool.find_job(id)->changed, m_now);
+        }
+        m_pool.round_stored(round);
+        const std::size_t ended = m_pool.forget_final(m_now, 0ms).size();
+        for (std::size_t i = 0; i < ended; ++i) {
+            add_job(false);
+        }
+    }
+
+    timestamp m_now{100'000};
+    scheduler m_pool;
+    std::map<std::string, std::int64_t> m_ends;
+    std::map<std::string, std::vector<live_run>> m_runs;
+    std::size_t m_jobs = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        TCLAP::CmdLine line("Measures what one decision of a pool's owner takes.", ' ', "1");
+        TCLAP::ValueArg<std::size_t> vms("", "vms", "VMs of the pool.", false, 500, "N", line);
+        TCLAP::ValueArg<std::size_t> tasks("", "tasks", "Tasks at work or waiting.", false, 1000, "N", line);
+        TCLAP::ValueArg<std::size_t> steps("", "steps", "Decisions.", false, 9, "N", line);
+        line.parse(argc, argv);
+        for (const std::size_t suspects : {0, 10, 100}) {
+            busy_pool pool(vms.getValue(), tasks.getValue(), suspects);
+            std::cout << suspects << " tasks under suspicion: " << pool.decide(steps.getValue())
+                      << " us a decision\n";
+        }
+        return 0;
+    } catch (const std::exception& error) {
+        std::cerr << "bench_decisions: " << error.what() << "\n";
+        return 2;
+    }
+}
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -16,9 +16,6 @@
 /// Whether the VM takes tasks of the step, were there room.
 bool is_open(const vm_state& vm, const step_spec& step, const task_id& task,
              const placement_settings& settings, timestamp now) {
-    if (!vm.isolates.empty() && vm.isolates != task.job) {
-        return false;
-    }
     if (!vm.listed || !vm.reachable || vm.cordoned || vm.info().draining || vm.full_until_clock) {
         return false;
     }
@@ -34,12 +31,15 @@
         step.required_label != vm.info().rack) {
         return false;
     }
+    if (!vm.isolates.empty() && vm.isolates != task.job) {
+        return false;
+    }
     return step.max_per_vm == 0 || runs_of_step(vm, task) < step.max_per_vm;
 }
 
 bool may_take(const vm_state& vm, const step_spec& step, const resources& need, const task_id& task,
               const placement_settings& settings, timestamp now) {
-    return need.fits_in(vm.room()) && is_open(vm, step, task, settings, now);
+    return is_open(vm, step, task, settings, now) && need.fits_in(vm.room());
 }
 
 /// Whether the queue's policy, if it has one, lets the VM take tasks just now.
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -294,6 +294,7 @@
     std::vector<std::string> m_ended_unheard; ///< VMs of the earlier owner that crashed before they answered.
     std::string m_suspect_started;            ///< Job of the suspected task that was started last ...
     timestamp m_suspect_started_at{0};        ///< ... and when.
+    bool m_marked = false;                    ///< VMs are marked as those where suspected tasks run.
     bool m_isolation_lacks_vm = false; ///< A task to be isolated finds no VM without long-running ones.
     start_window m_starts_on_way;
     std::optional<std::int64_t>
--- a/jobs/scheduler_suspects.cpp
+++ b/jobs/scheduler_suspects.cpp
@@ -260,6 +260,10 @@
 
 /// Notes on the VMs where suspected tasks run, and ends the isolation of those that no task needs any more.
 void scheduler::mark_suspects() {
+    if (m_suspects.empty() && !m_marked) {
+        return;
+    }
+    m_marked = !m_suspects.empty();
     for (auto& [name, vm] : m_vms) {
         vm.suspect_jobs.clear();
     }
--- a/jobs/suspicion.cpp
+++ b/jobs/suspicion.cpp
@@ -1,7 +1,7 @@
 #include "jobs/suspicion.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <cstddef>
 
 namespace siskinpaddle::jobs {
 
@@ -41,29 +41,39 @@
     return doubtful ? doubtful_weight : crash_weight;
 }
 
+bool counts_fully(const crash_evidence& item) noexcept {
+    return weight_of(item) == crash_weight;
+}
+
+/// Weight of the crashes that came at about the same age of their runs: the most that are.
+int weight_at_one_age(std::span<const crash_evidence> evidence) noexcept {
+    std::ptrdiff_t most = 0;
+    for (const crash_evidence& youngest : evidence) {
+        const auto near = [&](const crash_evidence& item) {
+            return counts_fully(item) && item.age_ms >= youngest.age_ms &&
+                   item.age_ms - youngest.age_ms <= same_age_within_ms;
+        };
+        most = std::max(most, counts_fully(youngest) ? std::ranges::count_if(evidence, near) : 0);
+    }
+    return static_cast<int>(most) * crash_weight;
+}
+
 } // namespace
 
 suspicion suspicion_of(std::span<const crash_evidence> evidence) noexcept {
-    int weight = 0;
-    std::size_t ends = 0;
+    int weight = weight_at_one_age(evidence);
+    std::size_t unexplained = 0;
     bool alone_last = false;
-    int youngest = std::numeric_limits<std::uint16_t>::max();
-    int oldest = 0;
     for (const crash_evidence& item : evidence) {
-        if (item.fate == vm_fate::silent) {
+        const int counted = weight_of(item);
+        if (counted == 0) {
             continue;
         }
-        ends += item.kind == evidence_kind::explained ? 0 : 1;
-        weight += weight_of(item);
-        alone_last = item.fate == vm_fate::ended && item.kind == evidence_kind::alone;
-        if (weight_of(item) == crash_weight) {
-            youngest = std::min<int>(youngest, item.age_ms);
-            oldest = std::max<int>(oldest, item.age_ms);
-        }
+        weight += counts_fully(item) ? 0 : counted;
+        unexplained += item.kind == evidence_kind::explained ? 0 : 1;
+        alone_last = counts_fully(item) && item.kind == evidence_kind::alone;
     }
-    const bool same_age = oldest - youngest <= same_age_within_ms;
-    if ((weight >= given_up_alone && alone_last && same_age) || weight >= given_up_in_company ||
-        ends >= most_ends) {
+    if (weight >= (alone_last ? given_up_alone : given_up_in_company) || unexplained >= most_ends) {
         return suspicion::given_up;
     }
     if (weight >= isolated_from) {
--- a/jobs/suspicion.hpp
+++ b/jobs/suspicion.hpp
@@ -55,11 +55,12 @@
 
 /// Judges a task by the VMs that ended under it, oldest first. Pure; thread-safe.
 ///
-/// A task is given up once three VMs have crashed under it at about the same age of its run, the last one
-/// while it was alone there. Where that can't be had, one more crash suffices, and in any case the fifth end
-/// of a VM in a row. Ends that may have other causes count by half. Answers a task that
-/// crashes every VM that starts it: without a bound it takes its pool down, one VM after the other. A task
-/// that only ran beside such a one is isolated for one run at most, ends it, and is cleared.
+/// A program that crashes its VM does so at about the same age of its run: of the crashes those count that
+/// came at one age, the most that did. Ends that may have other causes count by half. A task is given up at
+/// three crashes, if it was alone at the last one, else at four, and in any case at the fifth end in a row
+/// that no other task explains. Answers a task that crashes every VM that starts it: without a bound it takes
+/// its pool down, one VM after the other. A task that only ran beside such a one is isolated for one run at
+/// most, ends it, and is cleared.
 [[nodiscard]] suspicion suspicion_of(std::span<const crash_evidence> evidence) noexcept;
 
 /// A run that has lasted this long did not crash its VM by being started there; ends of VMs say nothing
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -57,7 +57,7 @@
     [[nodiscard]] const std::multiset<task_id>& tasks() const noexcept { return m_tasks; }
     /// Whether suspected tasks of other jobs than this one run there.
     [[nodiscard]] bool has_other_suspects(const std::string& job) const {
-        return suspect_jobs.size() > (suspect_jobs.contains(job) ? 1U : 0U);
+        return !suspect_jobs.empty() && (suspect_jobs.size() > 1 || !suspect_jobs.contains(job));
     }
     /// Nothing runs there, or may yet start, as far as is known.
     [[nodiscard]] bool vacant() const noexcept { return m_tasks.empty() && m_orphans.empty(); }
