--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -210,6 +210,7 @@
 
     // Runs.
     void process_end(vm_state& vm, const end_report& end, timestamp now);
+    [[nodiscard]] bool has_run(const vm_state& vm, const end_report& end) const;
     void process_done(job_state& job, const task_id& id, timestamp now);
     void process_failure(job_state& job, const task_id& id, std::uint32_t attempt, vm_state& vm,
                          timestamp now);
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -125,6 +125,17 @@
     }
 }
 
+/// Whether the run whose end the VM lists still counts as active there.
+bool scheduler::has_run(const vm_state& vm, const end_report& end) const {
+    if (!vm.has_run(end.task)) {
+        return false;
+    }
+    const std::vector<run>& runs = m_jobs.find(end.task.job)->second.task(end.task).runs;
+    return std::ranges::any_of(runs, [&](const run& item) {
+        return item.attempt == end.attempt && item.vm == vm.info().incarnation;
+    });
+}
+
 bool scheduler::has_task(const task_id& id) const {
     const auto found = m_jobs.find(id.job);
     return found != m_jobs.end() && found->second.contains(id);
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -84,6 +84,8 @@
             vm.last_received_end = end.sequence;
             m_has_ends_to_store = true;
             process_end(vm, end, now);
+        } else if (has_run(vm, end)) {
+            add_note("end-number-known", name, &end.task, end.attempt);
         }
     }
     for (const running_report& item : report.running) {
--- a/jobs/vm.hpp
+++ b/jobs/vm.hpp
@@ -65,6 +65,7 @@
     std::int64_t clock_ms = 0; ///< Reading of the VM's steady clock.
     std::vector<running_report> running;
     std::vector<end_report> ended;
+    std::int64_t started_ms = 0; ///< When the VM started, ms since 1970; 0 if it doesn't report that.
 };
 
 /// Result of an order to a VM.
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -69,6 +69,25 @@
                               });
 }
 
+/// Logs that a VM answers with another start than before, and what its previous start was told last.
+void pool_task::log_restart(const std::string& vm, const jobs::vm_report& report) {
+    vm_renewal& renewal = m_renewals[vm];
+    const auto known = m_scheduler.vms().find(vm);
+    if (renewal.started_ms != 0 && report.started_ms != renewal.started_ms &&
+        known != m_scheduler.vms().end()) {
+        m_context.counters.increment("vm_restarts");
+        log_event(event_id::vm_restarted, {{"pool", m_pool},
+                                           {"vm", vm},
+                                           {"started_ms", report.started_ms},
+                                           {"started_ms_before", renewal.started_ms},
+                                           {"clock_ms", report.clock_ms},
+                                           {"clock_ms_before", renewal.clock_ms},
+                                           {"acknowledged", known->second.last_stored_end}});
+    }
+    renewal.started_ms = report.started_ms;
+    renewal.clock_ms = report.clock_ms;
+}
+
 void pool_task::on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer,
                                  std::int64_t token) {
     const auto renewal = m_renewals.find(vm);
@@ -83,6 +102,7 @@
             log_event(event_id::vm_reachable, {{"pool", m_pool}, {"vm", vm}});
         }
         renewal->second.failures = 0;
+        log_restart(vm, *answer.report);
         m_scheduler.handle_report(vm, *answer.report, now);
         if (!m_evacuated_vms.contains(vm) && !m_vm_record.may_contain(vm)) {
             m_vm_record_timer->start(0ms); // The VM had been unresponsive and was removed from the record.
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -65,6 +65,8 @@
         bool renewing = false;
         bool waits_for_store = false; ///< Ends must be stored before the next renewal acknowledges them.
         int failures = 0;
+        std::int64_t started_ms = 0; ///< As of the last report, like the clock.
+        std::int64_t clock_ms = 0;
         std::unique_ptr<timer> delay_timer;
     };
     struct waiting_submit {
@@ -104,6 +106,7 @@
     void activate_recorded_vms();
     void renew_lease(const std::string& vm);
     void on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
+    void log_restart(const std::string& vm, const jobs::vm_report& report);
     void schedule_renewal(const std::string& vm, milliseconds pause);
 
     // Decisions.
