--- a/tests/fakes/task_machine.cpp
+++ b/tests/fakes/task_machine.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/platform.hpp"
 
+#include <algorithm>
+
 namespace siskinpaddle::fakes {
 
 namespace {
@@ -25,10 +27,19 @@
     if (m_vm != nullptr || m_restart_blocks > 0) {
         return;
     }
-    const std::string incarnation = m_settings.name + "-" + std::to_string(++m_incarnation_count);
-    m_vm = std::make_unique<task_vm>(m_loop, incarnation, m_settings.run_time);
+    ++m_incarnation_count;
+    const std::string id =
+        m_settings.keeps_id ? m_settings.name : m_settings.name + "-" + std::to_string(m_incarnation_count);
+    m_vm = std::make_unique<task_vm>(m_loop, id, m_settings.run_time);
     m_vm->set_machine(m_settings.name);
     m_vm->set_clock_rate(m_settings.clock_rate);
+    if (m_settings.keeps_id) {
+        m_started_ms = std::max(m_started_ms + 1, wall_clock_ms());
+        m_vm->set_started(m_started_ms,
+                          m_incarnation_count == 1 ? first_clock_ms : m_settings.restart_clock_ms);
+        m_vm->add_late_starts(std::exchange(m_late_starts, {}));
+        m_delist_at.erase(id);
+    }
     // The VM must not be destroyed within its own timer's callback.
     m_vm->on_crash([this] { m_crash_timer->start(0ms); });
     m_listen_failed = !m_vm->listen({"127.0.0.1", m_port});
@@ -39,9 +50,14 @@
     register_vm();
 }
 
+std::string task_machine::record_name() const {
+    return m_settings.keeps_id ? m_vm->incarnation() + "/" + std::to_string(m_started_ms)
+                               : m_vm->incarnation();
+}
+
 void task_machine::register_vm() {
     m_vm->set_capacity(m_capacity);
-    m_capacities.push_back({m_vm->incarnation(), event_loop::now(), m_capacity.cpu_millicores});
+    m_capacities.push_back({record_name(), event_loop::now(), m_capacity.cpu_millicores});
     m_store.put(platform::vm_key(m_vm->incarnation()),
                 m_vm->registration(m_settings.pool, m_registered_port.value_or(m_port)));
 }
@@ -69,13 +85,21 @@
             run.ended_at = event_loop::now();
             run.outcome = "crashed";
         }
-        m_past_runs.push_back({m_vm->incarnation(), run});
+        m_past_runs.push_back({record_name(), run});
+    }
+    if (m_settings.keeps_id) {
+        m_late_starts = m_vm->take_late_starts();
     }
     m_delist_at[m_vm->incarnation()] = event_loop::now() + delist_delay;
     m_vm.reset();
     m_restart_timer->start(m_settings.down_time);
 }
 
+void task_machine::restart() {
+    crash();
+    m_restart_timer->start(0ms);
+}
+
 void task_machine::block_restart(bool enabled) {
     m_restart_blocks += enabled ? 1 : -1;
     if (m_restart_blocks == 0 && m_vm == nullptr) {
@@ -97,7 +121,7 @@
     std::vector<vm_run> result = m_past_runs;
     if (m_vm != nullptr) {
         for (const task_vm::run_record& run : m_vm->runs()) {
-            result.push_back({m_vm->incarnation(), run});
+            result.push_back({record_name(), run});
         }
     }
     return result;
--- a/tests/fakes/task_machine.hpp
+++ b/tests/fakes/task_machine.hpp
@@ -4,6 +4,7 @@
 #include "fakes/task_vm.hpp"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,15 +28,23 @@
 
 /// Fake of a machine: runs successive incarnations of a VM at the same address and registers each in the
 /// store. An incarnation ends by crash() or when a task crashes the VM; the next one starts after the down
-/// time.
+/// time, under another id or under the same one.
 class task_machine {
   public:
+    /// Clock of a VM that has run for longer than any test, when it reports its start.
+    static constexpr std::int64_t first_clock_ms = 500'000;
+
     struct settings {
         std::string name;
         std::string pool = "p";
         milliseconds run_time{100};
         milliseconds down_time{300};
         double clock_rate = 1;
+        /// All incarnations have the machine's name as their id, and report when they started.
+        bool keeps_id = false;
+        /// Where the clock of each incarnation but the first begins, if they keep the id. That of the first
+        /// begins at `first_clock_ms`.
+        std::int64_t restart_clock_ms = 0;
     };
 
     task_machine(event_loop& loop, platform_store& store, settings options);
@@ -44,6 +53,8 @@
     [[nodiscard]] bool start();
     /// Ends the current incarnation, if any.
     void crash();
+    /// Ends the current incarnation and starts the next one at once.
+    void restart();
     /// Sets the capacity that the VM reports, in this and later incarnations.
     void set_capacity(const jobs::resources& capacity);
     /// Makes the VM report that it drains. crash() then ends the incarnation.
@@ -62,6 +73,8 @@
     /// Current incarnation; null while the machine is down.
     [[nodiscard]] task_vm* vm() const noexcept { return m_vm.get(); }
     [[nodiscard]] std::uint32_t incarnation_count() const noexcept { return m_incarnation_count; }
+    /// Changes how long the machine is down after the following crashes.
+    void set_down_time(milliseconds time) { m_settings.down_time = time; }
     /// Runs of all incarnations. Runs ended by a crash have the outcome "crashed".
     [[nodiscard]] std::vector<vm_run> runs() const;
     /// Reported capacities of all incarnations, in chronological order.
@@ -70,6 +83,8 @@
   private:
     void start_incarnation();
     void register_vm();
+    /// Name of the current incarnation in the records, also where incarnations share an id.
+    [[nodiscard]] std::string record_name() const;
 
     event_loop& m_loop;
     platform_store& m_store;
@@ -82,6 +97,8 @@
     std::uint16_t m_port = 0;
     jobs::resources m_capacity{4000, 8192, 0};
     std::uint32_t m_incarnation_count = 0;
+    std::int64_t m_started_ms = 0; ///< Start of the current incarnation; 0 if it has an id of its own.
+    std::list<task_vm::late_start> m_late_starts;
     std::uint32_t m_restart_blocks = 0;
     bool m_listen_failed = false; ///< The VM could not listen.
     std::vector<vm_run> m_past_runs;
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -14,7 +14,7 @@
 
 constexpr milliseconds tick_interval = 10ms;
 /// Offset of the VM's clock, since the nodes and a VM don't share a clock.
-constexpr std::int64_t clock_offset_ms = 77'000;
+constexpr std::int64_t default_clock_base_ms = 77'000;
 constexpr std::string_view crash_prefix = "crashes its VM: ";
 
 std::int64_t number(const boost::json::object& object, std::string_view key) {
@@ -40,13 +40,19 @@
     : m_loop(loop), m_incarnation(std::move(incarnation)), m_machine("m-" + m_incarnation),
       m_run_time(run_time),
       m_server(loop, {}, [this](const request_handle& request) { handle_request(request); }),
-      m_timer(loop.make_timer([this] { tick(); })) {
+      m_timer(loop.make_timer([this] { tick(); })), m_clock_base_ms(default_clock_base_ms) {
     m_timer->start(tick_interval);
 }
 
 std::int64_t task_vm::clock_ms() const {
     return static_cast<std::int64_t>(static_cast<double>(event_loop::now().count()) * m_clock_rate) +
-           clock_offset_ms;
+           m_clock_base_ms;
+}
+
+void task_vm::set_started(std::int64_t started_ms, std::int64_t clock_ms) {
+    m_started_ms = started_ms;
+    m_clock_base_ms =
+        clock_ms - static_cast<std::int64_t>(static_cast<double>(event_loop::now().count()) * m_clock_rate);
 }
 
 std::string task_vm::registration(const std::string& pool, std::uint16_t port) const {
@@ -62,7 +68,11 @@
     info.capacity = m_capacity;
     info.draining = m_draining;
     info.remaining_ms = m_draining ? 0 : -1;
-    return platform::encode_vm(info);
+    boost::json::object entry = boost::json::parse(platform::encode_vm(info)).as_object();
+    if (m_started_ms > 0) {
+        entry[wire::started] = m_started_ms;
+    }
+    return boost::json::serialize(entry);
 }
 
 void task_vm::reply(const request_handle& request, int code, boost::json::object body) const {
@@ -200,7 +210,11 @@
         const run_record& run = m_runs[item.run_index];
         finished.push_back(boost::json::array{item.sequence, run.task, run.attempt, run.outcome, ""});
     }
-    return {{wire::running, std::move(running)}, {wire::ended, std::move(finished)}};
+    boost::json::object lists{{wire::running, std::move(running)}, {wire::ended, std::move(finished)}};
+    if (m_started_ms > 0) {
+        lists[wire::started] = m_started_ms;
+    }
+    return lists;
 }
 
 void task_vm::answer_renewals() {
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -10,15 +10,22 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace siskinpaddle::fakes {
 
-/// Fake of one incarnation of a VM that runs tasks, with leases, fencing tokens, attempt numbers, and ends
-/// that are listed until they are acknowledged. Records all runs for the checks in tests. A VM that restarts
-/// is another object.
+/// Fake of one start of a VM that runs tasks, with leases, fencing tokens, attempt numbers, and ends that are
+/// listed until they are acknowledged. Records all runs for the checks in tests. A VM that restarts is
+/// another object.
 class task_vm {
   public:
+    /// A start order that the VM carries out without having answered it.
+    struct late_start {
+        boost::json::object body;
+        timestamp due{0};
+    };
+
     /// A run as recorded by the VM.
     struct run_record {
         std::string task;
@@ -48,6 +55,8 @@
     /// As above, for a VM that is reached through another port.
     [[nodiscard]] std::string registration(const std::string& pool, std::uint16_t port) const;
     [[nodiscard]] const std::string& incarnation() const noexcept { return m_incarnation; }
+    /// Makes the VM report the time of its start, ms since 1970, and lets its clock begin at `clock_ms`.
+    void set_started(std::int64_t started_ms, std::int64_t clock_ms);
     [[nodiscard]] const std::vector<run_record>& runs() const noexcept { return m_runs; }
 
     /// While set, runs end as failed, including those already running.
@@ -76,6 +85,9 @@
     }
     /// Number of delayed starts that are still pending.
     [[nodiscard]] std::size_t pending_late_starts() const noexcept { return m_late_orders.size(); }
+    /// Passes the delayed starts on to the next start of the VM, which the platform lets carry them out.
+    [[nodiscard]] std::list<late_start> take_late_starts() { return std::exchange(m_late_orders, {}); }
+    void add_late_starts(std::list<late_start> starts) { m_late_orders.splice(m_late_orders.end(), starts); }
     /// Sets the rate of the VM's clock relative to the clock of the tests.
     void set_clock_rate(double rate) noexcept { m_clock_rate = rate; }
 
@@ -85,10 +97,6 @@
         request_handle request;
         timestamp until{0};
     };
-    struct late_start {
-        boost::json::object body;
-        timestamp due{0};
-    };
     struct ended_run {
         std::int64_t sequence = 0;
         std::size_t run_index = 0; ///< Index in m_runs.
@@ -132,6 +140,8 @@
     bool m_failing = false;
     bool m_draining = false;
     double m_clock_rate = 1;
+    std::int64_t m_started_ms = 0; ///< 0: the VM doesn't report it.
+    std::int64_t m_clock_base_ms;  ///< Reading of the VM's clock when the test's clock was 0.
     std::optional<timestamp> m_crashes_at;
     std::function<void()> m_on_crash;
 };
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -245,6 +245,32 @@
         }
     }
 
+    /// Like check_runs_once(), for the VMs of machines. A run whose end was never acknowledged may be
+    /// repeated: its VM may have crashed before the owner read the end.
+    void check_machine_runs_once() const {
+        std::map<std::string, std::vector<fakes::vm_run>> by_task;
+        for (const auto& machine : machines) {
+            for (const fakes::vm_run& item : machine->runs()) {
+                by_task[item.run.task].push_back(item);
+            }
+        }
+        for (const auto& [task, runs] : by_task) {
+            for (std::size_t i = 0; i < runs.size(); ++i) {
+                for (std::size_t k = 0; k < runs.size(); ++k) {
+                    const fakes::task_vm::run_record& a = runs[i].run;
+                    const fakes::task_vm::run_record& b = runs[k].run;
+                    if (i != k && a.started_at <= b.started_at) {
+                        INFO(task, " attempts ", a.attempt, " and ", b.attempt);
+                        CHECK(a.ended_at != timestamp(0));
+                        CHECK(a.ended_at <= b.started_at);
+                        const bool done = a.outcome == "done" && a.acknowledged != timestamp(0);
+                        CHECK_FALSE(done);
+                    }
+                }
+            }
+        }
+    }
+
     [[nodiscard]] std::size_t done_runs() const {
         std::size_t count = 0;
         for (const auto& vm : vms) {
