Keep what is known of a VM by its start, not by its id

What callers saw: a task that had ended as done, and whose end was acknowledged, started again (TWICE); long-lived tasks did not run for 40 s and more, with capacity for them (LOST).

Cause: a VM may start again under its id with nothing of before, and the owner kept under the id what belongs to one start. Ends of the next start, numbered from 1, were taken for known ones, dropped, and acknowledged unread up to the old number; their runs were then missing and started again. A run that the old start had listed counted as active until the new start's clock was past the run's last confirmation. Class: state of one incarnation applied to the next.

Change: an incarnation is the id and the start time that the VM reports (ID/START), decoded in platform/ and compared with each answer. Registrations, run lists, ends and their acknowledgement, clocks, leases, capacity, tickets, crash evidence, the stored record and renewals are kept by it; the fleet's owner and the policy service go on with ids. Orders name the id, so a start that no report has confirmed may reach the next start: its run moves there, and is stopped there unless it is listed, before the task starts again. An answer that does not name its start moves no clock; such runs are settled by reports requested after the answer. Ends are acknowledged only within 250 ms of a report. A VM without a start serves as before; a malformed one is reported with its place. A renewal that fails after its VM has ended no longer reads the ended VM's state.

--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -25,10 +25,12 @@
     std::string vm; ///< Incarnation of the VM.
     run_phase phase = run_phase::starting;
     bool from_scratch = false; ///< Ordered by this owner without a checkpoint.
+    bool reported = false;     ///< A report of this incarnation has listed the run.
     bool adopted = false; ///< Ordered by a previous owner; `started_at` is when this owner first saw the run.
     timestamp started_at{0};
     std::int64_t start_deadline = 0;  ///< On the VM's clock; the VM refuses the start from then on.
     std::int64_t confirmed_clock = 0; ///< The VM's clock when it confirmed the run.
+    timestamp accepted_at{0};         ///< When the answer to its start arrived; 0: not yet.
     timestamp stop_sent_at{0};
     timestamp stop_acked_at{0}; ///< 0: no stop was acknowledged.
     std::int64_t percent = 0;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -140,9 +140,20 @@
     /// VMs that may run tasks of a previous owner and have not reported yet; while there are any, those tasks
     /// wait.
     [[nodiscard]] const std::set<std::string>& unconfirmed_vms() const noexcept { return m_unconfirmed_vms; }
+    /// Adds the incarnation of the VM that answers under the id of `previous` and started at `started_ms`,
+    /// and returns its name. It gets no starts until the platform lists it. Precondition: `previous` is one
+    /// of vms().
+    std::string add_restarted_vm(const std::string& previous, std::int64_t started_ms);
+    /// The other incarnations with the VM's id that a report of the VM proves to have ended. One that has
+    /// never responded to this owner may be a later one: the report may have been on its way when it started.
+    [[nodiscard]] std::vector<std::string> previous_incarnations(const std::string& vm) const;
     /// Processes the confirmed end of this incarnation of the VM.
     void handle_vm_ended(const std::string& vm, vm_end_cause cause, timestamp now);
+    /// Processes the VM's answer to a renewal, which ends its previous_incarnations().
     void handle_report(const std::string& vm, const vm_report& report, timestamp now);
+    /// Returns the number of an end up to which a renewal that is sent now may let the VM discard its ends. 0
+    /// if the VM may have started again since its last report: the ends that it lists now are not known yet.
+    [[nodiscard]] std::int64_t ends_to_acknowledge(const std::string& vm, timestamp now) const;
     void handle_vm_unreachable(const std::string& vm, timestamp now);
     void handle_start_answer(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
                              timestamp now);
@@ -221,7 +232,10 @@
     void drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                   timestamp now);
     void end_superseded_incarnations(const vm_info& alive, timestamp now);
-    void drop_all_runs(vm_state& vm, vm_end_cause cause, timestamp now);
+    std::vector<task_id> end_previous_incarnations(vm_state& current, timestamp now);
+    std::vector<task_id> move_runs(vm_state& from, vm_state& to, bool all);
+    void stop_unlisted_runs(const std::vector<task_id>& moved, const std::string& vm, timestamp now);
+    void drop_all_runs(vm_state& vm, const vm_end& end, timestamp now);
     [[nodiscard]] vm_end describe_end(const vm_state& vm, vm_end_cause cause, timestamp now) const;
     void stop_run(const task_id& id, run& item, timestamp now);
     void stop_job_runs(job_state& job, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -41,7 +41,7 @@
         vm_state& vm = item->second;
         const bool expired = vm.has_responded() && now > vm.lease_expires_at();
         if (expired && !vm.has_no_runs()) {
-            drop_all_runs(vm, vm_end_cause::lease_expired, now);
+            drop_all_runs(vm, describe_end(vm, vm_end_cause::lease_expired, now), now);
         }
         const bool removable = !vm.listed && vm.has_no_runs() && !m_unconfirmed_vms.contains(item->first) &&
                                (expired || !vm.has_responded());
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -5,6 +5,17 @@
 
 namespace siskinpaddle::jobs {
 
+namespace {
+
+/// Whether the VM had answered the start or a stop of the run when the renewal was sent. This needs no clock
+/// of the VM: an answer that doesn't say which incarnation gave it has none that could be compared.
+bool is_settled_before(const run& item, timestamp requested_at) {
+    const timestamp settled_at = std::max(item.accepted_at, item.stop_acked_at);
+    return settled_at != timestamp(0) && settled_at < requested_at;
+}
+
+} // namespace
+
 void scheduler::drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                          timestamp now) {
     job.remove_run(id, attempt, vm, now);
@@ -175,6 +186,7 @@
     } else if (known->phase == run_phase::unconfirmed) {
         known->phase = run_phase::stopping; // The run did start, and its stop is in flight.
     }
+    known->reported = true;
     known->confirmed_clock = report.clock_ms;
     if (known->percent != item.percent || known->progress_at == timestamp(0)) {
         known->percent = item.percent;
@@ -219,7 +231,9 @@
             if (item.vm != incarnation || listed.contains({id, item.attempt})) {
                 continue;
             }
-            const bool confirmed_before = item.confirmed_clock > 0 && item.confirmed_clock < report.clock_ms;
+            const bool confirmed_before =
+                (item.confirmed_clock > 0 && item.confirmed_clock < report.clock_ms) ||
+                is_settled_before(item, report.requested_at);
             const bool start_expired = item.start_deadline > 0 && item.start_deadline < report.clock_ms;
             if (confirmed_before || (item.phase != run_phase::starting && start_expired)) {
                 add_note("run-missing", incarnation, &id, item.attempt);
@@ -252,12 +266,11 @@
     return end;
 }
 
-void scheduler::drop_all_runs(vm_state& vm, vm_end_cause cause, timestamp now) {
-    const vm_end end = describe_end(vm, cause, now);
+void scheduler::drop_all_runs(vm_state& vm, const vm_end& end, timestamp now) {
     if (!end.runs.empty()) {
         m_pending_decisions.ended_vms.push_back(end);
     }
-    const char* reason = cause == vm_end_cause::lease_expired ? "lease-lapsed" : "vm-gone";
+    const char* reason = end.cause == vm_end_cause::lease_expired ? "lease-lapsed" : "vm-gone";
     const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
     const std::string incarnation = vm.info().incarnation;
     for (const task_id& id : tasks) {
@@ -272,7 +285,8 @@
     }
     vm.set_orphans({});
     evaluate_vm_end(
-        end, cause == vm_end_cause::lease_expired ? end_certainty::lease_expired : end_certainty::ended, now);
+        end, end.cause == vm_end_cause::lease_expired ? end_certainty::lease_expired : end_certainty::ended,
+        now);
 }
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t ends_in_full_report = 500;
 /// Time for which a VM that reports itself unhealthy gets no starts.
 constexpr milliseconds unhealthy_pause = 1s;
+/// Maximum age of a VM's report at which an acknowledgement is sent. A VM can't have started again, been
+/// given a run and ended it in less.
+constexpr milliseconds max_age_to_acknowledge = 250ms;
 
 } // namespace
 
@@ -54,10 +57,106 @@
     if (was_unconfirmed && cause != vm_end_cause::ordered && !found->second.info().draining) {
         m_ended_unconfirmed_vms.push_back(vm);
     }
-    drop_all_runs(found->second, cause, now);
+    drop_all_runs(found->second, describe_end(found->second, cause, now), now);
     m_vms.erase(found);
 }
 
+std::string scheduler::add_restarted_vm(const std::string& previous, std::int64_t started_ms) {
+    vm_info info = m_vms.find(previous)->second.info();
+    info.incarnation = make_incarnation(vm_id_of(previous), started_ms);
+    if (!m_vms.contains(info.incarnation)) {
+        vm_state vm(info);
+        vm.listed = false;
+        m_vms.emplace(info.incarnation, std::move(vm));
+    }
+    return info.incarnation;
+}
+
+std::vector<std::string> scheduler::previous_incarnations(const std::string& vm) const {
+    std::vector<std::string> found;
+    const auto add = [&](const std::string& name, const vm_state& state) {
+        if (name != vm && (state.has_responded() || m_unconfirmed_vms.contains(name))) {
+            found.push_back(name);
+        }
+    };
+    const std::string id(vm_id_of(vm));
+    if (const auto without_start = m_vms.find(id); without_start != m_vms.end()) {
+        add(id, without_start->second);
+    }
+    const std::string prefix = incarnation_prefix(id);
+    for (auto item = m_vms.lower_bound(prefix); item != m_vms.end() && item->first.starts_with(prefix);
+         ++item) {
+        add(item->first, item->second);
+    }
+    return found;
+}
+
+/// Ends the previous incarnations of a VM that has just reported. Orders name the VM by its id, so a
+/// start that no report has confirmed may have been, or may yet be, carried out by the present incarnation:
+/// its run moves there. Returns the tasks whose runs have moved.
+std::vector<task_id> scheduler::end_previous_incarnations(vm_state& current, timestamp now) {
+    std::vector<task_id> moved;
+    for (const std::string& name : previous_incarnations(current.info().incarnation)) {
+        vm_state& previous = m_vms.find(name)->second;
+        // An incarnation whose start isn't known may be the present one: a program that did not read start
+        // times has recorded it, or the VM did not report them yet.
+        const bool has_ended = start_time_of(name) > 0;
+        const vm_end end = describe_end(previous, vm_end_cause::restarted, now);
+        const std::vector<task_id> runs = move_runs(previous, current, !has_ended);
+        moved.insert(moved.end(), runs.begin(), runs.end());
+        if (m_unconfirmed_vms.erase(name) > 0 && has_ended && !previous.info().draining) {
+            m_ended_unconfirmed_vms.push_back(name);
+        }
+        if (has_ended) {
+            drop_all_runs(previous, end, now);
+        } else {
+            process_unresponsive_vm_response(name, now);
+        }
+        m_vms.erase(name);
+    }
+    return moved;
+}
+
+/// Moves the runs that no report has listed, or all, from one incarnation of a VM to another.
+std::vector<task_id> scheduler::move_runs(vm_state& from, vm_state& to, bool all) {
+    std::vector<task_id> moved;
+    const std::multiset<task_id> tasks = from.tasks();
+    for (auto id = tasks.begin(); id != tasks.end(); id = tasks.upper_bound(*id)) {
+        job_state& job = m_jobs.find(id->job)->second;
+        const step_spec& step = job.spec().steps[id->step];
+        for (run& item : job.task(*id).runs) {
+            if (item.vm != from.info().incarnation || (item.reported && !all)) {
+                continue;
+            }
+            from.remove_task(*id, reserved_resources(step), step.long_lived);
+            to.add_task(*id, reserved_resources(step), step.long_lived);
+            item.vm = to.info().incarnation;
+            item.phase = run_phase::unconfirmed;
+            item.reported = false;
+            item.from_scratch = false; // The time since its start order is not the time that it takes.
+            item.start_deadline = 0;
+            item.confirmed_clock = 0;
+            item.accepted_at = timestamp(0);
+            item.stop_sent_at = timestamp(0);
+            item.stop_acked_at = timestamp(0);
+            moved.push_back(*id);
+        }
+    }
+    return moved;
+}
+
+/// Stops the moved runs that the VM doesn't list. Its answer proves that their starts can't be carried out
+/// any more: the deadlines of these orders are readings of another clock.
+void scheduler::stop_unlisted_runs(const std::vector<task_id>& moved, const std::string& vm, timestamp now) {
+    for (const task_id& id : moved) {
+        for (run& item : m_jobs.find(id.job)->second.task(id).runs) {
+            if (item.vm == vm && item.phase == run_phase::unconfirmed && item.stop_sent_at == timestamp(0)) {
+                stop_run(id, item, now);
+            }
+        }
+    }
+}
+
 void scheduler::handle_vm_unreachable(const std::string& vm, timestamp now) {
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
         found->second.reachable = false;
@@ -77,8 +176,10 @@
         vm.record_granted_deadline(report.clock_ms + m_settings.lease.count());
     }
     vm.record_response(report.clock_ms, now);
+    vm.last_report_at = now;
     vm.reachable = true;
     process_unresponsive_vm_response(name, now);
+    const std::vector<task_id> moved = end_previous_incarnations(vm, now);
     for (const end_report& end : report.ended) {
         if (end.sequence > vm.last_received_end) {
             vm.last_received_end = end.sequence;
@@ -97,6 +198,7 @@
     if (report.ended.size() < ends_in_full_report) {
         drop_missing_runs(vm, report, now);
     }
+    stop_unlisted_runs(moved, name, now);
     m_unconfirmed_vms.erase(name);
     end_superseded_incarnations(vm.info(), now);
     confirm_superseded_vms(vm.info(), now);
@@ -147,6 +249,7 @@
             item->phase = run_phase::running;
         }
         item->confirmed_clock = std::max(item->confirmed_clock, clock_ms);
+        item->accepted_at = now;
         item->progress_at = now;
         job->second.set_begun();
         return;
@@ -216,6 +319,14 @@
     return !m_unconfirmed_vms.contains(vm) && (found == m_vms.end() || found->second.is_idle());
 }
 
+std::int64_t scheduler::ends_to_acknowledge(const std::string& vm, timestamp now) const {
+    const auto found = m_vms.find(vm);
+    if (found == m_vms.end() || now - found->second.last_report_at > max_age_to_acknowledge) {
+        return 0;
+    }
+    return found->second.last_stored_end;
+}
+
 std::int64_t scheduler::grant_lease_renewal(const std::string& vm, timestamp now) {
     const auto found = m_vms.find(vm);
     if (found == m_vms.end() || !found->second.reachable) {
--- a/jobs/vm.hpp
+++ b/jobs/vm.hpp
@@ -5,14 +5,29 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace siskinpaddle::jobs {
 
-/// Registration of one incarnation of a VM. A VM that restarts registers under a new `incarnation`.
+/// Returns the name of one incarnation of a VM: the time between a start of the VM and its end. A VM may
+/// start again under its id, and then knows nothing of before; its clock and the numbers of its ends begin
+/// anew. State that belongs to an incarnation must be kept under this name, not under the id. `started_ms`:
+/// when the VM started, ms since 1970; 0 if it doesn't report that, and then the name is the id.
+/// Precondition: `id` contains no '/'. Pure; thread-safe.
+[[nodiscard]] std::string make_incarnation(std::string_view id, std::int64_t started_ms);
+/// Returns the id under which the VM is registered and called. Pure; thread-safe.
+[[nodiscard]] std::string_view vm_id_of(std::string_view incarnation) noexcept;
+/// Returns the prefix that the names of all incarnations with this id have, if they report their start. Pure;
+/// thread-safe.
+[[nodiscard]] std::string incarnation_prefix(std::string_view id);
+/// Returns when the incarnation started, ms since 1970; 0 if its VM doesn't report that. Pure; thread-safe.
+[[nodiscard]] std::int64_t start_time_of(std::string_view incarnation) noexcept;
+
+/// Registration of one incarnation of a VM.
 struct vm_info {
-    std::string incarnation;
-    std::string machine; ///< Same for all incarnations of the VM.
+    std::string incarnation; ///< As make_incarnation() returns it.
+    std::string machine;     ///< Same for all incarnations of the VM.
     std::string pool;
     std::string address;
     std::uint16_t port = 0;
@@ -66,6 +81,7 @@
     std::vector<running_report> running;
     std::vector<end_report> ended;
     std::int64_t started_ms = 0; ///< When the VM started, ms since 1970; 0 if it doesn't report that.
+    timestamp requested_at{0};   ///< When the renewal was sent, on the owner's clock.
 };
 
 /// Result of an order to a VM.
@@ -78,7 +94,8 @@
     refused_ticket,    ///< The ticket is missing or no longer valid.
     refused_unhealthy, ///< The VM reports itself unhealthy; the order was not carried out.
     refused_invalid,   ///< The VM can't interpret the order.
-    wrong_incarnation, ///< Another incarnation answers at the address.
+    wrong_incarnation, ///< A VM with another id answers at the address.
+    restarted,         ///< The VM answers under the same id, but has started again.
     not_sent,          ///< No byte of the order left this process.
     unknown            ///< No answer: the order may have been, or may still be, carried out.
 };
@@ -105,5 +122,6 @@
     std::pair{siskinpaddle::jobs::order_outcome::refused_unhealthy, std::string_view("refused-unhealthy")},
     std::pair{siskinpaddle::jobs::order_outcome::refused_invalid, std::string_view("refused-invalid")},
     std::pair{siskinpaddle::jobs::order_outcome::wrong_incarnation, std::string_view("wrong-incarnation")},
+    std::pair{siskinpaddle::jobs::order_outcome::restarted, std::string_view("restarted")},
     std::pair{siskinpaddle::jobs::order_outcome::not_sent, std::string_view("not-sent")},
     std::pair{siskinpaddle::jobs::order_outcome::unknown, std::string_view("unknown")}};
--- a/jobs/vm_end.hpp
+++ b/jobs/vm_end.hpp
@@ -12,7 +12,8 @@
 
 /// Evidence that an incarnation of a VM has ended.
 enum class vm_end_cause : std::uint8_t {
-    replaced,      ///< Another incarnation answers at its address.
+    replaced,      ///< A VM with another id answers at its address.
+    restarted,     ///< The VM answers under the same id, but has started again.
     superseded,    ///< A later incarnation on its machine answers.
     lease_expired, ///< Unresponsive until the leases of all its runs had expired; it may still be alive.
     ordered        ///< The platform has taken its machine down for maintenance or moved it to another pool.
@@ -45,6 +46,7 @@
 template <>
 inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::vm_end_cause>{
     std::pair{siskinpaddle::jobs::vm_end_cause::replaced, std::string_view("replaced")},
+    std::pair{siskinpaddle::jobs::vm_end_cause::restarted, std::string_view("restarted")},
     std::pair{siskinpaddle::jobs::vm_end_cause::superseded, std::string_view("superseded")},
     std::pair{siskinpaddle::jobs::vm_end_cause::lease_expired, std::string_view("lapsed")},
     std::pair{siskinpaddle::jobs::vm_end_cause::ordered, std::string_view("ordered")}};
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -92,6 +92,7 @@
     std::set<std::string> suspect_jobs; ///< Jobs whose suspected tasks run there, as of the last decision.
     std::string isolated_for_job;       ///< The only job whose tasks may start there; empty for any job.
     std::int64_t last_received_end = 0; ///< Run ends up to this number were received.
+    timestamp last_report_at{0};        ///< When its last report arrived.
     std::int64_t last_stored_end = 0;   ///< Run ends up to this number are stored, so the VM may drop them.
     /// The VM's clock at its last refusal for lack of capacity; empty after a newer response.
     std::optional<std::int64_t> capacity_refused_at_clock;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -55,12 +55,14 @@
         return;
     }
     renewal.renewing = true;
+    const std::int64_t acknowledged = m_scheduler.ends_to_acknowledge(vm, event_loop::now());
     milliseconds wait(0);
-    if (state.has_responded() && state.reachable) {
+    // Ends that can't be acknowledged yet are listed again, which shows that this incarnation still runs.
+    if (state.has_responded() && state.reachable && acknowledged == state.last_stored_end) {
         wait = m_scheduler.needs_frequent_polling(vm) ? frequent_renewal_wait : renewal_wait;
     }
     const std::int64_t deadline = m_scheduler.grant_lease_renewal(vm, event_loop::now());
-    m_context.vms.renew_lease(state.info(), m_ownership.token, deadline, state.last_stored_end, wait,
+    m_context.vms.renew_lease(state.info(), m_ownership.token, deadline, acknowledged, wait,
                               [this, vm, token = m_ownership.token,
                                alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
                                   if (!alive.expired()) {
@@ -69,23 +71,28 @@
                               });
 }
 
-/// Logs that a VM answers with another start than before, and what its previous start was told last.
-void pool_task::log_restart(const std::string& vm, const jobs::vm_report& report) {
-    vm_renewal& renewal = m_renewals[vm];
-    const auto known = m_scheduler.vms().find(vm);
-    if (renewal.started_ms != 0 && report.started_ms != renewal.started_ms &&
-        known != m_scheduler.vms().end()) {
+/// Logs the end of the VM's previous incarnations, which its report proves.
+void pool_task::log_restarts(const std::string& vm, const jobs::vm_report& report) const {
+    for (const std::string& previous : m_scheduler.previous_incarnations(vm)) {
         m_context.counters.increment("vm_restarts");
         log_event(event_id::vm_restarted, {{"pool", m_pool},
                                            {"vm", vm},
-                                           {"started_ms", report.started_ms},
-                                           {"started_ms_before", renewal.started_ms},
+                                           {"previous", previous},
                                            {"clock_ms", report.clock_ms},
-                                           {"clock_ms_before", renewal.clock_ms},
-                                           {"acknowledged", known->second.last_stored_end}});
+                                           {"acknowledged", m_scheduler.vms().at(previous).last_stored_end}});
+    }
+}
+
+/// Processes the report of the VM, or of the incarnation that answers in its place.
+void pool_task::process_report(const std::string& vm, const jobs::vm_report& report) {
+    log_restarts(vm, report);
+    m_scheduler.handle_report(vm, report, event_loop::now());
+    if (!is_evacuated(vm) && !m_vm_record.may_contain(vm)) {
+        // The VM had been unresponsive and was removed from the record, or has started again.
+        m_vm_record_timer->start(0ms);
     }
-    renewal.started_ms = report.started_ms;
-    renewal.clock_ms = report.clock_ms;
+    schedule_decision();
+    renew_lease(vm);
 }
 
 void pool_task::on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer,
@@ -95,37 +102,51 @@
         return;
     }
     renewal->second.renewing = false;
-    const timestamp now = event_loop::now();
     m_context.counters.increment("renewals_" + std::string(name_of(answer.outcome)));
+    if (answer.outcome == jobs::order_outcome::refused_fenced) {
+        on_ownership_lost("fence", token);
+    }
+    if (!m_scheduler.vms().contains(vm)) {
+        renew_lease(vm); // The incarnation has ended meanwhile: removes its renewals.
+        return;
+    }
+    if (answer.outcome == jobs::order_outcome::restarted) {
+        const std::string current = m_scheduler.add_restarted_vm(vm, answer.report->started_ms);
+        process_report(current, *answer.report);
+        m_scheduler.handle_vm_ended(vm, jobs::vm_end_cause::restarted, event_loop::now());
+        renew_lease(vm);
+        return;
+    }
     if (answer.outcome == jobs::order_outcome::accepted) {
         if (renewal->second.failures > 0) {
             log_event(event_id::vm_reachable, {{"pool", m_pool}, {"vm", vm}});
         }
         renewal->second.failures = 0;
-        log_restart(vm, *answer.report);
-        m_scheduler.handle_report(vm, *answer.report, now);
-        if (!m_evacuated_vms.contains(vm) && !m_vm_record.may_contain(vm)) {
-            m_vm_record_timer->start(0ms); // The VM had been unresponsive and was removed from the record.
-        }
-        schedule_decision();
-        renew_lease(vm);
+        process_report(vm, *answer.report);
         return;
     }
+    on_renewal_failed(vm, renewal->second, answer);
+}
+
+void pool_task::on_renewal_failed(const std::string& vm, vm_renewal& renewal,
+                                  const platform::renewal_answer& answer) {
+    const timestamp now = event_loop::now();
+    if (answer.problem) {
+        log_event(event_id::vm_damaged,
+                  {{"vm", vm}, {"place", answer.problem->location}, {"why", answer.problem->message}});
+    }
     if (answer.outcome == jobs::order_outcome::wrong_incarnation) {
         m_scheduler.handle_vm_ended(vm, jobs::vm_end_cause::replaced, now);
-    } else if (answer.outcome == jobs::order_outcome::refused_fenced) {
-        on_ownership_lost("fence", token);
-    } else if (renewal->second.failures++ == 0) {
-        const auto known = m_scheduler.vms().find(vm);
-        log_event(event_id::vm_unreachable,
-                  {{"pool", m_pool},
-                   {"vm", vm},
-                   {"outcome", name_of(answer.outcome)},
-                   {"lapses_in_ms", (known->second.lease_expires_at() - now).count()}});
+    } else if (answer.outcome != jobs::order_outcome::refused_fenced && renewal.failures++ == 0) {
+        const jobs::vm_state& state = m_scheduler.vms().at(vm);
+        log_event(event_id::vm_unreachable, {{"pool", m_pool},
+                                             {"vm", vm},
+                                             {"outcome", name_of(answer.outcome)},
+                                             {"lapses_in_ms", (state.lease_expires_at() - now).count()}});
     }
     m_scheduler.handle_vm_unreachable(vm, now);
     schedule_decision();
-    schedule_renewal(vm, std::min(max_renewal_retry, renewal_retry * std::max(1, renewal->second.failures)));
+    schedule_renewal(vm, std::min(max_renewal_retry, renewal_retry * std::max(1, renewal.failures)));
 }
 
 } // namespace siskinpaddle::node
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -65,8 +65,6 @@
         bool renewing = false;
         bool waits_for_store = false; ///< Ends must be stored before the next renewal acknowledges them.
         int failures = 0;
-        std::int64_t started_ms = 0; ///< As of the last report, like the clock.
-        std::int64_t clock_ms = 0;
         std::unique_ptr<timer> delay_timer;
     };
     struct waiting_submit {
@@ -100,13 +98,17 @@
     void on_vm_record_written(const platform::store_answer& answer, std::int64_t token);
     void review_vm_record();
     [[nodiscard]] jobs::vm_record::vms_by_incarnation vms_to_record() const;
+    [[nodiscard]] bool is_evacuated(const std::string& vm) const;
     [[nodiscard]] bool belongs_in_record(const std::string& vm, bool listed) const;
     void check_unresponsive_vms();
     void end_reassigned_vms(const platform::machine_list& list);
     void activate_recorded_vms();
     void renew_lease(const std::string& vm);
     void on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
-    void log_restart(const std::string& vm, const jobs::vm_report& report);
+    void log_restarts(const std::string& vm, const jobs::vm_report& report) const;
+    void process_report(const std::string& vm, const jobs::vm_report& report);
+    void on_renewal_failed(const std::string& vm, vm_renewal& renewal,
+                           const platform::renewal_answer& answer);
     void schedule_renewal(const std::string& vm, milliseconds pause);
 
     // Decisions.
@@ -130,7 +132,9 @@
     void status(const peer_request& request, const reply& done) const;
     void count(const peer_request& request, const reply& done) const;
     void answer_demand_query(const peer_request& request, const reply& done);
-    void uncordon_vms(const std::set<std::string>& vms);
+    [[nodiscard]] std::vector<jobs::vm_load>
+    merge_incarnations(const std::vector<jobs::vm_load>& loads) const;
+    void uncordon_vms(const std::set<std::string>& ids);
     void answer_stored_cancels();
     void finish_submit(const std::string& job, const reply& done, peer_outcome outcome);
     void answer_submit(const std::string& job, const reply& done, peer_outcome outcome);
@@ -228,8 +232,9 @@
     jobs::store_batch m_store_round;
     std::size_t m_chunks_in_flight = 0;
     bool m_store_round_succeeded = true;
-    std::set<std::string> m_evacuated_vms; ///< VMs to keep empty, by the last demand query.
-    timestamp m_evacuated_at{0};           ///< When the last demand query arrived.
+    /// Ids of the VMs to keep empty, by the last demand query. The fleet's owner knows VMs by their ids.
+    std::set<std::string> m_evacuated_vms;
+    timestamp m_evacuated_at{0}; ///< When the last demand query arrived.
     timestamp m_cleaned_up_at{0};
     timestamp m_vm_record_reviewed_at{0};
     timestamp m_inbox_retried_at{0};
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -62,11 +62,15 @@
                                               {"over", static_cast<int>(!vm.used().fits_in(info.capacity))}});
 }
 
+bool pool_task::is_evacuated(const std::string& vm) const {
+    return m_evacuated_vms.contains(std::string(jobs::vm_id_of(vm)));
+}
+
 bool pool_task::belongs_in_record(const std::string& vm, bool listed) const {
     jobs::vm_record_inputs view;
     view.listed = listed;
     view.is_idle = m_scheduler.is_releasable(vm);
-    view.evacuating = m_evacuated_vms.contains(vm);
+    view.evacuating = is_evacuated(vm);
     view.recorded = m_vm_record.may_contain(vm);
     if (const auto known = m_scheduler.vms().find(vm); known != m_scheduler.vms().end()) {
         const jobs::vm_state& state = known->second;
@@ -91,6 +95,12 @@
             wanted.emplace(vm, info);
         }
     }
+    // An incarnation that is known from its answers only may hold runs, too.
+    for (const auto& [vm, state] : m_scheduler.vms()) {
+        if (!m_scheduler.is_releasable(vm)) {
+            wanted.emplace(vm, state.info());
+        }
+    }
     return wanted;
 }
 
@@ -98,8 +108,9 @@
 /// their machines are wanted elsewhere.
 void pool_task::review_vm_record() {
     const timestamp now = event_loop::now();
-    const bool released = std::ranges::any_of(m_evacuated_vms, [this](const std::string& vm) {
-        return m_vm_record.contains(vm) && m_scheduler.is_releasable(vm);
+    const bool released = std::ranges::any_of(m_vm_record.stored(), [this](const auto& item) {
+        return is_evacuated(item.first) && m_vm_record.contains(item.first) &&
+               m_scheduler.is_releasable(item.first);
     });
     if (released || now - m_vm_record_reviewed_at >= record_review_interval) {
         m_vm_record_reviewed_at = now;
@@ -173,7 +184,7 @@
         const auto listed = m_directory.vms().find(vm);
         if (listed != m_directory.vms().end() && listed->second.pool == m_pool) {
             m_scheduler.add_or_update_vm(listed->second);
-            m_scheduler.cordon(vm, m_evacuated_vms.contains(vm));
+            m_scheduler.cordon(vm, is_evacuated(vm));
             renew_lease(vm);
         }
     }
--- a/node/vm_directory.cpp
+++ b/node/vm_directory.cpp
@@ -32,25 +32,29 @@
 }
 
 void vm_directory::apply_item(const platform::store_item& item) {
-    const std::string incarnation = item.key.substr(platform::vm_prefix.size());
+    const std::string id = item.key.substr(platform::vm_prefix.size());
     if (item.deleted) {
-        m_unusable.erase(incarnation);
-        delist(incarnation);
+        m_unusable.erase(id);
+        delist(id);
         return;
     }
     findings problems;
     const auto info = platform::decode_vm(item.key, item.value, problems);
     if (!info) {
-        record_unusable(incarnation, item.revision, problems.items().front());
+        record_unusable(id, item.revision, problems.items().front());
         return;
     }
-    m_unusable.erase(incarnation);
-    const auto known = m_vms.find(incarnation);
+    m_unusable.erase(id);
+    if (const std::string* listed = find_listed(id); listed != nullptr && *listed != info->incarnation) {
+        delist(id);
+    }
+    const auto known = m_vms.find(info->incarnation);
     if (known != m_vms.end() && known->second == *info) {
         return;
     }
-    m_vms[incarnation] = *info;
-    m_on_change(incarnation, info);
+    m_listed[id] = info->incarnation;
+    m_vms[info->incarnation] = *info;
+    m_on_change(info->incarnation, info);
 }
 
 /// An entry that another program has overwritten doesn't describe the VM: values of the previous entry, such
@@ -58,22 +62,21 @@
 /// longer listed, until its entry can be read again; its current runs continue under their lease. Otherwise
 /// tasks would be started on a VM whose state is not confirmed. Each problem is logged once, however often it
 /// is written.
-void vm_directory::record_unusable(const std::string& incarnation, std::int64_t revision,
-                                   const finding& problem) {
-    const auto [known, is_new] = m_unusable.try_emplace(incarnation, problem);
+void vm_directory::record_unusable(const std::string& id, std::int64_t revision, const finding& problem) {
+    const auto [known, is_new] = m_unusable.try_emplace(id, problem);
     if (is_new || known->second != problem) {
         known->second = problem;
-        log_event(event_id::vm_damaged, {{"vm", incarnation},
-                                         {"revision", revision},
-                                         {"place", problem.location},
-                                         {"why", problem.message}});
+        log_event(
+            event_id::vm_damaged,
+            {{"vm", id}, {"revision", revision}, {"place", problem.location}, {"why", problem.message}});
     }
-    delist(incarnation);
+    delist(id);
 }
 
-void vm_directory::delist(const std::string& incarnation) {
-    if (m_vms.erase(incarnation) > 0) {
-        m_on_change(incarnation, std::nullopt);
+void vm_directory::delist(const std::string& id) {
+    if (const auto listed = m_listed.extract(id); !listed.empty()) {
+        m_vms.erase(listed.mapped());
+        m_on_change(listed.mapped(), std::nullopt);
     }
 }
 
--- a/node/vm_directory.hpp
+++ b/node/vm_directory.hpp
@@ -8,8 +8,8 @@
 /// Not thread-safe: the directory belongs to its event loop.
 class vm_directory {
   public:
-    /// `on_change` gets a VM's key as its incarnation, and its current registration, or nothing when the VM
-    /// is no longer listed: its entry is removed or can't be read.
+    /// `on_change` gets the incarnation of a VM and its current registration, or nothing when the incarnation
+    /// is no longer listed: its entry is removed, can't be read, or registers another start of the VM.
     using change_handler = std::function<void(const std::string& vm, const std::optional<jobs::vm_info>&)>;
 
     vm_directory(event_loop& loop, platform::store_client& store, change_handler on_change);
@@ -23,20 +23,29 @@
     /// Lists the entries again at once.
     void refresh() { m_watch.refresh(); }
 
+    /// The listed VMs by incarnation.
     [[nodiscard]] const std::map<std::string, jobs::vm_info>& vms() const noexcept { return m_vms; }
-    /// Returns whether the VM has an entry, including one that can't be read.
+    /// The listed incarnation of the VM with this id; null if none is listed.
+    [[nodiscard]] const std::string* find_listed(const std::string& id) const {
+        const auto found = m_listed.find(id);
+        return found == m_listed.end() ? nullptr : &found->second;
+    }
+    /// Returns whether there is an entry with the VM's id, including one that can't be read or that registers
+    /// another start of the VM.
     [[nodiscard]] bool is_registered(const std::string& vm) const {
-        return m_vms.contains(vm) || m_unusable.contains(vm);
+        const std::string id(jobs::vm_id_of(vm));
+        return m_listed.contains(id) || m_unusable.contains(id);
     }
 
   private:
     void apply_item(const platform::store_item& item);
-    void record_unusable(const std::string& incarnation, std::int64_t revision, const finding& problem);
-    void delist(const std::string& incarnation);
+    void record_unusable(const std::string& id, std::int64_t revision, const finding& problem);
+    void delist(const std::string& id);
 
     change_handler m_on_change;
-    std::map<std::string, jobs::vm_info> m_vms;
-    std::map<std::string, finding> m_unusable; ///< Entries that list no VM, each with its first problem.
+    std::map<std::string, jobs::vm_info> m_vms;  ///< By incarnation.
+    std::map<std::string, std::string> m_listed; ///< Id -> listed incarnation.
+    std::map<std::string, finding> m_unusable; ///< Ids of entries that list no VM, with their first problem.
     watch_task m_watch;
 };
 
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -39,7 +39,11 @@
     vm_fails_runs,    ///< All runs on the VM fail.
     vm_late_orders,   ///< The VM executes some starts late, loses some stops, and answers none of them.
     vm_drains,        ///< The VM reports that it drains, and terminates when the fault ends.
-    node_reloads      ///< The node gets SIGHUP and reads its settings file again.
+    node_reloads,     ///< The node gets SIGHUP and reads its settings file again.
+    vm_restarts,      ///< The VM ends and starts again at once.
+    vm_restarts_cut,  ///< As vm_restarts, behind a link that is cut in both directions until the fault ends.
+    vm_restarts_late  ///< As vm_restarts, at the end of the fault, while answers of its previous start are
+                      ///< late.
 };
 
 /// One fault of a plan.
@@ -89,4 +93,7 @@
     std::pair{siskinpaddle::soak::fault_kind::vm_fails_runs, std::string_view("vm-fails-runs")},
     std::pair{siskinpaddle::soak::fault_kind::vm_late_orders, std::string_view("vm-late-orders")},
     std::pair{siskinpaddle::soak::fault_kind::vm_drains, std::string_view("vm-drains")},
-    std::pair{siskinpaddle::soak::fault_kind::node_reloads, std::string_view("node-reloads")}};
+    std::pair{siskinpaddle::soak::fault_kind::node_reloads, std::string_view("node-reloads")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_restarts, std::string_view("vm-restarts")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_restarts_cut, std::string_view("vm-restarts-cut")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_restarts_late, std::string_view("vm-restarts-late")}};
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -67,11 +67,16 @@
         static_cast<proxied_connection*>(self)->forward(from);
     }
 
-    static void on_event(bufferevent*, short events, void* self) {
+    static void on_event(bufferevent* from, short events, void* self) {
         auto* item = static_cast<proxied_connection*>(self);
-        if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-            item->m_proxy.remove_connection(item);
+        if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+            return;
+        }
+        if (from == item->m_server && !item->m_delayed.empty()) {
+            item->m_has_server_ended = true; // What it had answered is still on its way.
+            return;
         }
+        item->m_proxy.remove_connection(item);
     }
 
     [[nodiscard]] bool is_dropping(bool to_server) const {
@@ -116,6 +121,10 @@
         }
         if (!m_delayed.empty()) {
             m_timer->start(std::max(milliseconds(1), m_delayed.front().due - now));
+        } else if (m_has_server_ended && evbuffer_get_length(bufferevent_get_output(m_client)) > 0) {
+            m_timer->start(1ms); // Freeing the connection would discard what is not written yet.
+        } else if (m_has_server_ended) {
+            m_proxy.remove_connection(this);
         }
     }
 
@@ -126,6 +135,7 @@
     std::unique_ptr<timer> m_timer;
     bool m_has_dropped_to_server = false;
     bool m_has_dropped_to_client = false;
+    bool m_has_server_ended = false; ///< Delayed bytes are still forwarded.
 };
 
 fault_proxy::fault_proxy(event_loop& loop, endpoint server) : m_loop(loop), m_server(std::move(server)) {}
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds startup_time = 1s;
 /// Time between the crash of a VM and the start of its next incarnation.
 constexpr milliseconds vm_down_time = 1500ms;
+/// One VM in so many doesn't report its start and has another id after each; the others keep their id. Among
+/// these, clocks begin behind and ahead of the previous start's.
+constexpr std::uint32_t vm_id_period = 4;
 constexpr jobs::resources full_capacity{4000, 8192, 0};
 constexpr jobs::resources shrunk_capacity{1000, 8192, 0};
 constexpr int lost_answers = 4;
@@ -48,10 +51,16 @@
            kind == fault_kind::node_slow;
 }
 
+bool is_restart(fault_kind kind) {
+    return kind == fault_kind::vm_restarts || kind == fault_kind::vm_restarts_cut ||
+           kind == fault_kind::vm_restarts_late;
+}
+
 link_mode mode_of(fault_kind kind) {
     switch (kind) {
     case fault_kind::store_link_delay:
     case fault_kind::vm_link_delay:
+    case fault_kind::vm_restarts_late:
         return link_mode::delay;
     case fault_kind::store_link_cut_out:
     case fault_kind::vm_link_cut_out:
@@ -61,6 +70,7 @@
         return link_mode::drop_to_client;
     case fault_kind::store_link_silent:
     case fault_kind::vm_link_silent:
+    case fault_kind::vm_restarts_cut:
         return link_mode::drop_all;
     default:
         return link_mode::reset;
@@ -192,6 +202,8 @@
     options.run_time = run_times.at(number % run_times.size());
     options.down_time = vm_down_time;
     options.clock_rate = number % 2 == 0 ? slow_clock_rate : 1;
+    options.keeps_id = number % vm_id_period != 0;
+    options.restart_clock_ms = number % 2 == 0 ? 0 : 2 * fakes::task_machine::first_clock_ms;
     state.machine = std::make_unique<fakes::task_machine>(m_loop, m_store, options);
     state.machine->on_incarnation_start([this, &state](const endpoint& server) {
         if (state.link == nullptr) {
@@ -305,6 +317,8 @@
     case fault_kind::vm_link_cut_out:
     case fault_kind::vm_link_cut_back:
     case fault_kind::vm_link_silent:
+    case fault_kind::vm_restarts_cut:
+    case fault_kind::vm_restarts_late:
         return m_vms[fault.target % m_settings.vms].link.get();
     default:
         return nullptr;
@@ -386,6 +400,11 @@
     if (fault_proxy* link = link_of(fault)) {
         ++m_link_faults[link];
         link->set_mode(mode_of(fault.kind), link_delay);
+    }
+    if (is_restart(fault.kind) && fault.kind != fault_kind::vm_restarts_late) {
+        vm_of(fault).machine->restart();
+    }
+    if (link_of(fault) != nullptr || is_restart(fault.kind)) {
         return;
     }
     if (is_node_fault(fault.kind)) {
@@ -440,6 +459,9 @@
 
 void test_cluster::revert(const planned_fault& fault) {
     end_outage(fault);
+    if (fault.kind == fault_kind::vm_restarts_late) {
+        vm_of(fault).machine->restart();
+    }
     if (fault_proxy* link = link_of(fault)) {
         if (--m_link_faults[link] == 0) {
             link->set_mode(link_mode::pass);
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -92,7 +92,7 @@
         m_unanswered.push_back(request);
         return;
     }
-    if (request->headers().get(wire::incarnation_header) != m_incarnation) {
+    if (request->headers().get(wire::vm_id_header) != m_incarnation) {
         reply(request, 421, {});
         return;
     }
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -254,7 +254,9 @@
                 by_task[item.run.task].push_back(item);
             }
         }
-        for (const auto& [task, runs] : by_task) {
+        for (const auto& item : by_task) {
+            const std::string& task = item.first;
+            const std::vector<fakes::vm_run>& runs = item.second;
             for (std::size_t i = 0; i < runs.size(); ++i) {
                 for (std::size_t k = 0; k < runs.size(); ++k) {
                     const fakes::task_vm::run_record& a = runs[i].run;
--- a/tests/node/vm_entries_test.cpp
+++ b/tests/node/vm_entries_test.cpp
@@ -152,3 +152,36 @@
     store.remove(key);
     CHECK(loop_until(loop, [&] { return !directory.is_registered("v1"); }));
 }
+
+// Guards against two starts of a VM that count as one while the VM's entry changes from one to the other.
+TEST_CASE("the directory reports the end of one start of a VM before the next") {
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    start_test_log();
+    fakes::task_vm vm(loop, "v1", 100ms);
+    const std::string key = platform::vm_key("v1");
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    std::vector<std::string> reported;
+    node::vm_directory directory(loop, client, [&](const std::string& name, const auto& info) {
+        reported.push_back(name + (info ? " listed" : " not listed"));
+    });
+    directory.start({});
+    const auto put_start = [&](std::int64_t started_ms) {
+        vm.set_started(started_ms, 0);
+        store.put(key, vm.registration("p", 8080));
+    };
+    put_start(1'700'000'000'000);
+    REQUIRE(loop_until(loop, [&] { return reported.size() == 1; }));
+    put_start(1'700'000'060'000);
+    REQUIRE(loop_until(loop, [&] { return reported.size() == 3; }));
+    CHECK(reported == std::vector<std::string>{"v1/1700000000000 listed", "v1/1700000000000 not listed",
+                                               "v1/1700000060000 listed"});
+    CHECK(directory.vms().size() == 1);
+    CHECK(*directory.find_listed("v1") == "v1/1700000060000");
+    CHECK(directory.is_registered("v1/1700000000000")); // The VM's entry exists.
+    store.remove(key);
+    REQUIRE(loop_until(loop, [&] { return reported.size() == 4; }));
+    CHECK(reported.back() == "v1/1700000060000 not listed");
+    CHECK(directory.find_listed("v1") == nullptr);
+}
--- a/tests/node/vm_restart_test.cpp
+++ b/tests/node/vm_restart_test.cpp
@@ -1,5 +1,6 @@
 #include "node/node_deployment.hpp"
 
+#include <algorithm>
 #include <array>
 
 using namespace siskinpaddle;
@@ -101,3 +102,69 @@
         d.check_machine_runs_once();
     }
 }
+
+// Guards against a new owner that takes the present start of a VM for the one in its predecessor's record.
+TEST_CASE("a new owner takes over from a VM that has started again under its id") {
+    for (const restart_case& item : restart_cases) {
+        INFO(std::string(item.name));
+        node_deployment d;
+        fakes::task_machine& machine = add_restarting_machine(d, item);
+        d.start_node("n1");
+        d.wait_until_serving("n1");
+        CHECK(d.call("n1", "POST", "/quotes/" + first_job, long_lived_job_body()).code == 200);
+        CHECK(d.call("n1", "POST", "/quotes/" + second_job, d.job_body(6)).code == 200);
+        REQUIRE(d.until([&] { return machine.runs().size() >= 3; }));
+        d.kill_node("n1");
+        restart(d, machine, item);
+        d.start_node("n2");
+        CHECK(d.reaches_phase("n2", second_job, "completed"));
+        CHECK(d.until([&] {
+            return std::ranges::any_of(machine.runs(), [](const fakes::vm_run& run) {
+                return run.run.long_lived && run.run.outcome.empty();
+            });
+        }));
+        d.check_machine_runs_once();
+    }
+}
+
+// Guards against a start order that reaches the VM's next start late, while the task runs again.
+TEST_CASE("a start that is carried out late by the VM's next start does not run beside another") {
+    constexpr milliseconds order_delay = 1500ms;
+    node_deployment d;
+    fakes::task_machine& machine = add_restarting_machine(d, restart_cases.front());
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    machine.vm()->delay_starts(3, order_delay);
+    CHECK(d.call("n1", "POST", "/quotes/" + first_job, d.job_body(3)).code == 200);
+    REQUIRE(d.until([&] { return machine.vm()->pending_late_starts() == 3; }));
+    restart(d, machine, restart_cases.front());
+    CHECK(d.reaches_phase("n1", first_job, "completed"));
+    const timestamp completed = event_loop::now();
+    REQUIRE(d.until([&] { return event_loop::now() - completed > order_delay; }));
+    d.check_machine_runs_once();
+}
+
+// Guards against a VM without a start time that is no longer used.
+TEST_CASE("a VM that doesn't report its start serves beside one that does") {
+    node_deployment d;
+    fakes::task_machine& machine = add_restarting_machine(d, restart_cases.front());
+    fakes::task_machine& plain = d.add_machine("m2", 150ms);
+    d.start_node("n1");
+    d.wait_until_serving("n1");
+    for (const std::string& job : {first_job, second_job}) {
+        CHECK(d.until([&] { return d.call("n1", "POST", "/quotes/" + job, d.job_body(30)).code == 200; }));
+        CHECK(d.reaches_phase("n1", job, "completed"));
+        restart(d, machine, restart_cases.front());
+        plain.crash();
+        REQUIRE(d.until([&] { return plain.vm() != nullptr; }));
+    }
+    const auto ran_on = [&](const std::string& name) {
+        return std::ranges::any_of(d.machines, [&](const auto& one) {
+            return std::ranges::any_of(one->runs(),
+                                       [&](const fakes::vm_run& run) { return run.vm.starts_with(name); });
+        });
+    };
+    CHECK(ran_on("m1/"));
+    CHECK(ran_on("m2-"));
+    d.check_machine_runs_once();
+}
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -85,6 +85,23 @@
     CHECK(decode_registration(make_registration("labels", R"(["a","r1-3","later"])")).has_value());
 }
 
+// Guards against two starts of a VM that count as one, since both register under the VM's id.
+TEST_CASE("a registration names the start of its VM") {
+    CHECK(decode_registration(make_registration("born", "1700000000000"))->incarnation ==
+          "i-7/1700000000000");
+    CHECK(decode_registration(make_registration("born", "1700000000000.0"))->incarnation ==
+          "i-7/1700000000000");
+    CHECK(decode_registration(make_registration("born", "0"))->incarnation == "i-7");
+    for (const char* value : {"null", R"("1700000000000")", "true", "-1", "1.5", "[7]", "1e300"}) {
+        INFO(std::string(value));
+        findings problems;
+        CHECK_FALSE(decode_vm("servers/i-7", make_registration("born", value), problems).has_value());
+        REQUIRE(problems.items().size() == 1);
+        CHECK(problems.items().front().location == "/born");
+        CHECK(problems.items().front().message == "must be a whole number from 0 to 9007199254740992");
+    }
+}
+
 TEST_CASE("an incomplete or malformed registration is refused") {
     // Guards against jobs that wait on a VM that doesn't exist: another program writes a value under the VMs'
     // prefix with a missing field, a wrong type, an unknown state or a number out of bounds. Read with empty
@@ -251,6 +268,8 @@
     vm.draining = true;
     vm.remaining_ms = 1200;
     CHECK(decode_registration(encode_vm(vm), vm_key("i-7")) == vm);
+    vm.incarnation = jobs::make_incarnation("i-7", 1'700'000'000'000);
+    CHECK(decode_registration(encode_vm(vm), vm_key("i-7")) == vm);
 
     jobs::fleet_configuration configuration;
     configuration.version = 9;
