Move the merging of VM loads by id to jobs/balance

The owner of a pool keeps VMs by incarnation, the fleet's owner knows ids; the translation sat in node/ without a test of its own.

--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -1,5 +1,7 @@
 #include "jobs/balance.hpp"
 
+#include "jobs/vm.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -285,6 +287,29 @@
 
 } // namespace
 
+std::vector<vm_load> merge_by_id(std::span<const vm_load> incarnations) {
+    std::map<std::string, vm_load> by_id;
+    for (const vm_load& load : incarnations) {
+        const std::string id(vm_id_of(load.vm));
+        const auto [item, is_new] = by_id.try_emplace(id, load);
+        vm_load& merged = item->second;
+        merged.vm = id;
+        if (!is_new) {
+            merged.is_usable = merged.is_usable || load.is_usable;
+            merged.is_idle = merged.is_idle && load.is_idle;
+            merged.released = merged.released && load.released;
+            merged.hosts_long_lived = merged.hosts_long_lived || load.hosts_long_lived;
+            merged.used_millicores += load.used_millicores;
+        }
+    }
+    std::vector<vm_load> result;
+    result.reserve(by_id.size());
+    for (auto& item : by_id) {
+        result.push_back(std::move(item.second));
+    }
+    return result;
+}
+
 balance_plan plan_balance(const std::vector<balance_machine>& machines,
                           const std::map<std::string, pool_demand>& demands, const std::string& spare_pool,
                           const balance_settings& settings, balance_state& state, timestamp now) {
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
     }
 };
 
+/// Returns the loads by the ids of the VMs, which is how the platform names them in its list of machines. A
+/// VM whose previous incarnation may still hold runs is as busy as both. Pure; thread-safe.
+[[nodiscard]] std::vector<vm_load> merge_by_id(std::span<const vm_load> incarnations);
+
 /// The part of a pool's demand that only VMs with a given label can serve.
 struct label_demand {
     std::string label;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -121,32 +121,6 @@
     }
 }
 
-/// Describes the load of the pool's VMs by their ids, as the platform lists them. A VM whose previous
-/// incarnation may still hold runs is as busy as both.
-std::vector<jobs::vm_load> pool_task::merge_incarnations(const std::vector<jobs::vm_load>& loads) const {
-    std::map<std::string, jobs::vm_load> by_id;
-    for (const jobs::vm_load& load : loads) {
-        const std::string id(jobs::vm_id_of(load.vm));
-        const bool released = is_evacuated(load.vm) && !m_vm_record.may_contain(load.vm);
-        const auto [item, is_new] = by_id.try_emplace(id, load);
-        jobs::vm_load& merged = item->second;
-        merged.released = released && (is_new || merged.released);
-        if (!is_new) {
-            merged.is_usable = merged.is_usable || load.is_usable;
-            merged.is_idle = merged.is_idle && load.is_idle;
-            merged.hosts_long_lived = merged.hosts_long_lived || load.hosts_long_lived;
-            merged.used_millicores += load.used_millicores;
-        }
-        merged.vm = id;
-    }
-    std::vector<jobs::vm_load> result;
-    result.reserve(by_id.size());
-    for (auto& item : by_id) {
-        result.push_back(std::move(item.second));
-    }
-    return result;
-}
-
 void pool_task::answer_demand_query(const peer_request& request, const reply& done) {
     const std::set<std::string> wanted(request.vms_to_empty.begin(), request.vms_to_empty.end());
     const bool changed = wanted != m_evacuated_vms;
@@ -162,7 +136,10 @@
     m_directory.expect_changes(request.arriving_vms > 0);
     peer_answer answer = make_answer(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
-    answer.demand.vms = merge_incarnations(answer.demand.vms);
+    for (jobs::vm_load& vm : answer.demand.vms) {
+        vm.released = is_evacuated(vm.vm) && !m_vm_record.may_contain(vm.vm);
+    }
+    answer.demand.vms = jobs::merge_by_id(answer.demand.vms);
     if (changed) {
         schedule_decision();
     }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -132,8 +132,6 @@
     void status(const peer_request& request, const reply& done) const;
     void count(const peer_request& request, const reply& done) const;
     void answer_demand_query(const peer_request& request, const reply& done);
-    [[nodiscard]] std::vector<jobs::vm_load>
-    merge_incarnations(const std::vector<jobs::vm_load>& loads) const;
     void uncordon_vms(const std::set<std::string>& ids);
     void answer_stored_cancels();
     void finish_submit(const std::string& job, const reply& done, peer_outcome outcome);
