Stop unanswered starts again when their VM has started again under its id

What callers could see: a task that runs twice. A start order without an answer is settled by a stop, and its task starts elsewhere. If the VM then starts again under its id, the new start knows nothing of that stop, and the platform may let it carry the order out, 2 to 12 s late.

Change: start orders without an answer are remembered for 13 s with their VM's incarnation, and stopped again at the next one. The test fails without that (no stop is ordered).

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -234,6 +234,7 @@
     void end_superseded_incarnations(const vm_info& alive, timestamp now);
     std::vector<task_id> end_previous_incarnations(vm_state& current, timestamp now);
     std::vector<task_id> move_runs(vm_state& from, vm_state& to, bool all);
+    void stop_late_starts(vm_state& from, vm_state& to, timestamp now);
     void stop_unlisted_runs(const std::vector<task_id>& moved, const std::string& vm, timestamp now);
     void drop_all_runs(vm_state& vm, const vm_end& end, timestamp now);
     [[nodiscard]] vm_end describe_end(const vm_state& vm, vm_end_cause cause, timestamp now) const;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -15,6 +15,9 @@
 /// given a run and ended it in less.
 constexpr milliseconds max_age_to_acknowledge = 250ms;
 
+/// Time within which the platform may carry out a start order that was not answered: 12 s, and its timeout.
+constexpr milliseconds late_start_time = 13s;
+
 } // namespace
 
 void scheduler::add_or_update_vm(const vm_info& info) {
@@ -104,6 +107,7 @@
         const vm_end end = describe_end(previous, vm_end_cause::restarted, now);
         const std::vector<task_id> runs = move_runs(previous, current, !has_ended);
         moved.insert(moved.end(), runs.begin(), runs.end());
+        stop_late_starts(previous, current, now);
         if (m_unconfirmed_vms.erase(name) > 0 && has_ended && !previous.info().draining) {
             m_ended_unconfirmed_vms.push_back(name);
         }
@@ -145,6 +149,17 @@
     return moved;
 }
 
+/// Stops start orders that the previous incarnation never answered, also where their runs are settled: a stop
+/// keeps an order from being carried out late, and the present incarnation knows nothing of earlier stops.
+void scheduler::stop_late_starts(vm_state& from, vm_state& to, timestamp now) {
+    for (const unanswered_start& item : from.unanswered_starts) {
+        if (now - item.sent_at <= late_start_time && !to.has_run(item.task)) {
+            m_pending_decisions.stops.push_back({to.info().incarnation, item.task, item.attempt});
+            to.unanswered_starts.push_back(item);
+        }
+    }
+}
+
 /// Stops the moved runs that the VM doesn't list. Its answer proves that their starts can't be carried out
 /// any more: the deadlines of these orders are readings of another clock.
 void scheduler::stop_unlisted_runs(const std::vector<task_id>& moved, const std::string& vm, timestamp now) {
@@ -256,6 +271,9 @@
     case order_outcome::unknown:
         if (vm != m_vms.end()) {
             vm->second.record_missed_response(now);
+            std::vector<unanswered_start>& starts = vm->second.unanswered_starts;
+            std::erase_if(starts, [&](const auto& one) { return now - one.sent_at > late_start_time; });
+            starts.push_back({order.task, order.attempt, item->started_at});
         }
         if (item->phase == run_phase::starting) {
             item->phase = run_phase::unconfirmed;
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -22,6 +22,13 @@
     timestamp stop_sent_at{0}; ///< 0 if no stop order was sent yet.
 };
 
+/// A start order that the VM has not answered: it may be carried out later.
+struct unanswered_start {
+    task_id task;
+    std::uint32_t attempt = 0;
+    timestamp sent_at{0};
+};
+
 /// State of one VM as tracked by its pool's owner: capacity, lease, reported run ends and failures. Not
 /// thread-safe.
 class vm_state {
@@ -86,6 +93,8 @@
     [[nodiscard]] bool is_quarantined(timestamp now) const noexcept { return now < m_quarantined_until; }
     [[nodiscard]] int consecutive_failures() const noexcept { return m_consecutive_failures; }
 
+    /// Recent start orders without an answer, also those whose runs are settled.
+    std::vector<unanswered_start> unanswered_starts;
     bool listed = true;                 ///< The platform lists it.
     bool reachable = true;              ///< Its last order was answered.
     bool cordoned = false;              ///< No new runs: it is being emptied for maintenance or a move.
--- a/tests/jobs/vm_restart_test.cpp
+++ b/tests/jobs/vm_restart_test.cpp
@@ -356,6 +356,58 @@
     CHECK(b.pool().vms().contains(second_life));
 }
 
+// Guards against a start order that is carried out by the VM's next start after the task was started
+// elsewhere.
+TEST_CASE("a start without an answer that was settled is stopped again at the next start") {
+    for (const bool is_recent : {true, false}) {
+        INFO(is_recent);
+        restart_fixture b;
+        b.list(first_life);
+        b.report_from(first_life, first_clock);
+        b.add_job("j", {scheduler_fixture::step(1)});
+        const auto first = b.decide().starts;
+        REQUIRE(first.size() == 1);
+        b.pool().handle_start_answer(first[0], order_outcome::unknown, 0, b.now());
+        const auto stops = b.decide().stops;
+        REQUIRE(stops.size() == 1);
+        b.pool().handle_stop_answer(stops[0], order_outcome::accepted, 0, b.now());
+        b.advance_clock(10ms);
+        b.report_from(first_life, first_clock + 10, {}, {}, 5ms);
+        b.add_vm("v2");
+        b.pool().cordon(first_life, true);
+        const auto again = b.start_all();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].vm == "v2");
+        b.advance_clock(is_recent ? 5000ms : 20'000ms);
+        b.report("v2", {b.running(again[0])});
+        b.restart(1);
+        const auto late = b.decide().stops;
+        REQUIRE(late.size() == (is_recent ? 1 : 0));
+        if (is_recent) {
+            CHECK(late[0].vm == second_life);
+            CHECK(late[0].attempt == first[0].attempt);
+        }
+    }
+}
+
+// Guards against a machine that is moved while an earlier start of its VM may still hold runs.
+TEST_CASE("the load of a VM is that of all its incarnations") {
+    const std::vector<vm_load> merged =
+        merge_by_id(std::vector<vm_load>{{first_life, true, false, false, true, 500},
+                                         {"v2", true, true, true, false, 0},
+                                         {second_life, false, true, true, false, 200}});
+    REQUIRE(merged.size() == 2);
+    CHECK(merged[0].vm == "v1");
+    CHECK(merged[0].is_usable);
+    CHECK_FALSE(merged[0].is_idle);
+    CHECK_FALSE(merged[0].released);
+    CHECK(merged[0].hosts_long_lived);
+    CHECK(merged[0].used_millicores == 700);
+    CHECK(merged[1].vm == "v2");
+    CHECK(merged[1].is_idle);
+    CHECK(merged[1].released);
+}
+
 // Guards against VMs whose id begins with another VM's id, which are taken for its incarnations.
 TEST_CASE("only incarnations with the same id are another start of a VM") {
     restart_fixture b;
