Count the bytes on a node's link by the other end

HTTP clients and servers count what they send and receive; event 1956 link-load gives it once a second from a quarter of the link up, and the metrics hold the sums.

Telemetry tests: passed. No decision changes.

--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/byte_counts.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_types.hpp"
 
@@ -80,6 +81,7 @@
     /// Ends an exchange without calling its callback. Ignores the id of an ended or unknown exchange.
     void cancel(std::uint64_t call_id);
 
+    [[nodiscard]] byte_counts traffic() const noexcept { return {m_bytes_sent, m_bytes_received}; }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
     [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -155,10 +155,13 @@
     for (const evkeyval* field = evhttp_request_get_input_headers(handle)->tqh_first; field != nullptr;
          field = field->next.tqe_next) {
         m_headers.add(field->key, field->value);
+        server.m_traffic.received +=
+            std::string_view(field->key).size() + std::string_view(field->value).size();
     }
     evbuffer* body = evhttp_request_get_input_buffer(handle);
     m_body.resize(evbuffer_get_length(body));
     evbuffer_remove(body, m_body.data(), m_body.size());
+    server.m_traffic.received += m_target.size() + m_body.size();
     char* address = nullptr;
     ev_uint16_t port = 0;
     evhttp_connection_get_peer(evhttp_request_get_connection(handle), &address, &port);
@@ -179,7 +182,9 @@
     evkeyvalq* fields = evhttp_request_get_output_headers(m_handle);
     for (const auto& [name, value] : headers.fields()) {
         evhttp_add_header(fields, name.c_str(), value.c_str());
+        m_server.m_traffic.sent += name.size() + value.size();
     }
+    m_server.m_traffic.sent += body.size();
     if (m_server.m_draining || m_server.m_shedding) {
         evhttp_remove_header(fields, "Connection");
         evhttp_add_header(fields, "Connection", "close");
--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/byte_counts.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_types.hpp"
 
@@ -80,6 +81,8 @@
 
     [[nodiscard]] std::size_t requests_in_progress() const noexcept { return m_requests_in_progress; }
     [[nodiscard]] std::size_t connection_count() const noexcept;
+    /// Bodies and header fields of all requests and answers.
+    [[nodiscard]] const byte_counts& traffic() const noexcept { return m_traffic; }
 
   private:
     friend class server_request;
@@ -92,6 +95,7 @@
     evhttp_bound_socket* m_socket = nullptr;
     std::unique_ptr<connection_tracker> m_connection_tracker;
     std::size_t m_requests_in_progress = 0;
+    byte_counts m_traffic;
     bool m_draining = false;
     bool m_shedding = false;
     lifetime m_lifetime;
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -41,6 +41,7 @@
     /// unknown, and the clients may retry. Called several times a second. Otherwise clients are held until
     /// the store's timeout or their own deadline, and have no time left for the retry that would be accepted.
     void answer_stalled_submits();
+    [[nodiscard]] const byte_counts& traffic() const noexcept { return m_server.traffic(); }
     [[nodiscard]] bool is_idle() const noexcept { return m_server.requests_in_progress() == 0; }
     /// When the store was last reached by an owner on another node that responds to this node. A response of
     /// an owner alone proves nothing: an owner that is cut off together with this node still responds, but
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -24,6 +24,17 @@
 constexpr milliseconds shed_duration = 2500ms;
 /// The process ends all open requests this long before the end of the grace period.
 constexpr milliseconds exit_margin = 700ms;
+constexpr milliseconds link_log_interval = 1s;
+/// Share of the link in use from which its load is logged.
+constexpr double logged_link_share = 0.25;
+constexpr double kilobytes_per_megabit = 125;
+
+/// Names of what the link's traffic is counted by, in the order of link_traffic.
+constexpr std::array<std::string_view, 5> link_ends{"vms", "store", "peers", "served", "clients"};
+
+std::int64_t kilobytes(std::uint64_t bytes, double seconds) {
+    return static_cast<std::int64_t>(static_cast<double>(bytes) / 1000 / seconds);
+}
 
 } // namespace
 
@@ -231,11 +242,55 @@
         log_event(reachable ? event_id::store_back : event_id::store_unreachable,
                   {{"store", m_settings.store.to_string()}});
     }
+    log_link_load(now);
     if (m_stopping) {
         finish_stop();
     }
 }
 
+node::link_traffic node::traffic() const {
+    return {m_vms.traffic(), m_store.traffic(), m_peers.traffic(), m_peer_server.traffic(),
+            m_ingress.traffic()};
+}
+
+/// Logs what the node's link carried in the last second, by the other end, if that is much of what it can
+/// carry: the link of a pool's owner bounds what the pool can start.
+void node::log_link_load(timestamp now) {
+    if (now - m_link_logged_at < link_log_interval) {
+        return;
+    }
+    const link_traffic present = traffic();
+    const link_traffic previous = std::exchange(m_link_traffic, present);
+    const double seconds = static_cast<double>((now - std::exchange(m_link_logged_at, now)).count()) / 1000;
+    const auto sent = [&](std::size_t end) {
+        return kilobytes(present[end].sent - previous[end].sent, seconds);
+    };
+    const auto received = [&](std::size_t end) {
+        return kilobytes(present[end].received - previous[end].received, seconds);
+    };
+    std::int64_t total_sent = 0;
+    std::int64_t total_received = 0;
+    for (std::size_t end = 0; end < present.size(); ++end) {
+        total_sent += sent(end);
+        total_received += received(end);
+    }
+    const double link_kb = m_settings.link_mbps * kilobytes_per_megabit;
+    if (static_cast<double>(std::max(total_sent, total_received)) < link_kb * logged_link_share) {
+        return;
+    }
+    log_event(event_id::link_load, {{"vms_out", sent(0)},
+                                    {"vms_in", received(0)},
+                                    {"store_out", sent(1)},
+                                    {"store_in", received(1)},
+                                    {"peers_out", sent(2)},
+                                    {"peers_in", received(2)},
+                                    {"served_out", sent(3)},
+                                    {"served_in", received(3)},
+                                    {"clients_out", sent(4)},
+                                    {"clients_in", received(4)},
+                                    {"link_kb", static_cast<std::int64_t>(link_kb)}});
+}
+
 void node::stop(std::function<void()> stopped) {
     if (m_stopping) {
         return;
@@ -285,6 +340,12 @@
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
     m_counters.set("loop_lag_ms",
                    static_cast<std::uint64_t>(std::exchange(m_longest_lag, milliseconds(0)).count()));
+    const link_traffic link = traffic();
+    for (std::size_t end = 0; end < link.size(); ++end) {
+        const std::string label = "{end=\"" + std::string(link_ends.at(end)) + "\"}";
+        m_counters.set("link_sent_bytes" + label, link.at(end).sent);
+        m_counters.set("link_received_bytes" + label, link.at(end).received);
+    }
     for (const auto& [duty, task] : m_pools) {
         const std::string label = "{pool=\"" + task->pool() + "\"}";
         m_counters.set("pool_jobs" + label, task->scheduler().job_count());
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -4,6 +4,7 @@
 #include "node/ingress_task.hpp"
 #include "node/pool_task.hpp"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +26,9 @@
     void stop(std::function<void()> stopped);
 
   private:
+    /// To and from VMs, the store, other nodes as their client and as their server, and clients.
+    using link_traffic = std::array<byte_counts, 5>;
+
     void configuration_changed();
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
@@ -34,6 +38,8 @@
     void send_to_pool_owner(const peer_request& request, peer_server::reply done);
     [[nodiscard]] bool ready() const;
     void tick();
+    [[nodiscard]] link_traffic traffic() const;
+    void log_link_load(timestamp now);
     void finish_stop();
     [[nodiscard]] std::string metrics_text();
 
@@ -57,6 +63,8 @@
     std::function<void()> m_stopped;
     timestamp m_stop_at{0};
     std::size_t m_stopping_pools = 0;
+    link_traffic m_link_traffic; ///< As of the last log line.
+    timestamp m_link_logged_at{0};
     timestamp m_tick_due{0};
     milliseconds m_longest_lag{0}; ///< Longest delay of a tick since the metrics were last read.
     bool m_was_ready = false;
--- a/node/peer_client.hpp
+++ b/node/peer_client.hpp
@@ -16,6 +16,7 @@
     explicit peer_client(event_loop& loop);
 
     void call(const endpoint& to, const peer_request& request, milliseconds timeout, callback done);
+    [[nodiscard]] byte_counts traffic() const noexcept { return m_client.traffic(); }
 
   private:
     http_client m_client;
@@ -30,6 +31,7 @@
     peer_server(event_loop& loop, handler on_request);
 
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+    [[nodiscard]] const byte_counts& traffic() const noexcept { return m_server.traffic(); }
 
   private:
     void handle_request(const std::shared_ptr<server_request>& request);
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -119,6 +119,7 @@
     task_given_up = 1953,
     vm_capacity_changed = 1954,
     vm_restarted = 1955,
+    link_load = 1956,
 };
 
 /// Number, name and level of an event.
@@ -226,6 +227,7 @@
     event_definition{event_id::task_given_up, "task-given-up", event_level::error},
     event_definition{event_id::vm_capacity_changed, "vm-capacity-changed", event_level::info},
     event_definition{event_id::vm_restarted, "vm-restarted", event_level::warning},
+    event_definition{event_id::link_load, "link-load", event_level::info},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
