Ask an owner that refuses jobs before a job's payload is sent to it

Cause: the owner's way in is full of submits that it refuses, seven of eight, 800 bytes each; reports of its VMs and the answers to the renewals of its own claim wait behind them. Class: the caller of a refused request pays nothing, and what keeps promises waits in one line with what is thrown away.

A pool that refuses nothing sees one message as before.

--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -74,8 +74,7 @@
             platform::answer_invalid(*request, problems.to_string());
             return;
         }
-        message.spec = client.spec;
-        send_to_owner(client, message, &ingress_task::submit_answered);
+        submit_to_owner(client, message);
         return;
     }
     case platform::client_request::status:
@@ -175,6 +174,32 @@
 
 // --- Submit ---
 
+/// Sends the job to the owner of its pool. While the owner refuses jobs, it is asked without the payload
+/// first: refused submits could fill its link, and the reports of its VMs and the renewals of its claim would
+/// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
+void ingress_task::submit_to_owner(const client_context& client, peer_request message) {
+    message.spec = client.spec;
+    const auto refused = m_last_refusals.find(client.call.pool);
+    if (refused == m_last_refusals.end() || event_loop::now() - refused->second > overload_ttl) {
+        send_to_owner(client, message, &ingress_task::submit_answered);
+        return;
+    }
+    message.kind = static_cast<std::uint8_t>(peer_request_kind::admission_query);
+    message.spec.payload.clear();
+    send_to_owner(client, message, &ingress_task::admission_answered);
+}
+
+void ingress_task::admission_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) != peer_outcome::admissible) {
+        submit_answered(client, answer);
+        return;
+    }
+    peer_request message =
+        make_peer_request(peer_request_kind::submit, client.call, m_context.configuration.current().version);
+    message.spec = client.spec;
+    send_to_owner(client, message, &ingress_task::submit_answered);
+}
+
 void ingress_task::submit_answered(const client_context& client, const peer_answer& answer) {
     switch (outcome_of(answer)) {
     case peer_outcome::ok:
@@ -184,6 +209,7 @@
         return;
     case peer_outcome::overloaded:
         m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
+        m_last_refusals[client.call.pool] = event_loop::now();
         refuse_for_load(client, answer);
         return;
     default:
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -75,6 +75,8 @@
     void handle_request(const request_handle& request);
     void send_to_owner(const client_context& client, const peer_request& message, handler next);
     void record_owner_response(const std::string& owner, const peer_answer& answer);
+    void submit_to_owner(const client_context& client, peer_request message);
+    void admission_answered(const client_context& client, const peer_answer& answer);
     void submit_answered(const client_context& client, const peer_answer& answer);
     void status_answered(const client_context& client, const peer_answer& answer);
     void cancel_answered(const client_context& client, const peer_answer& answer);
@@ -97,8 +99,10 @@
     timestamp m_peer_reached_store_at{0};
     /// Incarnation of an owner -> until when it gets no requests.
     std::map<std::string, timestamp> m_unresponsive_owners;
-    std::map<std::string, cached_count> m_counts;        ///< By queue.
-    std::map<std::string, overload> m_overloads;         ///< By pool.
+    std::map<std::string, cached_count> m_counts; ///< By queue.
+    std::map<std::string, overload> m_overloads;  ///< By pool.
+    /// When the owner last refused a job for load, by pool; also if it has accepted others since.
+    std::map<std::string, timestamp> m_last_refusals;
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Writes whose clients have no answer yet.
     std::uint64_t m_next_write_id = 1;
     lifetime m_lifetime;
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -10,11 +10,12 @@
 
 /// Kind of a request from one node to another.
 enum class peer_request_kind : std::uint8_t {
-    submit,       ///< Accept a job.
-    status,       ///< Return a job's phase.
-    cancel,       ///< Cancel a job.
-    count,        ///< Return how many jobs of a queue have not started.
-    demand_query, ///< Keep the listed VMs empty; return the pool's demand and its VMs.
+    submit,         ///< Accept a job.
+    status,         ///< Return a job's phase.
+    cancel,         ///< Cancel a job.
+    count,          ///< Return how many jobs of a queue have not started.
+    demand_query,   ///< Keep the listed VMs empty; return the pool's demand and its VMs.
+    admission_query ///< Return whether a submit of the job would be accepted; `spec` has no payload.
 };
 
 /// Outcome of a request to a peer.
@@ -25,7 +26,8 @@
     overloaded,  ///< Not accepted; the job never runs.
     unavailable, ///< Not carried out.
     unreachable, ///< The request was not sent.
-    unknown      ///< The request may have been carried out.
+    unknown,     ///< The request may have been carried out.
+    admissible   ///< With `admission_query`: the job would be accepted now.
 };
 
 struct peer_request {
@@ -86,4 +88,5 @@
     std::pair{siskinpaddle::node::peer_outcome::overloaded, std::string_view("overloaded")},
     std::pair{siskinpaddle::node::peer_outcome::unavailable, std::string_view("unavailable")},
     std::pair{siskinpaddle::node::peer_outcome::unreachable, std::string_view("unreachable")},
-    std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")}};
+    std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")},
+    std::pair{siskinpaddle::node::peer_outcome::admissible, std::string_view("admissible")}};
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -13,6 +13,9 @@
     case peer_request_kind::submit:
         submit(request, done);
         return;
+    case peer_request_kind::admission_query:
+        query_admission(request, done);
+        return;
     case peer_request_kind::status:
         status(request, done);
         return;
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -20,13 +20,15 @@
 
 } // namespace
 
-void pool_task::submit(const peer_request& request, const reply& done) {
+/// Answers a submit or an admission query for a job that is known, or that can't be accepted. Returns false
+/// if the job is to be accepted.
+bool pool_task::answer_without_accepting(const peer_request& request, const reply& done) {
     const std::string& id = request.spec.id;
     // Includes jobs that are still in the inbox: treated as new, a repeat of an accepted job could be refused
     // for load.
     if (m_scheduler.has_job(id) || m_ended.contains(id) || m_inbox_jobs.contains(id)) {
         done(make_answer(peer_outcome::ok));
-        return;
+        return true;
     }
     if (m_submitting.contains(id)) {
         if (store_is_unresponsive(m_context.store, event_loop::now())) {
@@ -34,14 +36,14 @@
         } else {
             m_repeated_submits.emplace(id, done);
         }
-        return;
+        return true;
     }
     if (store_is_failing(m_context.store, event_loop::now())) {
         peer_answer answer = make_answer(peer_outcome::unavailable);
         answer.retry_after_ms = retry_after_outage.count();
         log_event(event_id::submit_refused, {{"pool", m_pool}, {"job", id}, {"why", "store"}});
         done(answer);
-        return;
+        return true;
     }
     m_scheduler.record_job_arrival(request.spec, event_loop::now());
     const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec);
@@ -57,8 +59,23 @@
                                              {"waiting_ms", waiting_ms},
                                              {"retry_after_ms", verdict.retry_after.count()}});
         done(answer);
+        return true;
+    }
+    return false;
+}
+
+void pool_task::query_admission(const peer_request& request, const reply& done) {
+    if (!answer_without_accepting(request, done)) {
+        done(make_answer(peer_outcome::admissible));
+    }
+}
+
+void pool_task::submit(const peer_request& request, const reply& done) {
+    if (answer_without_accepting(request, done)) {
         return;
     }
+    const std::string& id = request.spec.id;
+    const std::int64_t waiting_ms = m_scheduler.load().queue_wait().count();
     log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", id}, {"waiting_ms", waiting_ms}});
     m_submitting.insert(id);
     m_submits.push_back({{request.spec, wall_clock_ms()}, done});
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -127,6 +127,8 @@
     void log_load(timestamp now);
 
     // Requests.
+    bool answer_without_accepting(const peer_request& request, const reply& done);
+    void query_admission(const peer_request& request, const reply& done);
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
     void status(const peer_request& request, const reply& done) const;
