Refuse a job if the owner doesn't answer whether it would be accepted

Cause: an owner that refuses jobs answers late; an admission query without an answer was taken for a submit that may have been stored, and the job went to the inbox. An acceptance by the owner also made entries forget its refusals, so that they did the same on the next silence. Class: no answer to a question is taken for an order that may have been carried out.

Change: a missing answer is an outcome of its own (unanswered), told apart from an owner that does not know. A query that got none stored nothing: the job is refused with the owner's last Retry-After, unless the store holds it.

--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -139,7 +139,8 @@
 void ingress_task::record_owner_response(const std::string& owner, const peer_answer& answer) {
     const timestamp now = event_loop::now();
     const peer_outcome outcome = outcome_of(answer);
-    if (outcome == peer_outcome::unknown || outcome == peer_outcome::unreachable) {
+    if (outcome == peer_outcome::unknown || outcome == peer_outcome::unanswered ||
+        outcome == peer_outcome::unreachable) {
         m_unresponsive_owners[owner] = now + unresponsive_owner_pause;
         return;
     }
@@ -179,8 +180,7 @@
 /// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
 void ingress_task::submit_to_owner(const client_context& client, peer_request message) {
     message.spec = client.spec;
-    const auto refused = m_last_refusals.find(client.call.pool);
-    if (refused == m_last_refusals.end() || event_loop::now() - refused->second > overload_ttl) {
+    if (recent_overload(client.call.pool) == nullptr) {
         send_to_owner(client, message, &ingress_task::submit_answered);
         return;
     }
@@ -190,6 +190,12 @@
 }
 
 void ingress_task::admission_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) == peer_outcome::unanswered) {
+        // The query stored nothing, so the job can be refused. Through the inbox it would be accepted without
+        // admission, by a pool whose owner refuses jobs and is too busy to answer.
+        refuse_unless_stored(client, m_overloads[client.call.pool].retry_after);
+        return;
+    }
     if (outcome_of(answer) != peer_outcome::admissible) {
         submit_answered(client, answer);
         return;
@@ -203,17 +209,16 @@
 void ingress_task::submit_answered(const client_context& client, const peer_answer& answer) {
     switch (outcome_of(answer)) {
     case peer_outcome::ok:
-        m_overloads.erase(client.call.pool);
         observe(client, "ok");
         platform::answer_accepted(*client.request);
         return;
     case peer_outcome::overloaded:
         m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
-        m_last_refusals[client.call.pool] = event_loop::now();
         refuse_for_load(client, answer);
         return;
     default:
-        submit_through_store(client, outcome_of(answer) == peer_outcome::unknown);
+        submit_through_store(client, outcome_of(answer) == peer_outcome::unknown ||
+                                         outcome_of(answer) == peer_outcome::unanswered);
         return;
     }
 }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -101,8 +101,8 @@
     std::map<std::string, timestamp> m_unresponsive_owners;
     std::map<std::string, cached_count> m_counts; ///< By queue.
     std::map<std::string, overload> m_overloads;  ///< By pool.
-    /// When the owner last refused a job for load, by pool; also if it has accepted others since.
-    std::map<std::string, timestamp> m_last_refusals;
+    /// The owner's last refusal for load, by pool; also if it has accepted jobs since.
+    std::map<std::string, overload> m_last_refusals;
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Writes whose clients have no answer yet.
     std::uint64_t m_next_write_id = 1;
     lifetime m_lifetime;
--- a/node/peer_client.cpp
+++ b/node/peer_client.cpp
@@ -26,11 +26,11 @@
     m_client.send(std::move(call), [done = std::move(done)](const http_answer& answer) {
         if (answer.status != exchange_status::answered || answer.code != 200) {
             const bool unsent = answer.status == exchange_status::connect_failed;
-            done(make_answer(unsent ? peer_outcome::unreachable : peer_outcome::unknown));
+            done(make_answer(unsent ? peer_outcome::unreachable : peer_outcome::unanswered));
             return;
         }
         const auto decoded = decode_archive<peer_answer>(answer.body);
-        done(decoded ? decoded.value() : make_answer(peer_outcome::unknown));
+        done(decoded ? decoded.value() : make_answer(peer_outcome::unanswered));
     });
 }
 
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -26,8 +26,9 @@
     overloaded,  ///< Not accepted; the job never runs.
     unavailable, ///< Not carried out.
     unreachable, ///< The request was not sent.
-    unknown,     ///< The request may have been carried out.
-    admissible   ///< With `admission_query`: the job would be accepted now.
+    unknown,     ///< The receiver doesn't know whether the request was carried out.
+    admissible,  ///< With `admission_query`: the job would be accepted now.
+    unanswered   ///< No valid answer came: the request may have been carried out.
 };
 
 struct peer_request {
@@ -89,4 +90,5 @@
     std::pair{siskinpaddle::node::peer_outcome::unavailable, std::string_view("unavailable")},
     std::pair{siskinpaddle::node::peer_outcome::unreachable, std::string_view("unreachable")},
     std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")},
-    std::pair{siskinpaddle::node::peer_outcome::admissible, std::string_view("admissible")}};
+    std::pair{siskinpaddle::node::peer_outcome::admissible, std::string_view("admissible")},
+    std::pair{siskinpaddle::node::peer_outcome::unanswered, std::string_view("unanswered")}};
