--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -100,9 +100,8 @@
     /// Incarnation of an owner -> until when it gets no requests.
     std::map<std::string, timestamp> m_unresponsive_owners;
     std::map<std::string, cached_count> m_counts; ///< By queue.
-    std::map<std::string, overload> m_overloads;  ///< By pool.
     /// The owner's last refusal for load, by pool; also if it has accepted jobs since.
-    std::map<std::string, overload> m_last_refusals;
+    std::map<std::string, overload> m_overloads;
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Writes whose clients have no answer yet.
     std::uint64_t m_next_write_id = 1;
     lifetime m_lifetime;
