--- a/node/node.cpp
+++ b/node/node.cpp
@@ -278,6 +278,7 @@
     if (static_cast<double>(std::max(total_sent, total_received)) < link_kb * logged_link_share) {
         return;
     }
+    // In the order of link_ends.
     log_event(event_id::link_load, {{"vms_out", sent(0)},
                                     {"vms_in", received(0)},
                                     {"store_out", sent(1)},
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -131,7 +131,7 @@
 void pool_task::on_renewal_failed(const std::string& vm, vm_renewal& renewal,
                                   const platform::renewal_answer& answer) {
     const timestamp now = event_loop::now();
-    if (answer.problem) {
+    if (answer.problem && renewal.failures == 0) {
         log_event(event_id::vm_damaged,
                   {{"vm", vm}, {"place", answer.problem->location}, {"why", answer.problem->message}});
     }
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -88,9 +88,9 @@
         std::pair{fault_kind::vm_late_orders, periodic_schedule{6000, 4000, 2000, 5000}},
         std::pair{fault_kind::vm_drains, periodic_schedule{9000, 6000, 3000, 5000}},
         std::pair{fault_kind::node_reloads, periodic_schedule{4000, 4000, 1, 2}},
-        std::pair{fault_kind::vm_restarts, periodic_schedule{5000, 5000, 1, 2}},
-        std::pair{fault_kind::vm_restarts_cut, periodic_schedule{8000, 6000, 300, 5000}},
-        std::pair{fault_kind::vm_restarts_late, periodic_schedule{6000, 5000, 400, 1500}},
+        std::pair{fault_kind::vm_restarts, periodic_schedule{8000, 6000, 1, 2}},
+        std::pair{fault_kind::vm_restarts_cut, periodic_schedule{12'000, 8000, 300, 4000}},
+        std::pair{fault_kind::vm_restarts_late, periodic_schedule{9000, 7000, 400, 1500}},
     };
     for (const auto& [kind, schedule] : schedules) {
         std::mt19937_64 random(seed ^ (vm_fault_seed << static_cast<std::uint64_t>(kind)));
