--- a/jobs/fleet_configuration.hpp
+++ b/jobs/fleet_configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
+#include "jobs/client_account.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,7 @@
     double stretch_factor = 1;      ///< Factor on the job's longest chain of work ...
     milliseconds target_latency{0}; ///< ... to which this is added; the sum is the job's objective.
     std::optional<advice_settings> advice;
+    bool is_public = false; ///< Its calls need no API key; they have no account.
 };
 
 /// A pool of VMs.
@@ -43,6 +45,8 @@
     std::int64_t version = 0;
     std::vector<queue_settings> queues;
     std::vector<pool_settings> pools;
+    bool uses_accounts = false; ///< Queues that are not public are reserved for accounts.
+    client_accounts accounts;
     std::size_t max_body_bytes = 1U << 20U;
 
     /// The queue with this host and the longest prefix of `path`, or null.
--- a/jobs/job.hpp
+++ b/jobs/job.hpp
@@ -2,6 +2,7 @@
 
 #include "core/core.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -52,6 +53,17 @@
     }
 };
 
+/// The larger amount of each resource. Pure; thread-safe.
+[[nodiscard]] constexpr resources max_of(const resources& a, const resources& b) noexcept {
+    return {std::max(a.cpu_millicores, b.cpu_millicores), std::max(a.memory_mb, b.memory_mb),
+            std::max(a.accelerators, b.accelerators)};
+}
+/// The smaller amount of each resource. Pure; thread-safe.
+[[nodiscard]] constexpr resources min_of(const resources& a, const resources& b) noexcept {
+    return {std::min(a.cpu_millicores, b.cpu_millicores), std::min(a.memory_mb, b.memory_mb),
+            std::min(a.accelerators, b.accelerators)};
+}
+
 /// A step of a job: `count` identical tasks that may start once all tasks of the steps in `after` are done.
 struct step_spec {
     std::uint32_t count = 1;
--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -50,8 +50,9 @@
     return problems;
 }
 
-job_state::job_state(job_spec spec, timestamp accepted_at)
-    : m_spec(std::move(spec)), m_accepted_at(accepted_at), m_critical_path_ms(critical_path_of(m_spec)) {
+job_state::job_state(job_spec spec, timestamp accepted_at, std::string account)
+    : m_spec(std::move(spec)), m_account(std::move(account)), m_accepted_at(accepted_at),
+      m_critical_path_ms(critical_path_of(m_spec)) {
     for (const step_spec& step : m_spec.steps) {
         m_step_offsets.push_back(m_tasks_per_occurrence);
         m_tasks_per_occurrence += step.count;
@@ -111,11 +112,12 @@
     return state.runs.back();
 }
 
-void job_state::remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now) {
+run job_state::remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now) {
     task_state& state = task(id);
     const auto found = std::ranges::find_if(
         state.runs, [&](const run& item) { return item.attempt == attempt && item.vm == vm; });
     assert(found != state.runs.end());
+    run removed = std::move(*found);
     state.runs.erase(found);
     --m_runs;
     if (state.runs.empty() && !state.done) {
@@ -123,6 +125,7 @@
         ++m_idle_tasks;
         state.idle_since = now;
     }
+    return removed;
 }
 
 void job_state::mark_done(const task_id& id) {
@@ -144,6 +147,7 @@
 job_progress job_state::progress() const {
     job_progress result;
     result.phase = m_phase;
+    result.account = m_account;
     result.done.reserve(m_tasks.size());
     for (std::size_t i = 0; i < m_tasks.size(); ++i) {
         const task_state& item = m_tasks[i];
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -64,15 +64,19 @@
     std::map<std::uint32_t, std::vector<std::uint32_t>> failed_attempts;
     std::map<std::uint32_t, std::string> checkpoints;
     std::map<std::uint32_t, std::vector<crash_evidence>> crashes;
+    std::string account; ///< The account of the job; empty if it has none.
 
-    // Crash evidence is written last and only if there is any, so that records without evidence keep the
-    // format that versions of the program without crash evidence read and write.
+    // Crash evidence and the account are written last and only if there are any, so that records without them
+    // keep the format that versions of the program without them read and write.
     template <typename Archive>
     void save(Archive& archive) const {
         archive(phase, done, failed_attempts, checkpoints);
-        if (!crashes.empty()) {
+        if (!crashes.empty() || !account.empty()) {
             archive(crashes);
         }
+        if (!account.empty()) {
+            archive(account);
+        }
     }
     template <typename Archive>
     void load(Archive& archive) {
@@ -80,6 +84,9 @@
         if (archive.remaining_bytes() > 0) {
             archive(crashes);
         }
+        if (archive.remaining_bytes() > 0) {
+            archive(account);
+        }
     }
 };
 
@@ -87,10 +94,23 @@
 struct job_record {
     job_spec spec;
     std::int64_t accepted_ms = 0; ///< Time of day, ms since 1970.
+    std::string account;          ///< The account of the job; empty if it has none.
 
+    // The account is written only if there is one: records without keep the format of versions of the program
+    // without accounts.
     template <typename Archive>
-    void serialize(Archive& archive) {
+    void save(Archive& archive) const {
         archive(spec, accepted_ms);
+        if (!account.empty()) {
+            archive(account);
+        }
+    }
+    template <typename Archive>
+    void load(Archive& archive) {
+        archive(spec, accepted_ms);
+        if (archive.remaining_bytes() > 0) {
+            archive(account);
+        }
     }
 };
 
@@ -104,10 +124,11 @@
 /// task, so that scans skip jobs without pending work at no cost. Not thread-safe.
 class job_state {
   public:
-    /// `accepted_at` is on the owner's clock.
-    job_state(job_spec spec, timestamp accepted_at);
+    /// `accepted_at` is on the owner's clock; `account` is empty for a job without one.
+    job_state(job_spec spec, timestamp accepted_at, std::string account = {});
 
     [[nodiscard]] const job_spec& spec() const noexcept { return m_spec; }
+    [[nodiscard]] const std::string& account() const noexcept { return m_account; }
     [[nodiscard]] timestamp accepted_at() const noexcept { return m_accepted_at; }
     [[nodiscard]] job_phase phase() const noexcept { return m_phase; }
     void set_phase(job_phase phase) noexcept { m_phase = phase; }
@@ -135,8 +156,8 @@
     void set_begun() noexcept { m_begun = true; }
 
     run& add_run(const task_id& id, run item);
-    /// Removes a run. Precondition: the run exists.
-    void remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now);
+    /// Removes a run and returns it. Precondition: the run exists.
+    run remove_run(const task_id& id, std::uint32_t attempt, const std::string& vm, timestamp now);
     void mark_done(const task_id& id);
 
     /// Whether all crash evidence recorded against the task is stored. Precondition: contains(id).
@@ -200,6 +221,7 @@
     }
 
     job_spec m_spec;
+    std::string m_account;
     timestamp m_accepted_at;
     job_phase m_phase = job_phase::queued;
     /// Index of the first task of each step within one occurrence.
--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -4,8 +4,12 @@
 /// does no I/O: its inputs are state, events and clock readings, its outputs are orders. Each object may be
 /// used from one thread at a time.
 
+#include "jobs/access.hpp"
+#include "jobs/account_ledger.hpp"
 #include "jobs/advice.hpp"
+#include "jobs/allowances.hpp"
 #include "jobs/balance.hpp"
+#include "jobs/client_account.hpp"
 #include "jobs/evacuation_list.hpp"
 #include "jobs/fleet_configuration.hpp"
 #include "jobs/job.hpp"
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -55,13 +55,24 @@
 
 // --- Jobs ---
 
-admission_verdict scheduler::check_admission(const job_spec& spec) const {
+admission_verdict scheduler::check_admission(const job_spec& spec, const std::string& account) const {
     const auto found = std::ranges::find(m_queues, spec.queue, &queue_settings::name);
     if (found == m_queues.end()) {
         return {true, 0ms, load().queue_wait()};
     }
     const job_state probe(spec, timestamp(0));
-    return admit(spec, *found, probe.critical_path_ms(), load());
+    const pool_load present = m_accounts.is_limited(account) ? load_of_limited(account) : load();
+    return admit(spec, *found, probe.critical_path_ms(), present);
+}
+
+/// The load that a job of a limited account meets: its account's work, which runs within the account's
+/// ceiling.
+pool_load scheduler::load_of_limited(const std::string& account) const {
+    pool_load load;
+    const auto waiting = m_limited_work.find(account);
+    load.waiting_work = waiting == m_limited_work.end() ? 0 : waiting->second;
+    load.usable_millicores = m_accounts.ceiling(account).cpu_millicores;
+    return load;
 }
 
 pool_load scheduler::load() const {
@@ -200,7 +211,8 @@
 }
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
-    const auto [entry, added] = m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at));
+    const auto [entry, added] =
+        m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at, record.account));
     if (added && !record.spec.has_due_times) {
         add_waiting_work(entry->second, 0);
     }
@@ -208,7 +220,7 @@
 
 void scheduler::restore_job(const job_record& record, const std::optional<job_progress>& progress,
                             timestamp accepted_at) {
-    job_state job(record.spec, accepted_at);
+    job_state job(record.spec, accepted_at, record.account);
     job_progress stored = progress.value_or(job_progress{});
     job.restore(stored);
     job.is_final_phase_stored = is_final(job.phase());
@@ -260,15 +272,14 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
-std::vector<std::pair<std::string, job_phase>> scheduler::remove_final_jobs(timestamp now,
-                                                                            milliseconds keep) {
-    std::vector<std::pair<std::string, job_phase>> removed;
+std::vector<removed_job> scheduler::remove_final_jobs(timestamp now, milliseconds keep) {
+    std::vector<removed_job> removed;
     std::erase_if(m_jobs, [&](const auto& item) {
         const job_state& job = item.second;
         if (!job.is_final_phase_stored || job.total_runs() > 0 || now - job.final_at < keep) {
             return false;
         }
-        removed.emplace_back(item.first, job.phase());
+        removed.push_back({item.first, job.phase(), job.account()});
         std::erase_if(m_advice, [&](const auto& known) { return std::get<0>(known.first) == item.first; });
         return true;
     });
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/account_ledger.hpp"
 #include "jobs/balance.hpp"
 #include "jobs/job_admission.hpp"
 #include "jobs/label_meters.hpp"
@@ -96,6 +97,13 @@
     [[nodiscard]] bool empty() const noexcept { return jobs.empty() && end_sequences.empty(); }
 };
 
+/// A job that has ended and is no longer needed for deciding.
+struct removed_job {
+    std::string id;
+    job_phase phase = job_phase::completed;
+    std::string account;
+};
+
 enum class cancel_outcome : std::uint8_t { unknown_job, cancelled, already_final };
 
 /// Decides for one pool which task runs where. Pure: takes events and clock readings and returns orders. One
@@ -114,7 +122,9 @@
     // --- Jobs ---
 
     [[nodiscard]] bool has_job(const std::string& job) const { return m_jobs.contains(job); }
-    [[nodiscard]] admission_verdict check_admission(const job_spec& spec) const;
+    /// `account`: the account of the job; empty if it has none.
+    [[nodiscard]] admission_verdict check_admission(const job_spec& spec,
+                                                    const std::string& account = {}) const;
     void add_job(const job_record& record, timestamp accepted_at);
     /// Adds a job that a previous owner stored. Its tasks start once every VM that may run them has reported
     /// or ended, or after takeover_timeout.
@@ -130,6 +140,13 @@
     /// Number of tasks with crash evidence recorded against them.
     [[nodiscard]] std::size_t suspect_count() const noexcept { return m_suspects.size(); }
 
+    // --- Accounts ---
+
+    /// What the accounts' runs use here, and what they may use. Runs are counted by the scheduler; the owner
+    /// sets the ceilings and what a previous owner was allowed to start.
+    [[nodiscard]] account_ledger& accounts() noexcept { return m_accounts; }
+    [[nodiscard]] const account_ledger& accounts() const noexcept { return m_accounts; }
+
     // --- VMs ---
 
     /// Adds a VM that the platform lists, or updates what the VM has registered.
@@ -210,7 +227,7 @@
     /// Records that the batch could not be stored; its changes go into the next one.
     void mark_batch_failed(const store_batch& batch);
     /// Removes jobs whose final phase has been stored for `keep` and that have no run left; returns them.
-    std::vector<std::pair<std::string, job_phase>> remove_final_jobs(timestamp now, milliseconds keep);
+    std::vector<removed_job> remove_final_jobs(timestamp now, milliseconds keep);
 
   private:
     struct candidate;
@@ -220,6 +237,7 @@
     void mark_changed(job_state& job, bool urgent);
 
     // Runs.
+    run& add_run(job_state& job, const task_id& id, run item, vm_state& vm);
     void process_end(vm_state& vm, const end_report& end, timestamp now);
     [[nodiscard]] bool has_run(const vm_state& vm, const end_report& end) const;
     void process_done(job_state& job, const task_id& id, timestamp now);
@@ -261,6 +279,7 @@
     void mark_suspect_vms();
     [[nodiscard]] std::size_t usable_vm_count() const;
     [[nodiscard]] double shrink_factor() const;
+    [[nodiscard]] pool_load load_of_limited(const std::string& account) const;
     [[nodiscard]] vm_state* choose_vm_for_task(const job_state& job, const task_id& id,
                                                const step_advice* advice, const std::string& preferred_rack,
                                                timestamp now);
@@ -272,6 +291,7 @@
     // Deciding.
     void drop_expired_vms(timestamp now);
     void complete_takeover(timestamp now);
+    void settle_inherited_use();
     void update_runs(timestamp now);
     void stop_orphans(vm_state& vm, timestamp now);
     void evacuate(vm_state& vm, timestamp now);
@@ -280,6 +300,8 @@
     [[nodiscard]] bool is_available(const run& item, timestamp now) const;
     void adjust_pace(vm_state& vm);
     void place_waiting_tasks(timestamp now);
+    [[nodiscard]] resources free_capacity() const;
+    bool is_blocked_by_limit(const job_state& job, step_position position);
     void measure_waiting_work(timestamp now);
     void add_waiting_work(const job_state& job, std::uint32_t occurrence);
     [[nodiscard]] std::uint64_t vms_for_long_lived(std::size_t usable_vms) const;
@@ -307,6 +329,8 @@
     std::int64_t m_runnable_work = 0;
     std::int64_t m_upcoming_work = 0;
     std::int64_t m_late_work = 0;
+    /// Waiting work of each account whose limit keeps its tasks from starting.
+    std::map<std::string, std::int64_t> m_limited_work;
     milliseconds m_wall_offset{0}; ///< Time of day minus the owner's clock, as of the last decision.
     work_gauge m_work_gauge;
     demand_meter m_demand_meter;
@@ -330,6 +354,7 @@
     /// Set while starts are held back; as of the last decision.
     std::optional<std::int64_t> m_sustained_millicores;
     decisions m_pending_decisions;
+    account_ledger m_accounts;
 };
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -26,6 +26,7 @@
         drop_expired_vms(now);
         complete_takeover(now);
     }
+    settle_inherited_use();
     record_unresponsive_vms(now);
     m_isolation_lacks_vm = false;
     mark_suspect_vms();
@@ -62,6 +63,16 @@
     }
 }
 
+/// Once every run of the previous owner is known, what it was allowed to start no longer counts as running.
+/// Runs of jobs that are unknown here belong to accounts that are unknown, too.
+void scheduler::settle_inherited_use() {
+    const bool has_orphans =
+        std::ranges::any_of(m_vms, [](const auto& item) { return !item.second.orphans().empty(); });
+    if (m_takeover_completed && !has_orphans) {
+        m_accounts.clear_inherited();
+    }
+}
+
 /// A run counts as available only while its VM responds: the runs of a VM that goes dark are lost before
 /// their lease expires, and moving another task meanwhile would exceed the step's disruption budget. A run
 /// that a previous owner may have stopped just before it lost the pool doesn't count either: its VM lists it
@@ -204,6 +215,7 @@
 };
 
 void scheduler::place_waiting_tasks(timestamp now) {
+    m_accounts.clear_blocked();
     if (m_starts_held) {
         return;
     }
@@ -227,21 +239,37 @@
             }
         });
     }
+    if (m_accounts.has_blocked()) {
+        m_accounts.bound_blocked(free_capacity());
+    }
     if (m_start_window.can_send(now)) {
         m_start_window.reset_throttling();
     }
     m_sustained_millicores = m_start_window.sustained_millicores(now);
 }
 
+/// Free capacity of all VMs that accept tasks.
+resources scheduler::free_capacity() const {
+    resources free;
+    for (const auto& [name, vm] : m_vms) {
+        if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
+            free += max_of({}, vm.free_capacity());
+        }
+    }
+    return free;
+}
+
 /// Measures the work that is still waiting after placement. Work that is already late doesn't delay other
 /// jobs and is counted separately. Occurrences that aren't due yet don't count as waiting either: if they
 /// did, a job of six occurrences in half a minute would keep every other job out of its pool while the pool
-/// is idle. Machines are requested ahead of due times.
+/// is idle. Machines are requested ahead of due times. Work that waits for its account's limit needs no
+/// machines and delays no job of another account.
 void scheduler::measure_waiting_work(timestamp now) {
     m_waiting_work = 0;
     m_runnable_work = 0;
     m_upcoming_work = 0;
     m_late_work = 0;
+    m_limited_work.clear();
     for (const auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.total_idle_tasks() == 0) {
             continue;
@@ -251,7 +279,9 @@
             if (begins_at > now + machine_lead_time) {
                 break;
             }
-            if (begins_at > now) {
+            if (m_accounts.is_limited(job.account())) {
+                m_limited_work[job.account()] += estimate_waiting_work(job, occurrence, m_work_gauge).all;
+            } else if (begins_at > now) {
                 m_upcoming_work += estimate_waiting_work(job, occurrence, m_work_gauge).runnable;
             } else if (rank_of(job, *queue_of(job), begins_at, now).group <= 1) {
                 add_waiting_work(job, occurrence);
@@ -270,6 +300,9 @@
 
 void scheduler::place_step(job_state& job, step_position position, timestamp now) {
     const step_spec& step = job.spec().steps[position.step];
+    if (is_blocked_by_limit(job, position)) {
+        return;
+    }
     if (step_advice* advice = advice_for(job, position)) {
         request_advice(job, position, *advice, now);
     }
@@ -283,7 +316,7 @@
         if (task.done || !task.runs.empty() || (task.may_have_unknown_run && !step.speculative)) {
             continue;
         }
-        if (!m_start_window.can_send(now)) {
+        if (!m_start_window.can_send(now) || is_blocked_by_limit(job, position)) {
             return;
         }
         const bool placed =
@@ -294,6 +327,22 @@
     }
 }
 
+/// Whether the account's ceiling keeps the next task of the step, or the whole gang, from starting. If it
+/// does, records what all waiting tasks of the step need.
+bool scheduler::is_blocked_by_limit(const job_state& job, step_position position) {
+    const step_spec& step = job.spec().steps[position.step];
+    const std::uint32_t waiting = job.idle_tasks(position);
+    const auto need_of = [&](std::uint32_t tasks) {
+        return resources{step.need.cpu_millicores * tasks, step.need.memory_mb * tasks,
+                         step.need.accelerators * tasks};
+    };
+    if (m_accounts.admits(job.account(), need_of(step.gang ? step.count : 1))) {
+        return false;
+    }
+    m_accounts.record_blocked(job.account(), need_of(waiting));
+    return true;
+}
+
 bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt,
                            const std::string& preferred_rack, timestamp now) {
     if (!job.crashes_stored(id)) {
@@ -318,14 +367,13 @@
     item.start_deadline = vm->lease_deadline(now, m_settings.start_timeout);
     vm->record_granted_deadline(item.start_deadline);
     const step_spec& step = job.spec().steps[id.step];
-    vm->add_task(id, reserved_resources(step), step.long_lived);
     const std::string ticket = advice == nullptr ? std::string() : *advice->find_ticket(item.vm, now);
     m_pending_decisions.starts.push_back(
         {item.vm, id, attempt, item.start_deadline, job.task(id).checkpoint, ticket});
     m_start_window.record_sent(id, attempt, job.spec().payload.size(),
                                step.long_lived ? 0 : estimate_work(step, 1, job.spec().queue, m_work_gauge),
                                now);
-    job.add_run(id, std::move(item));
+    add_run(job, id, std::move(item), *vm);
     return true;
 }
 
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -16,9 +16,17 @@
 
 } // namespace
 
+run& scheduler::add_run(job_state& job, const task_id& id, run item, vm_state& vm) {
+    const step_spec& step = job.spec().steps[id.step];
+    vm.add_task(id, reserved_resources(step), step.long_lived);
+    m_accounts.add_run(job.account(), step.need, item.adopted);
+    return job.add_run(id, std::move(item));
+}
+
 void scheduler::drop_run(job_state& job, const task_id& id, std::uint32_t attempt, const std::string& vm,
                          timestamp now) {
-    job.remove_run(id, attempt, vm, now);
+    const bool adopted = job.remove_run(id, attempt, vm, now).adopted;
+    m_accounts.remove_run(job.account(), job.spec().steps[id.step].need, adopted);
     if (const auto found = m_vms.find(vm); found != m_vms.end()) {
         const step_spec& step = job.spec().steps[id.step];
         found->second.remove_task(id, reserved_resources(step), step.long_lived);
@@ -170,9 +178,7 @@
         adopted.progress_at = now;
         const bool unwanted = task.done || is_final(job.phase()) ||
                               (!task.runs.empty() && !job.spec().steps[item.task.step].speculative);
-        run& added = job.add_run(item.task, std::move(adopted));
-        const step_spec& step = job.spec().steps[item.task.step];
-        vm.add_task(item.task, reserved_resources(step), step.long_lived);
+        run& added = add_run(job, item.task, std::move(adopted), vm);
         add_note(unwanted ? "stop-surplus-run" : "run-adopted", incarnation, &item.task, item.attempt);
         if (unwanted) {
             stop_run(item.task, added, now);
--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/telemetry.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace siskinpaddle::node {
 
@@ -10,7 +11,9 @@
 
 /// A version must be in force within two seconds; an unresponsive connection of the watch must be detected
 /// well within that time.
-constexpr milliseconds watch_wait = 1s;
+constexpr milliseconds max_watch_wait = 1s;
+/// The configuration's age reaches two waits of the watch while the store responds at once.
+constexpr int watch_waits_per_age = 4;
 /// Delay for the node's own watch to deliver a version that a peer has already named. Nodes on fast links
 /// have a new configuration, and name its version in each answer, before the transfer to a node on a slow
 /// link is complete; without the delay, repeated reads of the same configuration would fill the slow link.
@@ -18,16 +21,22 @@
 constexpr milliseconds catch_up_delay = 700ms;
 /// On a narrow link the delay is twice the transfer time of a large configuration.
 constexpr int transfer_time_factor = 2;
+/// Most problems of one configuration that are logged.
+constexpr std::size_t max_logged_problems = 8;
+
+milliseconds watch_wait(milliseconds max_age) {
+    return max_age == 0ms ? max_watch_wait : std::min(max_watch_wait, max_age / watch_waits_per_age);
+}
 
 } // namespace
 
 configuration_task::configuration_task(event_loop& loop, platform::store_client& store,
-                                       std::function<void()> on_change)
+                                       std::function<void()> on_change, milliseconds max_age)
     : m_on_change(std::move(on_change)),
       m_catch_up_delay(
           std::max(catch_up_delay, transfer_time_factor * store.transfer_time(platform::large_value_bytes))),
       m_catch_up_timer(loop.make_timer([this] { refresh_if_behind(); })),
-      m_watch(loop, store, std::string(platform::operator_prefix), watch_wait,
+      m_watch(loop, store, std::string(platform::operator_prefix), watch_wait(max_age),
               [this](const platform::store_item& item) { apply_item(item); }) {}
 
 void configuration_task::record_peer_version(std::int64_t version) {
@@ -75,9 +84,15 @@
     if (item.key != platform::configuration_key || item.deleted) {
         return;
     }
-    auto configuration = platform::decode_configuration(item.value);
+    findings problems;
+    auto configuration = platform::decode_configuration(item.value, problems);
+    for (const finding& problem :
+         std::span(problems.items()).first(std::min(problems.items().size(), max_logged_problems))) {
+        log_event(event_id::fleet_config_damaged,
+                  {{"revision", item.revision}, {"place", problem.location}, {"problem", problem.message}});
+    }
+    m_newest_is_readable = configuration.has_value();
     if (!configuration) {
-        log_event(event_id::fleet_config_damaged, {{"revision", item.revision}});
         return;
     }
     if (configuration->version <= m_current.version) {
@@ -86,7 +101,8 @@
     log_event(event_id::fleet_config_in_force, {{"version", configuration->version},
                                                 {"before", m_current.version},
                                                 {"revision", item.revision},
-                                                {"queues", configuration->queues.size()}});
+                                                {"queues", configuration->queues.size()},
+                                                {"accounts", configuration->accounts.all().size()}});
     m_current = std::move(*configuration);
     m_on_change();
 }
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -11,7 +11,9 @@
 /// within one process, and the maintenance waves.
 class configuration_task {
   public:
-    configuration_task(event_loop& loop, platform::store_client& store, std::function<void()> on_change);
+    /// `max_age`: what age() has to stay below while the store responds; 0: no bound.
+    configuration_task(event_loop& loop, platform::store_client& store, std::function<void()> on_change,
+                       milliseconds max_age = milliseconds(0));
 
     void start() { m_watch.start(); }
     /// Lists the entries again at once.
@@ -21,6 +23,11 @@
     void record_peer_version(std::int64_t version);
 
     [[nodiscard]] const jobs::fleet_configuration& current() const noexcept { return m_current; }
+    /// How long ago the configuration in force was known to be the newest: since the store was asked for
+    /// changes, not since it answered. Counts while the process is stopped.
+    [[nodiscard]] milliseconds age(timestamp now) const noexcept {
+        return m_newest_is_readable ? now - m_watch.confirmed_at() : milliseconds::max();
+    }
     [[nodiscard]] bool is_loaded() const noexcept { return m_current.version > 0; }
     [[nodiscard]] const std::map<std::int64_t, platform::maintenance_wave>& waves() const noexcept {
         return m_waves;
@@ -36,6 +43,7 @@
     std::unique_ptr<timer> m_catch_up_timer;
     std::int64_t m_newest_peer_version = 0; ///< Newest version that a peer has reported.
     bool m_catch_up_pending = false;        ///< A peer has reported a newer version; the timer is running.
+    bool m_newest_is_readable = true;
     jobs::fleet_configuration m_current;
     std::map<std::int64_t, platform::maintenance_wave> m_waves;
     watch_task m_watch;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -17,6 +17,8 @@
 /// Sent while no node can accept the job; an owner is replaced in about three seconds.
 constexpr milliseconds retry_after_no_owner = 1s;
 constexpr milliseconds retry_after_unavailable = 1s;
+/// Limits change rarely.
+constexpr milliseconds retry_after_over_limit = 60s;
 /// An owner that did not answer gets no requests for this long; the store is used at once instead.
 constexpr milliseconds unresponsive_owner_pause = 1s;
 /// A pool counts as overloaded for this long after a refusal, which is the time to replace a dead owner.
@@ -24,17 +26,6 @@
 /// Above the largest body that a configuration allows so far; the configured limit is checked per call.
 constexpr std::size_t max_request_body = 1U << 20U;
 
-peer_request make_peer_request(peer_request_kind kind, const platform::client_call& call,
-                               std::int64_t configuration) {
-    peer_request message;
-    message.kind = static_cast<std::uint8_t>(kind);
-    message.pool = call.pool;
-    message.job = call.job;
-    message.queue = call.queue;
-    message.configuration_version = configuration;
-    return message;
-}
-
 } // namespace
 
 ingress_task::ingress_task(context dependencies, local_handler local)
@@ -43,64 +34,147 @@
                [this](const request_handle& request) { handle_request(request); }) {}
 
 void ingress_task::handle_request(const request_handle& request) {
-    const timestamp now = event_loop::now();
     if (!m_context.configuration.is_loaded()) {
         m_context.counters.increment("clients_without_configuration");
         platform::answer_unavailable(*request, retry_after_unavailable);
         return;
     }
     const jobs::fleet_configuration& configuration = m_context.configuration.current();
-    client_context client{request, platform::decode_client_call(*request, configuration), {}, now};
-    if (client.call.queue.empty()) {
+    client_context client{
+        request, platform::decode_client_call(*request, configuration), {}, event_loop::now(), {}, false};
+    const jobs::queue_settings* queue = configuration.find_queue(client.call.queue);
+    if (queue == nullptr) {
         log_event(
             event_id::client_refused,
             {{"target", request->target()}, {"why", "no-queue"}, {"configuration", configuration.version}});
         platform::answer_no_queue(*request);
         return;
     }
-    peer_request message = make_peer_request(peer_request_kind::submit, client.call, configuration.version);
-    switch (client.call.request) {
-    case platform::client_request::submit: {
-        findings problems;
-        client.spec = platform::decode_job(request->body(), client.call.job, client.call.queue, problems);
-        if (request->body().size() > configuration.max_body_bytes) {
-            problems.add("/", "body exceeds the configured max_body_bytes");
-        }
-        if (!problems.empty()) {
-            log_event(event_id::client_refused, {{"job", client.call.job},
-                                                 {"why", "invalid"},
-                                                 {"place", problems.items().front().location},
-                                                 {"problem", problems.items().front().message}});
-            platform::answer_invalid(*request, problems.to_string());
-            return;
-        }
-        submit_to_owner(client, message);
+    if (!admit_client(client, *queue)) {
         return;
     }
+    switch (client.call.request) {
+    case platform::client_request::submit:
+        handle_submit(client);
+        return;
     case platform::client_request::status:
-        message.kind = static_cast<std::uint8_t>(peer_request_kind::status);
-        send_to_owner(client, message, &ingress_task::status_answered);
+        send_to_owner(client, make_request(peer_request_kind::status, client),
+                      &ingress_task::status_answered);
         return;
     case platform::client_request::cancel:
-        message.kind = static_cast<std::uint8_t>(peer_request_kind::cancel);
-        send_to_owner(client, message, &ingress_task::cancel_answered);
-        return;
-    case platform::client_request::count: {
-        message.kind = static_cast<std::uint8_t>(peer_request_kind::count);
-        const auto known = m_counts.find(client.call.queue);
-        if (known != m_counts.end() && now - known->second.counted_at <= jobs::max_count_age) {
-            send_count(client, known->second, "copy");
-            return;
-        }
-        send_to_owner(client, message, &ingress_task::count_answered);
+        send_to_owner(client, make_request(peer_request_kind::cancel, client),
+                      &ingress_task::cancel_answered);
+        return;
+    case platform::client_request::count:
+        handle_count(client);
         return;
-    }
     case platform::client_request::invalid:
         platform::answer_no_queue(*request);
         return;
     }
 }
 
+/// Checks the API key of the call. If this node can't, the pool's owner does: it may reach the store while
+/// this node does not.
+bool ingress_task::admit_client(client_context& client, const jobs::queue_settings& queue) {
+    const jobs::access_decision decision =
+        jobs::check_access(m_context.configuration.current(), queue, client.call.key,
+                           m_context.configuration.age(event_loop::now()), m_context.access);
+    m_context.counters.increment("access_" + std::string(name_of(decision.verdict)));
+    client.account = decision.account;
+    client.owner_checks_key = decision.verdict == jobs::access_verdict::unconfirmed;
+    if (decision.verdict == jobs::access_verdict::unauthorized) {
+        refuse_unauthorized(client);
+        return false;
+    }
+    return true;
+}
+
+void ingress_task::refuse_unauthorized(const client_context& client) {
+    observe(client, "unauthorized");
+    log_event(event_id::client_refused, {{"job", client.call.job},
+                                         {"call", name_of(client.call.request)},
+                                         {"why", client.call.key ? "key" : "no-key"},
+                                         {"configuration", m_context.configuration.current().version}});
+    platform::answer_unauthorized(*client.request);
+}
+
+peer_request ingress_task::make_request(peer_request_kind kind, const client_context& client) const {
+    peer_request message;
+    message.kind = static_cast<std::uint8_t>(kind);
+    message.pool = client.call.pool;
+    message.job = client.call.job;
+    message.queue = client.call.queue;
+    message.configuration_version = m_context.configuration.current().version;
+    message.account = client.account;
+    if (client.owner_checks_key && client.call.key) {
+        message.unchecked_key.assign(client.call.key->begin(), client.call.key->end());
+    }
+    return message;
+}
+
+void ingress_task::handle_submit(client_context& client) {
+    const std::string_view body = client.request->body();
+    findings problems;
+    client.spec = platform::decode_job(body, client.call.job, client.call.queue, problems);
+    if (body.size() > m_context.configuration.current().max_body_bytes) {
+        problems.add("/", "body exceeds the configured max_body_bytes");
+    }
+    if (problems.empty()) {
+        submit_to_owner(client);
+        return;
+    }
+    log_event(event_id::client_refused, {{"job", client.call.job},
+                                         {"why", "invalid"},
+                                         {"place", problems.items().front().location},
+                                         {"problem", problems.items().front().message}});
+    platform::answer_invalid(*client.request, problems.to_string());
+}
+
+void ingress_task::handle_count(const client_context& client) {
+    const auto known = m_counts.find(client.call.queue);
+    if (!client.owner_checks_key && known != m_counts.end() &&
+        event_loop::now() - known->second.counted_at <= jobs::max_count_age) {
+        send_count(client, known->second, "copy");
+        return;
+    }
+    send_to_owner(client, make_request(peer_request_kind::count, client), &ingress_task::count_answered);
+}
+
+/// Answers a client whose API key is not valid, or could not be checked. Returns false if the answer has to
+/// be passed on.
+bool ingress_task::refuse_unchecked(const client_context& client, const peer_answer& answer) {
+    switch (outcome_of(answer)) {
+    case peer_outcome::unauthorized:
+        refuse_unauthorized(client);
+        return true;
+    case peer_outcome::unconfirmed:
+        refuse(client, "key-unconfirmed", retry_after_unavailable);
+        return true;
+    case peer_outcome::not_owner:
+    case peer_outcome::unreachable:
+        if (client.owner_checks_key) {
+            refuse(client, "key-unconfirmed", retry_after_unavailable);
+        }
+        return client.owner_checks_key;
+    case peer_outcome::unknown_job:
+    case peer_outcome::unavailable:
+        // What the store holds can't be shown to an account that only the owner knows.
+        if (client.owner_checks_key) {
+            refuse(client, "key-unconfirmed", retry_after_unavailable);
+        }
+        return client.owner_checks_key;
+    case peer_outcome::unknown:
+    case peer_outcome::unanswered:
+        if (client.owner_checks_key) {
+            report_unknown_outcome(client, "key-unconfirmed");
+        }
+        return client.owner_checks_key;
+    default:
+        return false;
+    }
+}
+
 void ingress_task::send_to_owner(const client_context& client, const peer_request& message, handler next) {
     const auto handle_answer = [this, client, next,
                                 alive = m_lifetime.weak_token()](const peer_answer& answer) {
@@ -108,7 +182,9 @@
             return;
         }
         m_context.configuration.record_peer_version(answer.configuration_version);
-        (this->*next)(client, answer);
+        if (!refuse_unchecked(client, answer)) {
+            (this->*next)(client, answer);
+        }
     };
     if (m_local_handler(message, handle_answer)) {
         return;
@@ -178,13 +254,15 @@
 /// Sends the job to the owner of its pool. While the owner refuses jobs, it is asked without the payload
 /// first: refused submits could fill its link, and the reports of its VMs and the renewals of its claim would
 /// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
-void ingress_task::submit_to_owner(const client_context& client, peer_request message) {
+void ingress_task::submit_to_owner(const client_context& client) {
+    const bool asks_first = recent_overload(client.call.pool) != nullptr;
+    peer_request message =
+        make_request(asks_first ? peer_request_kind::admission_query : peer_request_kind::submit, client);
     message.spec = client.spec;
-    if (recent_overload(client.call.pool) == nullptr) {
+    if (!asks_first) {
         send_to_owner(client, message, &ingress_task::submit_answered);
         return;
     }
-    message.kind = static_cast<std::uint8_t>(peer_request_kind::admission_query);
     message.spec.payload.clear();
     send_to_owner(client, message, &ingress_task::admission_answered);
 }
@@ -200,8 +278,7 @@
         submit_answered(client, answer);
         return;
     }
-    peer_request message =
-        make_peer_request(peer_request_kind::submit, client.call, m_context.configuration.current().version);
+    peer_request message = make_request(peer_request_kind::submit, client);
     message.spec = client.spec;
     send_to_owner(client, message, &ingress_task::submit_answered);
 }
@@ -212,6 +289,15 @@
         observe(client, "ok");
         platform::answer_accepted(*client.request);
         return;
+    case peer_outcome::id_in_use:
+        observe(client, "id_in_use");
+        platform::answer_id_in_use(*client.request);
+        return;
+    case peer_outcome::over_limit:
+        observe(client, "over_limit");
+        platform::answer_over_limit(*client.request, "needs more than the account's limit",
+                                    retry_after_over_limit);
+        return;
     case peer_outcome::overloaded:
         m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
         refuse_for_load(client, answer);
@@ -246,6 +332,10 @@
         refuse_overloaded(client, retry_after);
         return;
     }
+    if (client.owner_checks_key) {
+        report_unknown_outcome(client, "key-unconfirmed");
+        return;
+    }
     refuse_unless_stored(client, retry_after);
 }
 
@@ -258,7 +348,7 @@
                     }
                     if (!found.store_reached) {
                         report_unknown_outcome(client, "store");
-                    } else if (found.phase) {
+                    } else if (found.has_job_for(client.account)) {
                         observe(client, "ok");
                         platform::answer_accepted(*client.request);
                     } else {
@@ -280,7 +370,7 @@
         refuse_unless_stored(client, recent->retry_after);
         return;
     }
-    const jobs::job_record record{client.spec, wall_clock_ms()};
+    const jobs::job_record record{client.spec, wall_clock_ms(), client.account};
     const std::string& id = client.call.job;
     platform::store_transaction change;
     change.conditions.push_back({submit_key(client.call.pool, id), 0});
@@ -343,7 +433,7 @@
                     }
                     if (!answer.store_reached) {
                         refuse(client, "store", retry_after_unavailable);
-                    } else if (answer.phase) {
+                    } else if (answer.has_job_for(client.account)) {
                         observe(client, "ok_by_store");
                         platform::answer_phase(*client.request, *answer.phase);
                     } else {
@@ -368,7 +458,7 @@
                     }
                     if (!found.store_reached) {
                         refuse(client, "store", retry_after_unavailable);
-                    } else if (!found.phase) {
+                    } else if (!found.has_job_for(client.account)) {
                         observe(client, "no_job");
                         platform::answer_no_job(*client.request);
                     } else {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -24,6 +24,7 @@
         configuration_task& configuration;
         peer_client& peers;
         metrics& counters;
+        jobs::access_settings access;
     };
     /// Passes a request to this node's own pool task; returns false if there is none.
     using local_handler = std::function<bool(const peer_request&, peer_server::reply)>;
@@ -56,6 +57,9 @@
         platform::client_call call;
         jobs::job_spec spec; ///< Set for a submit.
         timestamp received_at;
+        std::string account; ///< Empty for a public queue, or while `owner_checks_key`.
+        /// This node's configuration may be outdated: the pool's owner checks the API key.
+        bool owner_checks_key = false;
     };
     struct cached_count {
         std::uint64_t jobs = 0;
@@ -73,9 +77,15 @@
     using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
 
     void handle_request(const request_handle& request);
+    [[nodiscard]] bool admit_client(client_context& client, const jobs::queue_settings& queue);
+    void handle_submit(client_context& client);
+    void handle_count(const client_context& client);
+    [[nodiscard]] peer_request make_request(peer_request_kind kind, const client_context& client) const;
+    [[nodiscard]] bool refuse_unchecked(const client_context& client, const peer_answer& answer);
+    void refuse_unauthorized(const client_context& client);
     void send_to_owner(const client_context& client, const peer_request& message, handler next);
     void record_owner_response(const std::string& owner, const peer_answer& answer);
-    void submit_to_owner(const client_context& client, peer_request message);
+    void submit_to_owner(const client_context& client);
     void admission_answered(const client_context& client, const peer_answer& answer);
     void submit_answered(const client_context& client, const peer_answer& answer);
     void status_answered(const client_context& client, const peer_answer& answer);
--- a/node/job_lookup.cpp
+++ b/node/job_lookup.cpp
@@ -6,45 +6,48 @@
 
 namespace {
 
-using phase_reader = std::function<std::optional<jobs::job_phase>(const platform::store_item&)>;
+using item_reader = std::function<lookup_answer(const platform::store_item&)>;
 
-/// Reads `key` and passes its phase to `done`; calls `otherwise` if there is no such item.
-void read_phase(platform::store_client& store, const std::string& key, const phase_reader& read,
-                std::function<void(lookup_answer)> done, std::function<void()> otherwise) {
+/// Reads `key` and passes what `read` finds there to `done`; calls `otherwise` if there is no such item.
+void read_job(platform::store_client& store, const std::string& key, const item_reader& read,
+              std::function<void(lookup_answer)> done, std::function<void()> otherwise) {
     store.get(key, [read, done = std::move(done),
                     otherwise = std::move(otherwise)](const platform::store_answer& answer) {
         if (answer.status == platform::store_status::absent) {
             otherwise();
         } else if (answer.status == platform::store_status::ok && !answer.items.empty()) {
-            done({true, read(answer.items.front())});
+            done(read(answer.items.front()));
         } else {
             done({});
         }
     });
 }
 
-std::optional<jobs::job_phase> queued_phase(const platform::store_item&) {
-    return jobs::job_phase::queued;
+/// A record that can't be read names no account, so that nobody is refused access to the job.
+lookup_answer read_record(const platform::store_item& item) {
+    const auto record = decode_archive<jobs::job_record>(item.value);
+    return {true, jobs::job_phase::queued, record ? record.value().account : std::string()};
 }
 
-std::optional<jobs::job_phase> phase_from_progress(const platform::store_item& item) {
+lookup_answer read_progress(const platform::store_item& item) {
     const auto progress = decode_archive<jobs::job_progress>(item.value);
-    return progress ? progress.value().phase : jobs::job_phase::queued;
+    if (!progress) {
+        return {true, jobs::job_phase::queued, {}};
+    }
+    return {true, progress.value().phase, progress.value().account};
 }
 
 } // namespace
 
 void look_up_job(platform::store_client& store, const std::string& pool, const std::string& job,
                  const std::function<void(lookup_answer)>& done) {
-    const auto read_progress = [&store, pool, job, done] {
-        read_phase(store, progress_prefix(pool) + job, phase_from_progress, done, [done] {
-            done({true, {}});
-        });
+    const auto look_for_progress = [&store, pool, job, done] {
+        read_job(store, progress_prefix(pool) + job, read_progress, done, [done] { done({true, {}, {}}); });
     };
-    const auto read_record = [&store, pool, job, done, read_progress] {
-        read_phase(store, job_prefix(pool) + job, queued_phase, done, read_progress);
+    const auto look_for_record = [&store, pool, job, done, look_for_progress] {
+        read_job(store, job_prefix(pool) + job, read_record, done, look_for_progress);
     };
-    read_phase(store, submit_key(pool, job), queued_phase, done, read_record);
+    read_job(store, submit_key(pool, job), read_record, done, look_for_record);
 }
 
 } // namespace siskinpaddle::node
--- a/node/job_lookup.hpp
+++ b/node/job_lookup.hpp
@@ -12,6 +12,12 @@
 struct lookup_answer {
     bool store_reached = false;           ///< The store answered.
     std::optional<jobs::job_phase> phase; ///< Empty: there is no such job.
+    std::string account;                  ///< The account of the job; empty if it has none.
+
+    /// Whether there is a job that the account may access.
+    [[nodiscard]] bool has_job_for(const std::string& client) const {
+        return phase.has_value() && jobs::may_access_job(account, client);
+    }
 };
 
 /// Reads from the store whether a job exists and its phase, for use when the job's owner can't be reached or
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -18,6 +18,8 @@
 /// written by any node, kept until the owner processes it.
 /// - `sp/wave/NUMBER`: machines whose maintenance is confirmed; written by the fleet's owner, kept
 /// permanently.
+/// - `sp/account/ACCOUNT`: how the account's limit is divided among the pools; written by the pools' owners,
+/// each for its own pool, kept permanently.
 /// - `sp/vms/POOL`: VMs that may hold runs; written by the pool's owner, kept permanently.
 
 inline const std::string control_prefix = "sp/ctl/";
@@ -44,6 +46,11 @@
     return "sp/vms/" + pool;
 }
 
+inline const std::string account_prefix = "sp/account/";
+[[nodiscard]] inline std::string account_key(const std::string& account) {
+    return account_prefix + account;
+}
+
 [[nodiscard]] inline std::string wave_record_key(std::int64_t number) {
     return "sp/wave/" + std::to_string(number);
 }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -41,15 +41,17 @@
 node::node(event_loop& loop, const node_settings& settings)
     : m_loop(loop), m_settings(settings), m_store(loop, settings.store, settings.link_mbps), m_vms(loop),
       m_machines(loop, settings.machines), m_advice(loop, settings.advice), m_peers(loop),
-      m_configuration(loop, m_store, [this] { configuration_changed(); }),
+      m_configuration(
+          loop, m_store, [this] { configuration_changed(); }, max_configuration_age_of(settings)),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
                     [this](const std::string& duty) { duty_lost(duty); },
                     [this] { handle_store_recovery(); }}),
-      m_ingress({loop, m_store, m_membership, m_configuration, m_peers, m_counters},
-                [this](const peer_request& request, const peer_server::reply& done) {
-                    return handle_local(request, done);
-                }),
+      m_ingress(
+          {loop, m_store, m_membership, m_configuration, m_peers, m_counters, access_settings_of(settings)},
+          [this](const peer_request& request, const peer_server::reply& done) {
+              return handle_local(request, done);
+          }),
       m_peer_server(loop, [this](const peer_request& request,
                                  peer_server::reply done) { handle_peer(request, std::move(done)); }),
       m_readiness(loop, {},
@@ -134,9 +136,10 @@
         m_pools.erase(known);
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
-    auto task = std::make_unique<pool_task>(pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines,
-                                                               m_advice, m_membership, m_counters},
-                                            pool, held);
+    auto task =
+        std::make_unique<pool_task>(pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines,
+                                                       m_advice, m_membership, m_configuration, m_counters},
+                                    pool, held);
     task->configure(m_configuration.current());
     task->start();
     m_pools[held.duty] = std::move(task);
@@ -175,10 +178,47 @@
     if (event_loop::now() >= m_membership.act_until(task->first)) {
         return false; // Another node may own the pool by now; the store holds the current owner.
     }
-    task->second->handle(request, guaranteed_reply::make(done, m_lifetime.weak_token()));
+    const auto reply = guaranteed_reply::make(done, m_lifetime.weak_token());
+    if (request.unchecked_key.empty()) {
+        task->second->handle(request, reply);
+        return true;
+    }
+    peer_request checked = request;
+    const peer_outcome refusal = check_key(checked);
+    if (refusal == peer_outcome::ok) {
+        task->second->handle(checked, reply);
+    } else {
+        reply(make_answer(refusal));
+    }
     return true;
 }
 
+/// Checks the API key that the sender could not check and sets the request's account. Returns `ok` if the
+/// request may be handled.
+peer_outcome node::check_key(peer_request& request) const {
+    const jobs::fleet_configuration& configuration = m_configuration.current();
+    const jobs::queue_settings* queue = configuration.find_queue(request.queue);
+    jobs::key_digest key{};
+    if (queue == nullptr || request.unchecked_key.size() != key.size()) {
+        return peer_outcome::unconfirmed;
+    }
+    std::ranges::copy(request.unchecked_key, key.begin());
+    const jobs::access_decision decision = jobs::check_access(
+        configuration, *queue, key, m_configuration.age(event_loop::now()), access_settings_of(m_settings));
+    request.account = decision.account;
+    switch (decision.verdict) {
+    case jobs::access_verdict::granted:
+        return peer_outcome::ok;
+    case jobs::access_verdict::unauthorized:
+        // The sender may have a newer version, with a key that this node has not heard of.
+        return request.configuration_version > configuration.version ? peer_outcome::unconfirmed
+                                                                     : peer_outcome::unauthorized;
+    case jobs::access_verdict::unconfirmed:
+        return peer_outcome::unconfirmed;
+    }
+    return peer_outcome::unconfirmed;
+}
+
 void node::handle_peer(const peer_request& request, peer_server::reply done) {
     m_configuration.record_peer_version(request.configuration_version);
     const auto with_version = [this, done = std::move(done)](peer_answer answer) {
@@ -332,6 +372,29 @@
     });
 }
 
+/// Sets what each account with a limit uses and may use in a pool that this node owns, and its limit.
+void node::set_account_metrics(const pool_task& task) {
+    const auto set = [&](const std::string& name, const std::string& account, const jobs::resources& amount) {
+        const std::string label = "{account=\"" + account + "\",pool=\"" + task.pool() + "\"}";
+        m_counters.set("account_" + name + "_millicores" + label,
+                       static_cast<std::uint64_t>(amount.cpu_millicores));
+        m_counters.set("account_" + name + "_memory_mb" + label,
+                       static_cast<std::uint64_t>(amount.memory_mb));
+    };
+    const jobs::account_ledger& ledger = task.scheduler().accounts();
+    for (const auto& [account, ceiling] : task.allowances().ceilings()) {
+        const auto demand = ledger.demand_of(account);
+        set("used", account, demand.used);
+        set("blocked", account, demand.blocked);
+        set("allowance", account, ceiling);
+    }
+    for (const jobs::client_account& account : m_configuration.current().accounts.all()) {
+        if (account.has_limit()) {
+            set("limit", account.name, account.limit);
+        }
+    }
+}
+
 std::string node::metrics_text() {
     for (const auto& [kind, calls] : m_store.call_counts()) {
         m_counters.set("store_calls_" + kind, calls);
@@ -352,6 +415,7 @@
         m_counters.set("pool_jobs" + label, task->scheduler().job_count());
         m_counters.set("pool_inbox_jobs" + label, task->inbox_jobs());
         m_counters.set("pool_inbox_age_ms" + label, static_cast<std::uint64_t>(task->inbox_age().count()));
+        set_account_metrics(*task);
     }
     return m_counters.to_text();
 }
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -33,6 +33,8 @@
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
     void handle_store_recovery();
+    [[nodiscard]] peer_outcome check_key(peer_request& request) const;
+    void set_account_metrics(const pool_task& task);
     bool handle_local(const peer_request& request, const peer_server::reply& done);
     void handle_peer(const peer_request& request, peer_server::reply done);
     void send_to_pool_owner(const peer_request& request, peer_server::reply done);
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/jobs.hpp"
 #include "net/net.hpp"
 
 #include <string>
@@ -13,6 +14,9 @@
 /// Default for the maximum age of the capacities that VMs report.
 inline constexpr milliseconds default_max_capacity_age = 3s;
 
+/// Default for the time within which a new configuration must be in force.
+inline constexpr milliseconds default_configuration_time = 2s;
+
 /// Validated settings of one node process.
 struct node_settings {
     std::string id;
@@ -37,9 +41,22 @@
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
     double link_mbps = default_link_mbps; ///< Speed of the node's network link, in each direction.
+    /// Time within which a revoked API key must be refused by all nodes; 0: there are no client accounts.
+    milliseconds key_revocation_time{0};
+    /// Whether that holds for nodes that can't reach the store, too.
+    bool strict_key_revocation = false;
+    /// Time within which a new configuration must be in force.
+    milliseconds configuration_time = default_configuration_time;
     double processor_share = 1; ///< Fraction of a core; sets how much of the distributed work this node gets.
 };
 
+/// Returns when calls with an API key may be served, for jobs::check_access().
+[[nodiscard]] jobs::access_settings access_settings_of(const node_settings& settings);
+
+/// Returns the age that the configuration must not reach while the store responds: beyond it, keys can't be
+/// checked, and accounts with a limit start nothing. 0 without client accounts.
+[[nodiscard]] milliseconds max_configuration_age_of(const node_settings& settings);
+
 /// Parses and validates a settings document; findings name every problem with its place.
 [[nodiscard]] node_settings parse_node_settings(const boost::json::value& document, findings& out);
 
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -23,12 +23,16 @@
     ok,
     not_owner,
     unknown_job,
-    overloaded,  ///< Not accepted; the job never runs.
-    unavailable, ///< Not carried out.
-    unreachable, ///< The request was not sent.
-    unknown,     ///< The receiver doesn't know whether the request was carried out.
-    admissible,  ///< With `admission_query`: the job would be accepted now.
-    unanswered   ///< No valid answer came: the request may have been carried out.
+    overloaded,   ///< Not accepted; the job never runs.
+    unavailable,  ///< Not carried out.
+    unreachable,  ///< The request was not sent.
+    unknown,      ///< The receiver doesn't know whether the request was carried out.
+    admissible,   ///< With `admission_query`: the job would be accepted now.
+    unanswered,   ///< No valid answer came: the request may have been carried out.
+    unauthorized, ///< The client's API key is not valid.
+    unconfirmed,  ///< The API key can't be checked: the receiver's configuration may be outdated.
+    id_in_use,    ///< Another account's job has the id.
+    over_limit    ///< Not accepted: a task or gang needs more than the account may have running.
 };
 
 struct peer_request {
@@ -43,11 +47,29 @@
     /// With `demand_query`: number of machines that no pool wanted in the last round.
     std::uint64_t unneeded_machines = 0;
     std::int64_t configuration_version = 0; ///< Configuration version in force at the sender.
+    /// The client's account, if the sender has checked the API key; empty for a public queue.
+    std::string account;
+    /// Digest of an API key that the sender can't check, because its configuration may be outdated. The
+    /// receiver checks it.
+    std::vector<std::uint8_t> unchecked_key;
 
+    // The account and the key are written last and only if there are any, so that requests without them can
+    // be read by versions of the program without accounts.
     template <typename Archive>
-    void serialize(Archive& archive) {
+    void save(Archive& archive) const {
+        archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
+                configuration_version);
+        if (!account.empty() || !unchecked_key.empty()) {
+            archive(account, unchecked_key);
+        }
+    }
+    template <typename Archive>
+    void load(Archive& archive) {
         archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
                 configuration_version);
+        if (archive.remaining_bytes() > 0) {
+            archive(account, unchecked_key);
+        }
     }
 };
 
@@ -91,4 +113,8 @@
     std::pair{siskinpaddle::node::peer_outcome::unreachable, std::string_view("unreachable")},
     std::pair{siskinpaddle::node::peer_outcome::unknown, std::string_view("unknown")},
     std::pair{siskinpaddle::node::peer_outcome::admissible, std::string_view("admissible")},
-    std::pair{siskinpaddle::node::peer_outcome::unanswered, std::string_view("unanswered")}};
+    std::pair{siskinpaddle::node::peer_outcome::unanswered, std::string_view("unanswered")},
+    std::pair{siskinpaddle::node::peer_outcome::unauthorized, std::string_view("unauthorized")},
+    std::pair{siskinpaddle::node::peer_outcome::unconfirmed, std::string_view("unconfirmed")},
+    std::pair{siskinpaddle::node::peer_outcome::id_in_use, std::string_view("id-in-use")},
+    std::pair{siskinpaddle::node::peer_outcome::over_limit, std::string_view("over-limit")}};
--- a/node/pool_inbox.cpp
+++ b/node/pool_inbox.cpp
@@ -27,9 +27,7 @@
         m_unresolved_inbox_cancels.push_back(item); // Retried once a new claim by this node has succeeded.
         return;
     }
-    peer_request request;
-    request.job = item.key.substr(cancel_key(m_pool, "").size());
-    cancel(request, [this, item](const peer_answer& answer) {
+    cancel_job(item.key.substr(cancel_key(m_pool, "").size()), [this, item](const peer_answer& answer) {
         if (outcome_of(answer) == peer_outcome::ok) {
             remove_from_inbox(item.key);
         } else {
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -33,9 +33,13 @@
 }
 
 void pool_task::status(const peer_request& request, const reply& done) const {
+    if (belongs_to_other_account(request.job, request.account)) {
+        done(make_answer(peer_outcome::unknown_job));
+        return;
+    }
     std::optional<jobs::job_phase> phase = m_scheduler.phase_of(request.job);
     if (const auto ended = m_ended.find(request.job); !phase && ended != m_ended.end()) {
-        phase = ended->second;
+        phase = ended->second.phase;
     }
     if (!phase && m_inbox_jobs.contains(request.job)) {
         phase = jobs::job_phase::queued;
@@ -78,6 +82,14 @@
 
 void pool_task::cancel(const peer_request& request, const reply& done) {
     const std::string& id = request.job;
+    if (belongs_to_other_account(id, request.account)) {
+        done(make_answer(peer_outcome::unknown_job));
+        return;
+    }
+    cancel_job(id, done);
+}
+
+void pool_task::cancel_job(const std::string& id, const reply& done) {
     if (m_ended.contains(id)) {
         done(make_answer(peer_outcome::ok));
         return;
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -200,15 +200,14 @@
     if (!m_evacuated_vms.empty() && now - m_evacuated_at > cleared_timeout) {
         uncordon_vms(std::exchange(m_evacuated_vms, {}));
     }
-    for (const auto& [id, phase] : m_scheduler.remove_final_jobs(now, scheduler_retention)) {
-        m_ended[id] = phase;
-        m_ended_at[id] = now;
-        m_progress_revisions.erase(id);
+    for (const jobs::removed_job& job : m_scheduler.remove_final_jobs(now, scheduler_retention)) {
+        m_ended[job.id] = {job.phase, job.account, now};
+        m_progress_revisions.erase(job.id);
     }
     platform::store_transaction change;
     change.conditions.push_back(owner_condition());
-    for (const auto& [id, ended] : m_ended_at) {
-        if (now - ended > m_context.settings.ended_job_retention &&
+    for (const auto& [id, job] : m_ended) {
+        if (now - job.ended_at > m_context.settings.ended_job_retention &&
             change.removals.size() < platform::max_transaction_entries - 1) {
             change.removals.push_back(progress_prefix(m_pool) + id);
         }
@@ -216,7 +215,6 @@
     for (const std::string& key : change.removals) {
         const std::string id = key.substr(progress_prefix(m_pool).size());
         m_ended.erase(id);
-        m_ended_at.erase(id);
     }
     if (!change.removals.empty()) {
         m_context.store.commit(change, [](const platform::store_answer&) {});
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -24,6 +24,10 @@
 /// if the job is to be accepted.
 bool pool_task::answer_without_accepting(const peer_request& request, const reply& done) {
     const std::string& id = request.spec.id;
+    if (belongs_to_other_account(id, request.account)) {
+        done(make_answer(peer_outcome::id_in_use));
+        return true;
+    }
     // Includes jobs that are still in the inbox: treated as new, a repeat of an accepted job could be refused
     // for load.
     if (m_scheduler.has_job(id) || m_ended.contains(id) || m_inbox_jobs.contains(id)) {
@@ -45,8 +49,17 @@
         done(answer);
         return true;
     }
+    if (const findings problems = check_account_limit(request); !problems.empty()) {
+        log_event(event_id::submit_refused, {{"pool", m_pool},
+                                             {"job", id},
+                                             {"why", "account-limit"},
+                                             {"account", request.account},
+                                             {"place", problems.items().front().location}});
+        done(make_answer(peer_outcome::over_limit));
+        return true;
+    }
     m_scheduler.record_job_arrival(request.spec, event_loop::now());
-    const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec);
+    const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec, request.account);
     const std::int64_t waiting_ms = verdict.queue_time.count();
     if (!verdict.accepted) {
         peer_answer answer = make_answer(peer_outcome::overloaded);
@@ -55,6 +68,7 @@
         log_event(event_id::submit_refused, {{"pool", m_pool},
                                              {"job", id},
                                              {"why", "load"},
+                                             {"account", request.account.empty() ? "-" : request.account},
                                              {"inbox_age_ms", answer.inbox_age_ms},
                                              {"waiting_ms", waiting_ms},
                                              {"retry_after_ms", verdict.retry_after.count()}});
@@ -76,9 +90,12 @@
     }
     const std::string& id = request.spec.id;
     const std::int64_t waiting_ms = m_scheduler.load().queue_wait().count();
-    log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", id}, {"waiting_ms", waiting_ms}});
-    m_submitting.insert(id);
-    m_submits.push_back({{request.spec, wall_clock_ms()}, done});
+    log_event(event_id::submit_accepted, {{"pool", m_pool},
+                                          {"job", id},
+                                          {"account", request.account.empty() ? "-" : request.account},
+                                          {"waiting_ms", waiting_ms}});
+    m_submitting.emplace(id, request.account);
+    m_submits.push_back({{request.spec, wall_clock_ms(), request.account}, done});
     if (!m_writing_submits) {
         write_submits();
     }
@@ -212,8 +229,9 @@
     }
     // Progress of a job that is not in the scheduler belongs to a job that has ended, as at a takeover.
     const auto progress = decode_archive<jobs::job_progress>(found->value);
-    if (progress && !m_scheduler.has_job(id) && m_ended.try_emplace(id, progress.value().phase).second) {
-        m_ended_at[id] = event_loop::now();
+    if (progress && !m_scheduler.has_job(id)) {
+        m_ended.try_emplace(id,
+                            ended_job{progress.value().phase, progress.value().account, event_loop::now()});
     }
     finish_submit(id, item.done, peer_outcome::ok);
     return true;
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -103,17 +103,21 @@
                 log_event(event_id::run_noted, {{"what", "record-damaged"}, {"key", vms_key(m_pool)}});
             }
         }
-        // Cancellations that did not reach an owner are in the inbox and have to take effect before any task
-        // of their jobs starts.
-        m_inbox_cancels.start([this] { m_inbox.start([this] { finish_loading(); }); });
+        m_allowances.load([this] { load_inbox(); });
     });
 }
 
+/// Cancellations that did not reach an owner are in the inbox and have to take effect before any task of
+/// their jobs starts.
+void pool_task::load_inbox() {
+    m_inbox_cancels.start([this] { m_inbox.start([this] { finish_loading(); }); });
+}
+
 void pool_task::finish_loading() {
     const timestamp now = event_loop::now();
+    m_scheduler.accounts().set_inherited(m_allowances.allowances().stored());
     for (const auto& [id, progress] : m_loaded_progress) {
-        m_ended[id] = progress.phase;
-        m_ended_at[id] = now;
+        m_ended[id] = {progress.phase, progress.account, now};
         m_progress_revisions.erase(id); // The progress of an ended job is not written again.
     }
     m_loaded_progress.clear();
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -49,6 +49,9 @@
 pool_task::pool_task(context parts, std::string pool, const ownership& held)
     : m_context(parts), m_pool(std::move(pool)), m_ownership(held),
       m_scheduler(scheduler_settings_for(parts.settings), held.epoch, event_loop::now()),
+      m_allowances(parts.loop, parts.store, m_pool,
+                   {[this] { return owner_condition(); }, [this] { schedule_decision(); },
+                    [this](std::int64_t token) { on_ownership_lost("allowances", token); }}),
       m_directory(parts.loop, parts.store,
                   [this](const std::string& vm, const std::optional<jobs::vm_info>& info) {
                       if (m_ready) {
@@ -93,6 +96,7 @@
     m_scheduler.configure(std::move(queues));
     const jobs::pool_settings* pool = configuration.find_pool(m_pool);
     m_vms_check_capacity = pool == nullptr || pool->vms_check_capacity;
+    m_allowances.configure(configuration);
     schedule_decision();
 }
 
@@ -130,6 +134,7 @@
     const timestamp now = event_loop::now();
     const bool capacity_known = now - m_directory.complete_until() <= m_context.settings.max_capacity_age;
     m_scheduler.hold_starts(!m_vms_check_capacity && !capacity_known);
+    apply_ceilings(now);
     const bool ownership_confirmed = now < m_context.membership.confirmed_until(m_ownership.duty);
     const jobs::decisions wanted = m_scheduler.decide(now, wall_clock_ms(), ownership_confirmed);
     log_decisions(wanted);
@@ -148,6 +153,7 @@
     if (m_scheduler.has_changes()) {
         schedule_store();
     }
+    update_allowances(now);
     review_vm_record();
     run_cleanup();
     log_load(now);
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "node/allowance_task.hpp"
+#include "node/configuration_task.hpp"
 #include "node/membership_task.hpp"
 #include "node/peer_protocol.hpp"
 #include "node/vm_directory.hpp"
@@ -29,6 +31,7 @@
         platform::machine_client& machines;
         platform::advice_client& advice;
         membership_task& membership;
+        const configuration_task& configuration;
         metrics& counters;
     };
 
@@ -58,6 +61,9 @@
     [[nodiscard]] std::size_t inbox_jobs() const noexcept { return m_inbox_jobs.size(); }
     /// Upper limit of the age of the inbox copy.
     [[nodiscard]] milliseconds inbox_age() const;
+    [[nodiscard]] const jobs::pool_allowances& allowances() const noexcept {
+        return m_allowances.allowances();
+    }
 
   private:
     /// State of one VM's lease renewals.
@@ -78,15 +84,29 @@
         std::int64_t revision = 0;
         bool writing = false; ///< A transaction that transfers the job is in flight.
     };
+    /// A job that has ended; its progress stays stored for a while.
+    struct ended_job {
+        jobs::job_phase phase = jobs::job_phase::completed;
+        std::string account;
+        timestamp ended_at{0};
+    };
     struct waiting_cancel {
         std::string job;
         reply done;
     };
 
+    // Accounts.
+    [[nodiscard]] std::optional<std::string> account_of_job(const std::string& job) const;
+    [[nodiscard]] bool belongs_to_other_account(const std::string& job, const std::string& account) const;
+    [[nodiscard]] findings check_account_limit(const peer_request& request) const;
+    void apply_ceilings(timestamp now);
+    void update_allowances(timestamp now);
+
     // Takeover.
     void load_progress(const std::string& after);
     void load_jobs(const std::string& after);
     void load_vms();
+    void load_inbox();
     void finish_loading();
     void retry_loading(std::function<void()> step);
     [[nodiscard]] timestamp accepted_at(std::int64_t wall_ms) const;
@@ -131,6 +151,7 @@
     void query_admission(const peer_request& request, const reply& done);
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
+    void cancel_job(const std::string& id, const reply& done);
     void status(const peer_request& request, const reply& done) const;
     void count(const peer_request& request, const reply& done) const;
     void answer_demand_query(const peer_request& request, const reply& done);
@@ -184,6 +205,7 @@
     std::string m_pool;
     ownership m_ownership;
     jobs::scheduler m_scheduler;
+    allowance_task m_allowances;
     vm_directory m_directory;
     /// Cancellations. Separate from the submits: behind a full inbox they would be read seconds late.
     watch_task m_inbox_cancels;
@@ -197,9 +219,8 @@
     std::map<std::string, jobs::job_progress> m_loaded_progress;
     /// Job -> revision of its stored progress, for the scheduler's jobs; absent if no progress is stored.
     std::map<std::string, std::int64_t> m_progress_revisions;
-    std::map<std::string, jobs::job_phase> m_ended; ///< Jobs that ended and are no longer in the scheduler.
-    std::map<std::string, timestamp> m_ended_at;
-    jobs::vm_record m_vm_record; ///< VMs that may hold runs, as stored.
+    std::map<std::string, ended_job> m_ended; ///< Jobs that ended and are no longer in the scheduler.
+    jobs::vm_record m_vm_record;              ///< VMs that may hold runs, as stored.
 
     std::map<std::string, vm_renewal> m_renewals;
     std::unique_ptr<timer> m_vm_record_timer;
@@ -210,7 +231,8 @@
 
     std::vector<waiting_submit> m_submits;      ///< Waiting for the write in flight or for its retry.
     std::vector<waiting_submit> m_sent_submits; ///< Part of the write in flight.
-    std::set<std::string> m_submitting;         ///< Jobs whose record is not confirmed as stored.
+    /// Job -> its account, for jobs whose record is not confirmed as stored.
+    std::map<std::string, std::string> m_submitting;
     bool m_writing_submits = false;
     /// Job -> its queue, for jobs whose record was written at least once without an answer.
     std::map<std::string, std::string> m_unconfirmed_submits;
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -150,6 +150,7 @@
     for (const auto& [key, item] : listing) {
         apply(item);
     }
+    m_confirmed_at = std::max(m_confirmed_at, m_page_sent_at);
     if (m_on_ready) {
         std::exchange(m_on_ready, {})();
     }
@@ -200,6 +201,7 @@
         apply(item);
     }
     m_revision = std::max(m_revision, answer.revision);
+    m_confirmed_at = std::max(m_confirmed_at, m_watch_sent_at);
     // A watch without changes is answered at the end of its wait; one with changes may have been answered at
     // any time since it was sent.
     const milliseconds waited = answer.items.empty() ? m_wait : milliseconds(0);
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -35,6 +35,10 @@
     /// from when a call was sent, not from when its answer was read: on a busy node answers stay unread for a
     /// while.
     [[nodiscard]] timestamp complete_until() const noexcept { return m_complete_until; }
+    /// When the latest call that the store answered was sent; the copy holds every change up to then. Unlike
+    /// complete_until(), this does not rely on a watch to report changes until the end of its wait: a store
+    /// that compacts its history reports none for a while.
+    [[nodiscard]] timestamp confirmed_at() const noexcept { return m_confirmed_at; }
     [[nodiscard]] const std::map<std::string, platform::store_item>& items() const noexcept {
         return m_items;
     }
@@ -75,6 +79,7 @@
     timestamp m_page_sent_at{0};  ///< When the first page of the listing was requested.
     timestamp m_watch_sent_at{0}; ///< When the latest watch was sent.
     timestamp m_complete_until{0};
+    timestamp m_confirmed_at{0};
     std::optional<std::uint64_t> m_pending_watch; ///< The watch call that waits for a change.
     std::unique_ptr<timer> m_retry_timer;
     std::function<void()> m_retry_action;
--- a/tests/doors/malformed_input_test.cpp
+++ b/tests/doors/malformed_input_test.cpp
@@ -248,17 +248,27 @@
     const std::string configuration =
         R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","max_attempts":3,
         "stretch_factor":2.2,"target_latency_ms":2500,"advice":{"decision_ms":5}}],"services":[{"name":"s"}],
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"weight":9,"max_count":{"cpu":8000,"mem_mb":512,"gpu":0}}],
         "limits":{"max_body_bytes":262144}})";
     const std::string vm =
         R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","state":"ready","machine":"m","capacity":
         {"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113})";
     const std::string wave = R"({"wave":1,"machines":["m-1","m-2"],"duration_s":20,"max_count":1})";
     for (int i = 0; i < mutation_count; ++i) {
-        if (const auto read = platform::decode_configuration(mutate(configuration, random))) {
+        findings configuration_problems;
+        if (const auto read =
+                platform::decode_configuration(mutate(configuration, random), configuration_problems)) {
             for (const jobs::queue_settings& queue : read->queues) {
                 REQUIRE(queue.max_attempts >= 1);
                 REQUIRE(queue.stretch_factor >= 1);
             }
+            for (const jobs::client_account& account : read->accounts.all()) {
+                REQUIRE(!account.name.empty());
+                REQUIRE(account.weight >= 0);
+                REQUIRE(account.limit.cpu_millicores > 0);
+                REQUIRE(account.limit.memory_mb > 0);
+                REQUIRE(account.limit.accelerators > 0);
+            }
         }
         findings problems;
         if (const auto read = platform::decode_vm("servers/i-1", mutate(vm, random), problems)) {
--- a/tests/fakes/platform_store.cpp
+++ b/tests/fakes/platform_store.cpp
@@ -67,6 +67,18 @@
     request->reply(code, headers, boost::json::serialize(body));
 }
 
+std::uint16_t platform_store::open_second_port() {
+    m_second_server =
+        std::make_unique<http_server>(m_loop, http_server_limits{}, [this](const request_handle& request) {
+            if (m_second_port_busy) {
+                reply(request, 503, {});
+            } else {
+                handle_request(request);
+            }
+        });
+    return m_second_server->listen({"127.0.0.1", 0}) ? m_second_server->port() : 0;
+}
+
 std::size_t platform_store::call_count(const std::string& path) const {
     const auto found = m_calls.find(path);
     return found == m_calls.end() ? 0 : found->second;
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -21,6 +21,12 @@
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
 
+    /// Opens another listener, for callers that the store can turn away while it serves the others. Returns
+    /// its port; 0 if it can't listen.
+    [[nodiscard]] std::uint16_t open_second_port();
+    /// While set, refuses every call to the second port with 503.
+    void set_second_port_busy(bool busy) { m_second_port_busy = busy; }
+
     /// Writes an item, like an operator or a VM. `lease` 0: no lease.
     void put(const std::string& key, const std::string& value, std::int64_t lease = 0);
     void remove(const std::string& key);
@@ -102,6 +108,8 @@
 
     event_loop& m_loop;
     http_server m_server;
+    std::unique_ptr<http_server> m_second_server;
+    bool m_second_port_busy = false;
     std::unique_ptr<timer> m_timer;
     std::map<std::string, item, std::less<>> m_items;
     std::vector<event> m_events;
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -64,7 +64,10 @@
     /// Writes a configuration as the operator does.
     void configure(const std::string& text) { store.put(std::string(platform::configuration_key), text); }
 
-    void start_node(const std::string& id) {
+    /// `adapt`: changes the node's settings.
+    void start_node(
+        const std::string& id,
+        const std::function<void(node::node_settings&)>& adapt = [](node::node_settings&) {}) {
         running_node item;
         item.settings = std::make_unique<node::node_settings>();
         node::node_settings& settings = *item.settings;
@@ -82,6 +85,7 @@
         settings.ended_job_retention = 120s;
         settings.maintenance_time = 2s;
         settings.move_time = 1500ms;
+        adapt(settings);
         item.process = std::make_unique<node::node>(loop, settings);
         REQUIRE(item.process->listen().empty());
         item.process->start();
@@ -121,14 +125,18 @@
         return result;
     }
 
+    /// `keys`: API keys, one header for each.
     http_answer call(const std::string& node, const std::string& method, const std::string& target,
-                     const std::string& body = {}) {
+                     const std::string& body = {}, const std::vector<std::string>& keys = {}) {
         http_call request;
         request.to = nodes[node].settings->clients;
         request.method = method;
         request.target = target;
         request.headers.add("Host", "h.example");
         request.headers.add("Deadline-Ms", "3000");
+        for (const std::string& key : keys) {
+            request.headers.add("X-Api-Key", key);
+        }
         request.body = body;
         return answer_to(std::move(request));
     }
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -194,10 +194,12 @@
 }
 
 TEST_CASE("a call matches the queue with the longest prefix under its host") {
+    findings problems;
     const auto configuration = decode_configuration(
         R"({"version":3,"routes":[{"name":"a","host":"h","prefix":"/x/","service":"s"},
         {"name":"b","host":"h","prefix":"/x/y/","service":"s"},{"name":"c","host":"g","prefix":"/x/","service":"t"}],
-        "services":[{"name":"s"},{"name":"t","headroom":true}]})");
+        "services":[{"name":"s"},{"name":"t","headroom":true}]})",
+        problems);
     REQUIRE(configuration.has_value());
     CHECK(configuration->match_queue("h", "/x/y/1")->name == "b");
     CHECK(configuration->match_queue("h", "/x/z")->name == "a");
@@ -217,7 +219,9 @@
           R"({"version":3,"routes":[7]})", R"({"version":3,"routes":[],"services":"s"})",
           R"({"version":3,"routes":[],"services":["s"]})"}) {
         INFO(text);
-        CHECK_FALSE(decode_configuration(text).has_value());
+        findings problems;
+        CHECK_FALSE(decode_configuration(text, problems).has_value());
+        CHECK_FALSE(problems.empty());
     }
     for (const std::string text :
          {"", "[]", "{", R"({"machines":["m"],"duration_s":2})",
@@ -232,12 +236,12 @@
 }
 
 TEST_CASE("numbers out of bounds are clamped and don't wrap around") {
+    findings problems;
     const auto configuration = decode_configuration(
-        R"({"version":3,"routes":[{"name":"a","max_attempts":4294967296,"priority":4294967297}]})");
+        R"({"version":3,"routes":[{"name":"a","max_attempts":4294967296,"priority":4294967297}]})", problems);
     REQUIRE(configuration.has_value());
     CHECK(configuration->queues[0].max_attempts >= 1);
     CHECK(configuration->queues[0].priority > 1);
-    findings problems;
     const jobs::job_spec spec = decode_job(
         R"({"phases":[{"count":1,"max_per_server":4294967296,"may_miss":4294967296}]})", "i", "q", problems);
     CHECK(spec.steps[0].max_per_vm > 0);
@@ -285,7 +289,9 @@
     configuration.queues[0].advice = jobs::advice_settings{20ms, 2ms, 5s};
     configuration.pools = {{"p", false}, {"spare", true}};
     configuration.max_body_bytes = 1024;
-    const auto decoded_configuration = decode_configuration(encode_configuration(configuration));
+    findings problems;
+    const auto decoded_configuration = decode_configuration(encode_configuration(configuration), problems);
+    CHECK(problems.empty());
     REQUIRE(decoded_configuration);
     CHECK(encode_configuration(*decoded_configuration) == encode_configuration(configuration));
     CHECK(decoded_configuration->queues[0].advice->ticket_validity == 5s);
@@ -305,7 +311,6 @@
     job.occurrences = 2;
     job.start_at_ms = 5;
     job.period_ms = 7;
-    findings problems;
     const jobs::job_spec decoded_job = decode_job(encode_job(job), "", "", problems);
     CHECK(problems.empty());
     CHECK(encode_job(decoded_job) == encode_job(job));
