Soak: client accounts with keys that come and go, limits up and down, a hot account, a second pool

Cause: nothing outside the users' bench caused a revoked key on a node that is cut off, paused or slow, or a limit that several owners share. Change: each configuration replaces a key of each of three accounts and moves their limits; a new periodic fault publishes one each 3.5 s; a quarter of the jobs go to a second pool, whose owner is another. Checked from outside: no success with a key later than 5 s after its revocation, no 401 for a key issued over 5 s before, no job shown to another account, the running sum of an account over all VMs (limits of the last 5 s, a tenth and one task more).

--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -42,8 +42,9 @@
     node_reloads,     ///< The node gets SIGHUP and reads its settings file again.
     vm_restarts,      ///< The VM ends and starts again at once.
     vm_restarts_cut,  ///< As vm_restarts, behind a link that is cut in both directions until the fault ends.
-    vm_restarts_late  ///< As vm_restarts, at the end of the fault, while answers of its previous start are
+    vm_restarts_late, ///< As vm_restarts, at the end of the fault, while answers of its previous start are
                       ///< late.
+    accounts_change   ///< A new configuration with other API keys and limits.
 };
 
 /// One fault of a plan.
@@ -96,4 +97,5 @@
     std::pair{siskinpaddle::soak::fault_kind::node_reloads, std::string_view("node-reloads")},
     std::pair{siskinpaddle::soak::fault_kind::vm_restarts, std::string_view("vm-restarts")},
     std::pair{siskinpaddle::soak::fault_kind::vm_restarts_cut, std::string_view("vm-restarts-cut")},
-    std::pair{siskinpaddle::soak::fault_kind::vm_restarts_late, std::string_view("vm-restarts-late")}};
+    std::pair{siskinpaddle::soak::fault_kind::vm_restarts_late, std::string_view("vm-restarts-late")},
+    std::pair{siskinpaddle::soak::fault_kind::accounts_change, std::string_view("accounts-change")}};
--- a/soak/invariant_checks.cpp
+++ b/soak/invariant_checks.cpp
@@ -130,6 +130,9 @@
                                const reported_count& reported, const check_bounds& bounds) {
     waiting_range result;
     for (const auto& [id, job] : jobs) {
+        if (job.in_bulk_queue) {
+            continue;
+        }
         const auto found = starts.find(id);
         const auto started = found == starts.end() ? std::nullopt : std::optional(found->second);
         result.least += must_have_waited(job, started, reported, bounds) ? 1 : 0;
--- a/soak/invariant_checks.hpp
+++ b/soak/invariant_checks.hpp
@@ -16,6 +16,8 @@
 /// What clients observed of one job.
 struct job_history {
     std::uint32_t tasks = 0;
+    std::size_t account = 0;       ///< Index of its account.
+    bool in_bulk_queue = false;    ///< It is in the other queue, of which no counts are checked.
     bool long_lived = false;       ///< Its tasks run until the job is cancelled.
     bool faulty = false;           ///< Its first task crashes each VM on which it starts.
     bool failed = false;           ///< An answer showed the job as failed.
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -33,6 +33,13 @@
 /// One job in so many has a task that crashes each VM on which it starts.
 constexpr std::uint64_t faulty_one_in = 60;
 constexpr std::uint64_t faulty_seed = 0xfa;
+/// One job in so many is in the queue of the other pool.
+constexpr std::uint64_t bulk_one_in = 4;
+constexpr std::uint64_t account_seed = 0xacc;
+/// A node that can't reach the store trusts its configuration no longer than a revoked key may be served, so
+/// it refuses no key that was issued before.
+constexpr account_bounds key_bounds{
+    .revocation = key_revocation_time, .key_lag = key_revocation_time, .limit_lag = 0ms};
 /// Longer than an owner's lease, so that a takeover of the pool occurs while most long-lived jobs are
 /// running.
 constexpr milliseconds long_lived_duration = 4s;
@@ -41,6 +48,7 @@
 constexpr int ok = 200;
 constexpr int job_unknown = 410;
 constexpr int no_such_queue = 404;
+constexpr int unauthorized = 401;
 constexpr int too_many = 429;
 constexpr int unavailable = 503;
 constexpr int internal_error = 500; ///< Leaves open whether the job is stored and whether it will run.
@@ -54,15 +62,11 @@
     spec.steps.resize(1);
     spec.steps[0].count = job.tasks;
     spec.steps[0].long_lived = job.long_lived;
-    spec.steps[0].need = {500, 64, 0};
+    spec.steps[0].need = task_need;
     spec.steps[0].estimate_ms = 500;
     return platform::encode_job(spec);
 }
 
-std::string target_of(const std::string& job) {
-    return std::string(quotes_prefix) + job;
-}
-
 /// Returns the only number in the answer to a count query.
 std::size_t parse_count(const std::string& body) {
     const boost::json::value document = boost::json::parse(body);
@@ -74,7 +78,8 @@
 load_generator::load_generator(event_loop& loop, test_cluster& cluster, std::uint64_t seed)
     : m_loop(loop), m_cluster(cluster), m_client(loop, {.max_idle_per_endpoint = 4, .max_idle_time = 60s}),
       m_timer(loop.make_timer([this] { run_iteration(); })), m_random(seed),
-      m_faulty_random(seed ^ faulty_seed), m_observed_configurations(cluster.nodes()) {}
+      m_faulty_random(seed ^ faulty_seed), m_account_random(seed ^ account_seed),
+      m_observed_configurations(cluster.nodes()) {}
 
 void load_generator::start() {
     run_iteration();
@@ -88,18 +93,37 @@
     return count;
 }
 
-void load_generator::send(std::uint32_t node, const std::string& method, const std::string& target,
-                          std::string body, std::function<void(const http_answer&)> done) {
+std::string load_generator::target_of(const std::string& job) const {
+    return std::string(m_jobs.at(job).in_bulk_queue ? bulk_prefix : quotes_prefix) + job;
+}
+
+std::string load_generator::key_of(const std::string& job) {
+    return m_cluster.accounts().valid_key(m_jobs.at(job).account);
+}
+
+void load_generator::send(std::uint32_t node, client_call request,
+                          std::function<void(const http_answer&)> done) {
     http_call call;
     call.to = m_cluster.client_endpoint(node);
-    call.method = method;
-    call.target = target;
+    call.method = std::move(request.method);
+    call.target = std::move(request.target);
     call.headers.add("Host", std::string(client_host));
     call.headers.add("Deadline-Ms", std::to_string(client_deadline.count()));
-    call.body = std::move(body);
+    if (!request.key.empty()) {
+        call.headers.add("X-Api-Key", request.key);
+    }
+    call.body = std::move(request.body);
     call.timeout = client_deadline;
-    m_client.send(std::move(call), [this, node, done = std::move(done)](const http_answer& answer) {
+    m_client.send(std::move(call), [this, node, key = std::move(request.key), sent = event_loop::now(),
+                                    done = std::move(done)](const http_answer& answer) {
         ++m_answers[answer.status == exchange_status::answered ? answer.code : 0];
+        if (!key.empty() && answer.status == exchange_status::answered) {
+            const auto problem =
+                m_cluster.accounts().check_answer(key, answer.code, sent, event_loop::now(), key_bounds);
+            if (problem) {
+                m_problems.push_back("n" + std::to_string(node + 1) + ": " + *problem);
+            }
+        }
         if (answer.status == exchange_status::answered && answer.code == internal_error) {
             m_problems.push_back("n" + std::to_string(node + 1) + " answered 500");
         }
@@ -125,6 +149,7 @@
         }
     }
     cancel_long_lived();
+    probe_access();
     // Queries one random unfinished job in each iteration, so that each job is queried repeatedly.
     std::vector<std::string> open = unfinished_jobs(m_jobs);
     if (!open.empty()) {
@@ -153,13 +178,15 @@
     job.tasks = 1 + static_cast<std::uint32_t>(m_random() % max_tasks);
     job.long_lived = long_lived;
     job.faulty = !long_lived && m_submitting && m_faulty_random() % faulty_one_in == 0;
+    job.account = m_cluster.accounts().random_account();
+    job.in_bulk_queue = !long_lived && !job.faulty && m_account_random() % bulk_one_in == 0;
     job.submitted = event_loop::now();
     submit(id.str(), 1);
 }
 
 void load_generator::submit(const std::string& id, std::uint32_t attempt) {
     m_jobs[id].submit_in_flight = true;
-    send(random_node(), "POST", target_of(id), encode_body(m_jobs[id]),
+    send(random_node(), {"POST", target_of(id), encode_body(m_jobs[id]), key_of(id)},
          [this, id, attempt](const http_answer& answer) { process_submit_answer(id, attempt, answer); });
 }
 
@@ -176,7 +203,8 @@
         }
         return;
     }
-    const bool refused = answered && (answer.code == too_many || answer.code == unavailable);
+    const bool refused =
+        answered && (answer.code == too_many || answer.code == unavailable || answer.code == unauthorized);
     // A connection that fails before a byte is sent can't have delivered the submit.
     job.may_run = job.may_run || (!refused && answer.status != exchange_status::connect_failed);
     if (!refused && attempt < max_submit_attempts) {
@@ -187,7 +215,7 @@
 void load_generator::cancel(const std::string& id) {
     m_jobs[id].cancel_sent = true;
     m_jobs[id].cancel_in_flight = true;
-    send(random_node(), "DELETE", target_of(id), {}, [this, id](const http_answer& answer) {
+    send(random_node(), {"DELETE", target_of(id), {}, key_of(id)}, [this, id](const http_answer& answer) {
         m_jobs[id].cancel_in_flight = false;
         if (answer.status == exchange_status::answered && answer.code == ok) {
             m_jobs[id].cancelled = event_loop::now();
@@ -209,7 +237,7 @@
 }
 
 void load_generator::query_job(const std::string& id) {
-    send(random_node(), "GET", target_of(id), {},
+    send(random_node(), {"GET", target_of(id), {}, key_of(id)},
          [this, id, failed = m_jobs[id].failed](const http_answer& answer) {
              process_job_answer(id, failed, answer);
          });
@@ -237,8 +265,29 @@
     job.failed = job.failed || failed;
 }
 
+/// Calls a random node with a key that was revoked, and asks for a job with another account's key.
+void load_generator::probe_access() {
+    account_script& accounts = m_cluster.accounts();
+    if (const auto revoked = accounts.revoked_key(accounts.random_account())) {
+        send(random_node(), {"GET", std::string(quotes_prefix), {}, *revoked}, [](const http_answer&) {});
+    }
+    if (m_jobs.empty()) {
+        return;
+    }
+    const auto job =
+        std::next(m_jobs.begin(), static_cast<std::ptrdiff_t>(m_account_random() % m_jobs.size()));
+    const std::size_t other = (job->second.account + 1) % account_script::accounts;
+    send(random_node(), {"GET", target_of(job->first), {}, accounts.valid_key(other)},
+         [this, id = job->first](const http_answer& answer) {
+             if (answer.status == exchange_status::answered && answer.code == ok) {
+                 m_problems.push_back("shown to another account: " + id);
+             }
+         });
+}
+
 void load_generator::query_count(std::uint32_t node) {
-    send(node, "GET", std::string(quotes_prefix), {},
+    const std::string key = m_cluster.accounts().valid_key(m_cluster.accounts().random_account());
+    send(node, {"GET", std::string(quotes_prefix), {}, key},
          [this, node, sent = event_loop::now()](const http_answer& answer) {
              if (answer.status == exchange_status::answered && answer.code == ok) {
                  m_counts.push_back({node, sent, event_loop::now(), parse_count(answer.body)});
@@ -259,7 +308,7 @@
     seen.is_probing = true;
     const bool old = seen.version == m_cluster.configuration_version() && m_random() % 2 == 0;
     const std::int64_t version = m_cluster.configuration_version() - (old ? 2 : 0);
-    send(node, "GET", test_cluster::extra_prefix(version), {},
+    send(node, {"GET", test_cluster::extra_prefix(version), {}, {}},
          [this, node, version, before = seen](const http_answer& answer) {
              process_probe_answer(node, version, before,
                                   answer.status == exchange_status::answered ? answer.code : 0);
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -49,12 +49,21 @@
     void process_job_answer(const std::string& id, bool was_shown_failed, const http_answer& answer);
     void cancel(const std::string& id);
     void cancel_long_lived();
+    void probe_access();
     void query_count(std::uint32_t node);
     void probe_configuration(std::uint32_t node);
     void process_probe_answer(std::uint32_t node, std::int64_t version, observed_configuration previous,
                               int code);
-    void send(std::uint32_t node, const std::string& method, const std::string& target, std::string body,
-              std::function<void(const http_answer&)> done);
+    /// A client's call; `key` is empty for a call without an API key.
+    struct client_call {
+        std::string method;
+        std::string target;
+        std::string body;
+        std::string key;
+    };
+    void send(std::uint32_t node, client_call call, std::function<void(const http_answer&)> done);
+    [[nodiscard]] std::string target_of(const std::string& job) const;
+    [[nodiscard]] std::string key_of(const std::string& job);
     [[nodiscard]] std::uint32_t random_node() {
         return static_cast<std::uint32_t>(m_random() % m_cluster.nodes());
     }
@@ -64,7 +73,8 @@
     http_client m_client;
     std::unique_ptr<timer> m_timer;
     std::mt19937_64 m_random;
-    std::mt19937_64 m_faulty_random; ///< Separate, so that a seed's other calls don't change.
+    std::mt19937_64 m_faulty_random;  ///< Separate, so that a seed's other calls don't change.
+    std::mt19937_64 m_account_random; ///< Likewise.
     std::map<std::string, job_history> m_jobs;
     std::vector<observed_configuration> m_observed_configurations;
     std::vector<reported_count> m_counts;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -30,7 +30,12 @@
 /// the time since an owner's last contact, plus one heartbeat interval.
 constexpr milliseconds contact_time = 3s;
 constexpr milliseconds heartbeat = 1500ms;
-constexpr capacity_bounds vm_capacity_bounds{.task_millicores = 500, .lag = contact_time + heartbeat};
+constexpr capacity_bounds vm_capacity_bounds{.task_millicores = task_need.cpu_millicores,
+                                             .lag = contact_time + heartbeat};
+/// An owner starts tasks by a limit for as long as its configuration may be in force, and a start may be in
+/// flight for 1.5 s.
+constexpr account_bounds limit_bounds{
+    .revocation = 0ms, .key_lag = 0ms, .limit_lag = configuration_time + milliseconds(2000)};
 /// Time within which each node must report a count once no job waits: the maximum age of a cached count plus
 /// the duration of about ten requests.
 constexpr milliseconds count_timeout = 8s;
@@ -45,7 +50,7 @@
 class soak_run {
   public:
     soak_run(event_loop& loop, soak_options options)
-        : m_loop(loop), m_options(std::move(options)), m_cluster(loop, m_options.cluster),
+        : m_loop(loop), m_options(std::move(options)), m_cluster(loop, m_options.cluster, m_options.seed),
           m_load_generator(loop, m_cluster, m_options.seed) {}
 
     /// Runs the plan. Returns the violations found; empty if there were none.
@@ -201,6 +206,7 @@
             add_problem(item);
         }
         check_vms();
+        check_accounts();
         const std::span<const reported_count> counts(m_load_generator.counts());
         for (const std::string& item : check_counts(m_load_generator.jobs(), m_cluster.runs(),
                                                     counts.subspan(m_checked_counts), bounds)) {
@@ -215,6 +221,18 @@
         }
     }
 
+    void check_accounts() {
+        std::map<std::string, std::size_t> account_of;
+        for (const auto& [id, job] : m_load_generator.jobs()) {
+            account_of[id] = job.account;
+        }
+        for (const std::string& item :
+             check_account_limits(m_cluster.runs(), account_of, m_cluster.accounts().limits(), limit_bounds,
+                                  event_loop::now())) {
+            add_problem(item);
+        }
+    }
+
     void check_vms() {
         for (const std::string& item : check_capacity(m_cluster.runs(), m_cluster.capacities(),
                                                       vm_capacity_bounds, event_loop::now())) {
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr std::string_view pool = "p";
+/// A second pool, so that accounts run tasks in pools with different owners. No fault concerns its VMs.
+constexpr std::string_view bulk_pool = "q";
+constexpr std::uint32_t bulk_vms = 2;
+constexpr milliseconds bulk_run_time = 600ms;
 /// The grace period in the nodes' settings, and how much later than that a process may end on a busy machine
 /// before the soak reports a problem.
 constexpr milliseconds grace = 6s;
@@ -96,8 +100,8 @@
 
 } // namespace
 
-test_cluster::test_cluster(event_loop& loop, test_cluster_settings settings)
-    : m_loop(loop), m_settings(std::move(settings)), m_store(loop) {}
+test_cluster::test_cluster(event_loop& loop, test_cluster_settings settings, std::uint64_t seed)
+    : m_loop(loop), m_settings(std::move(settings)), m_store(loop), m_accounts(seed) {}
 
 std::string test_cluster::extra_prefix(std::int64_t version) {
     return "/extra-" + std::to_string(version) + "/";
@@ -109,8 +113,8 @@
     }
     publish_configuration();
     m_store.on_change([this](const std::string& key) { record_owner(key); });
-    m_vms.resize(m_settings.vms);
-    for (std::uint32_t i = 0; i < m_settings.vms; ++i) {
+    m_vms.resize(m_settings.vms + bulk_vms);
+    for (std::uint32_t i = 0; i < m_vms.size(); ++i) {
         add_vm(i);
     }
     for (std::uint32_t i = 0; i < m_settings.nodes; ++i) {
@@ -124,12 +128,12 @@
 /// Publishes the next configuration. Each version replaces the extra queue of the previous one, so that
 /// clients can observe which version is in force.
 void test_cluster::publish_configuration() {
-    const auto queue = [](const std::string& name, const std::string& prefix) {
+    const auto queue = [](const std::string& name, const std::string& prefix, std::string_view in_pool) {
         jobs::queue_settings item;
         item.name = name;
         item.host = client_host;
         item.prefix = prefix;
-        item.pool = pool;
+        item.pool = in_pool;
         item.max_attempts = 50;
         item.stretch_factor = 20;
         item.target_latency = 20s;
@@ -137,12 +141,16 @@
     };
     jobs::fleet_configuration configuration;
     configuration.version = m_configuration_version;
-    configuration.queues = {queue("quotes", std::string(quotes_prefix)),
-                            queue("extra", extra_prefix(m_configuration_version))};
+    configuration.queues = {queue("quotes", std::string(quotes_prefix), pool),
+                            queue("bulk", std::string(bulk_prefix), bulk_pool),
+                            queue("extra", extra_prefix(m_configuration_version), pool)};
+    configuration.queues.back().is_public = true;
     // The fake VMs don't check their capacity before they start a run.
-    configuration.pools = {{std::string(pool), false, false}};
+    configuration.pools = {{std::string(pool), false, false}, {std::string(bulk_pool), false, false}};
     configuration.max_body_bytes = 65'536;
-    m_store.put(std::string(platform::configuration_key), platform::encode_configuration(configuration));
+    m_store.put(
+        std::string(platform::configuration_key),
+        platform::encode_configuration(configuration, m_accounts.publish(task_need, event_loop::now())));
 }
 
 bool test_cluster::add_node(std::uint32_t number) {
@@ -171,6 +179,9 @@
                                        {"upkeep_s", 2},
                                        {"move_s", 1.5},
                                        {"machine_orders_per_s", 64.0},
+                                       {"config_apply_ms", configuration_time.count()},
+                                       {"revoke_ms", key_revocation_time.count()},
+                                       {"strict_revoke", true},
                                        {"processor_share", 0.25}};
     std::ofstream(state->settings_file) << boost::json::serialize(document);
     start_node(*state);
@@ -198,8 +209,9 @@
     cluster_vm& state = m_vms[number];
     fakes::task_machine::settings options;
     options.name = "v" + std::to_string(number + 1);
-    options.pool = pool;
-    options.run_time = run_times.at(number % run_times.size());
+    const bool is_bulk = number >= m_settings.vms;
+    options.pool = is_bulk ? bulk_pool : pool;
+    options.run_time = is_bulk ? bulk_run_time : run_times.at(number % run_times.size());
     options.down_time = vm_down_time;
     options.clock_rate = number % 2 == 0 ? slow_clock_rate : 1;
     options.keeps_id = number % vm_id_period != 0;
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "fakes/platform_store.hpp"
 #include "fakes/task_machine.hpp"
+#include "soak/account_script.hpp"
 #include "soak/child_process.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/fault_proxy.hpp"
@@ -17,6 +18,13 @@
 /// Host and path prefix of the queue that exists in every configuration version.
 inline constexpr std::string_view client_host = "h.example";
 inline constexpr std::string_view quotes_prefix = "/quotes/";
+/// Path prefix of a queue whose jobs run in another pool.
+inline constexpr std::string_view bulk_prefix = "/bulk/";
+/// What each task needs.
+inline constexpr jobs::resources task_need{500, 64, 0};
+/// Time within which a revoked API key must be refused, in the nodes' settings.
+inline constexpr milliseconds key_revocation_time = 5s;
+inline constexpr milliseconds configuration_time = 3s;
 
 struct test_cluster_settings {
     std::string program; ///< The node program.
@@ -30,7 +38,7 @@
 /// thread-safe.
 class test_cluster {
   public:
-    test_cluster(event_loop& loop, test_cluster_settings settings);
+    test_cluster(event_loop& loop, test_cluster_settings settings, std::uint64_t seed);
 
     /// Starts the store, the VMs and the nodes. Returns false if the store or a node can't be started.
     [[nodiscard]] bool start();
@@ -51,6 +59,9 @@
     [[nodiscard]] std::uint32_t nodes() const noexcept { return m_settings.nodes; }
     /// Version of the newest configuration.
     [[nodiscard]] std::int64_t configuration_version() const noexcept { return m_configuration_version; }
+    /// The accounts of the published configurations.
+    [[nodiscard]] account_script& accounts() noexcept { return m_accounts; }
+    [[nodiscard]] const account_script& accounts() const noexcept { return m_accounts; }
     /// Path prefix of the queue that exists only in this configuration version.
     [[nodiscard]] static std::string extra_prefix(std::int64_t version);
 
@@ -119,6 +130,7 @@
     event_loop& m_loop;
     test_cluster_settings m_settings;
     fakes::platform_store m_store;
+    account_script m_accounts;
     std::vector<std::unique_ptr<cluster_node>> m_nodes;
     std::vector<cluster_vm> m_vms;
     std::map<std::int64_t, const cluster_node*> m_owners; ///< Owners of the pool by fencing token.
