Suspected tasks: as many jobs start together as stay far below a mass loss

Cause: tasks that crashed VMs left a hundred and more sound tasks suspected in a pool of 350 VMs; suspected tasks of different jobs started one each 120 ms whatever the size of the pool, so 325 jobs became 121 in 25 s with half of the pool idle, and 79 tasks still waited at the end (LOST). The interval keeps the crashes of suspects from looking like a mass loss, which in a large pool takes a quarter of it. Change: within 120 ms, half as many jobs as make a mass loss; one in pools of up to 15 VMs, as before.

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -346,8 +346,8 @@
     std::map<std::string, std::string> m_unresponsive_vms;
     /// VMs of the previous owner that crashed before they reported.
     std::vector<std::string> m_ended_unconfirmed_vms;
-    std::string m_last_suspect_job;         ///< Job of the suspected task that was started last.
-    timestamp m_last_suspect_started_at{0}; ///< When the last suspected task was started.
+    /// Job -> when a suspected task of it was last started; recent ones only.
+    std::map<std::string, timestamp> m_suspect_starts;
     bool m_has_suspect_marks = false;       ///< VMs are marked as running suspected tasks.
     bool m_isolation_lacks_vm = false;      ///< A task to be isolated finds no VM without long-lived tasks.
     start_window m_start_window;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -355,8 +355,7 @@
     }
     if (suspicion_of(job.task(id).crashes) >= suspicion::suspected) {
         vm->suspect_jobs.insert(id.job);
-        m_last_suspect_job = id.job;
-        m_last_suspect_started_at = now;
+        m_suspect_starts[id.job] = now;
     }
     run item;
     item.attempt = attempt;
--- a/jobs/scheduler_suspects.cpp
+++ b/jobs/scheduler_suspects.cpp
@@ -15,8 +15,8 @@
 /// Runs on a VM that has been unresponsive for this long are recorded in the store, so that the record
 /// survives the owner.
 constexpr milliseconds unresponsive_record_delay = 250ms;
-/// Interval between starts of suspected tasks of different jobs, so that the crashes that they cause don't
-/// look like a mass loss.
+/// Within this interval, suspected tasks of few different jobs are started, so that the crashes that they
+/// cause don't look like a mass loss.
 constexpr milliseconds suspect_start_interval = 120ms;
 /// At most one in this many usable VMs may be reserved for isolated tasks at a time.
 constexpr std::size_t isolated_vm_divisor = 4;
@@ -309,7 +309,10 @@
     if (level < suspicion::suspected) {
         return choose_vm(m_vms, job, id, m_settings.placement, advice, preferred_rack, now);
     }
-    if (m_last_suspect_job != id.job && now - m_last_suspect_started_at < suspect_start_interval) {
+    std::erase_if(m_suspect_starts,
+                  [&](const auto& item) { return now - item.second >= suspect_start_interval; });
+    if (!m_suspect_starts.contains(id.job) &&
+        m_suspect_starts.size() >= max_suspect_jobs_together(usable_vm_count())) {
         return nullptr;
     }
     // Members of a gang run on several VMs at a time: they are kept apart, not isolated.
--- a/jobs/suspicion.cpp
+++ b/jobs/suspicion.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds simultaneous_within = 60ms;
 constexpr std::size_t min_mass_loss = 3;
 constexpr std::size_t mass_loss_divisor = 4; ///< One in this many VMs of the pool.
+/// Suspected tasks that start together could crash this share of a mass loss.
+constexpr std::size_t mass_loss_margin = 2;
 /// Ends older than this can't coincide with a later end.
 constexpr milliseconds end_retention = 20s;
 
@@ -132,6 +134,11 @@
     return simultaneous >= min_mass_loss && simultaneous * mass_loss_divisor >= pool_vms;
 }
 
+std::size_t max_suspect_jobs_together(std::size_t pool_vms) noexcept {
+    const std::size_t mass_loss = std::max(min_mass_loss, pool_vms / mass_loss_divisor);
+    return std::max<std::size_t>(1, mass_loss / mass_loss_margin);
+}
+
 std::size_t max_vms_at_risk(std::size_t usable_vms) noexcept {
     return std::max(min_vms_at_risk, usable_vms / at_risk_divisor);
 }
--- a/jobs/suspicion.hpp
+++ b/jobs/suspicion.hpp
@@ -104,6 +104,10 @@
 /// Whether this many simultaneous ends are a mass loss in a pool of `pool_vms`. Pure; thread-safe.
 [[nodiscard]] bool is_mass_loss(std::size_t simultaneous, std::size_t pool_vms) noexcept;
 
+/// Maximum number of jobs whose suspected tasks may start at about the same time in a pool of `pool_vms`: far
+/// fewer than the simultaneous crashes that would look like a mass loss. Pure; thread-safe.
+[[nodiscard]] std::size_t max_suspect_jobs_together(std::size_t pool_vms) noexcept;
+
 /// Maximum number of VMs of a pool that suspected tasks may run on at a time, so that they can't crash the
 /// whole pool. Pure; thread-safe.
 [[nodiscard]] std::size_t max_vms_at_risk(std::size_t usable_vms) noexcept;
--- a/tests/jobs/faulty_tasks_test.cpp
+++ b/tests/jobs/faulty_tasks_test.cpp
@@ -316,3 +316,25 @@
         CHECK(result.suspects_left == 0);
     }
 }
+
+// Guards against sound jobs of a large pool that wait for half a minute, with VMs idle, after tasks of other
+// jobs have crashed VMs under them.
+TEST_CASE("in a large pool many suspected jobs are cleared within seconds") {
+    constexpr int jobs = 120;
+    constexpr int vms = 48;
+    scheduler_fixture pool;
+    for (int i = 0; i < vms; ++i) {
+        pool.add_vm("v" + std::to_string(i));
+    }
+    job_progress progress;
+    progress.done = "0";
+    progress.crashes[0] = {{"gone", evidence_kind::shared, end_certainty::ended, 500}};
+    for (int i = 0; i < jobs; ++i) {
+        pool.pool().restore_job(pool.record("j" + std::to_string(i), {pool.step(1)}), progress, pool.now());
+    }
+    std::size_t started = 0;
+    for (const timestamp until = pool.now() + 3s; pool.now() < until; pool.advance_clock(20ms)) {
+        started += pool.start_all().size();
+    }
+    CHECK(started == jobs);
+}
--- a/tests/jobs/suspicion_test.cpp
+++ b/tests/jobs/suspicion_test.cpp
@@ -195,3 +195,16 @@
     CHECK(suspicion_of(job.task(task_of("j")).crashes) == suspicion::isolated);
     CHECK(job.progress().crashes == held.crashes);
 }
+
+TEST_CASE("as many suspected jobs start together as stay far below a mass loss") {
+    struct together_case {
+        std::size_t pool_vms;
+        std::size_t jobs;
+    };
+    for (const together_case& item : {together_case{0, 1}, together_case{2, 1}, together_case{12, 1},
+                                      together_case{16, 2}, together_case{48, 6}, together_case{200, 25}}) {
+        INFO(item.pool_vms);
+        CHECK(max_suspect_jobs_together(item.pool_vms) == item.jobs);
+        CHECK_FALSE(is_mass_loss(max_suspect_jobs_together(item.pool_vms), item.pool_vms));
+    }
+}
