Admission and need leave out tasks that a previous owner may have started

Cause: after all nodes were killed beside a rack that did not answer, a new owner waits 10.7 s before it starts a task again that may run there. Change: only startable tasks count; what becomes startable later is late by then and counts as late work. Load pattern: a takeover beside VMs that do not answer.

--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -100,6 +100,19 @@
     });
 }
 
+std::uint32_t job_state::startable_tasks(step_position position) const {
+    const step_spec& step = m_spec.steps[position.step];
+    if (!m_may_have_unknown_runs || step.speculative) {
+        return idle_tasks(position);
+    }
+    std::uint32_t count = 0;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const task_state& item = task(id_of(position, index));
+        count += !item.done && item.runs.empty() && !item.may_have_unknown_run ? 1 : 0;
+    }
+    return count;
+}
+
 run& job_state::add_run(const task_id& id, run item) {
     task_state& state = task(id);
     if (state.runs.empty() && !state.done) {
@@ -171,6 +184,7 @@
 
 void job_state::restore(const job_progress& progress) {
     m_phase = progress.phase;
+    m_may_have_unknown_runs = true;
     for_each_step([&](step_position position) {
         for (std::uint32_t index = 0; index < m_spec.steps[position.step].count; ++index) {
             restore_task(id_of(position, index), progress);
@@ -199,6 +213,7 @@
 }
 
 void job_state::clear_unknown_runs() {
+    m_may_have_unknown_runs = false;
     for (task_state& item : m_tasks) {
         item.may_have_unknown_run = false;
     }
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -144,6 +144,8 @@
     [[nodiscard]] bool dependencies_done(step_position position) const;
     /// Number of tasks of the step that are neither done nor have a run.
     [[nodiscard]] std::uint32_t idle_tasks(step_position position) const { return counts(position).idle; }
+    /// The idle tasks of the step that may be started: not those that a previous owner may have started.
+    [[nodiscard]] std::uint32_t startable_tasks(step_position position) const;
     [[nodiscard]] std::uint32_t unfinished_tasks(step_position position) const {
         return counts(position).unfinished;
     }
@@ -235,6 +237,7 @@
     bool m_begun = false;
     std::int64_t m_critical_path_ms = 0;
     bool m_requires_label = false;
+    bool m_may_have_unknown_runs = false; ///< Tasks may be marked with may_have_unknown_run.
 };
 
 /// Maximum number of tasks of a job over all occurrences; a larger job is refused. Derived from the store's
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -13,18 +13,10 @@
 /// detected elsewhere.
 constexpr double max_shrink_factor = 4;
 
-/// Counts the tasks of the step that could start now if there were capacity for them. Tasks that a previous
-/// owner may have started are not counted.
+/// Counts the tasks of the step that could start now if there were capacity for them.
 std::uint64_t count_waiting_tasks(const job_state& job, step_position position) {
-    if (job.idle_tasks(position) == 0 || !job.dependencies_done(position)) {
-        return 0;
-    }
-    std::uint64_t count = 0;
-    for (std::uint32_t index = 0; index < job.spec().steps[position.step].count; ++index) {
-        const task_state& task = job.task(job.id_of(position, index));
-        count += !task.done && task.runs.empty() && !task.may_have_unknown_run ? 1 : 0;
-    }
-    return count;
+    const bool is_ready = job.idle_tasks(position) > 0 && job.dependencies_done(position);
+    return is_ready ? job.startable_tasks(position) : 0;
 }
 
 } // namespace
--- a/jobs/work_gauge.cpp
+++ b/jobs/work_gauge.cpp
@@ -74,8 +74,8 @@
         if (job.idle_tasks(position) == 0) {
             return;
         }
-        const std::int64_t work =
-            estimate_work(job.spec().steps[position.step], job.idle_tasks(position), job.spec().queue, gauge);
+        const std::int64_t work = estimate_work(job.spec().steps[position.step],
+                                                job.startable_tasks(position), job.spec().queue, gauge);
         result.all += work;
         result.runnable += job.dependencies_done(position) ? work : 0;
     });
--- a/jobs/work_gauge.hpp
+++ b/jobs/work_gauge.hpp
@@ -52,7 +52,9 @@
     std::int64_t all = 0;
     std::int64_t runnable = 0; ///< The part whose earlier steps are done.
 };
-/// Waiting work of one occurrence of the job.
+/// Waiting work of one occurrence of the job. Tasks that a previous owner may have started are not counted:
+/// they can't be started until the VMs that may run them have responded or their leases have expired, and by
+/// then they are late. Counted, they would keep new jobs out of a pool with free VMs for that long.
 [[nodiscard]] waiting_work estimate_waiting_work(const job_state& job, std::uint32_t occurrence,
                                                  const work_gauge& gauge);
 
