--- a/jobs/account_ledger.hpp
+++ b/jobs/account_ledger.hpp
@@ -51,7 +51,7 @@
     /// own.
     void set_limited(std::set<std::string> accounts) { m_limited = std::move(accounts); }
     [[nodiscard]] bool is_limited(const std::string& account) const { return m_limited.contains(account); }
-    [[nodiscard]] std::size_t limited_count() const noexcept { return m_limited.size(); }
+    [[nodiscard]] const std::set<std::string>& limited() const noexcept { return m_limited; }
     /// The account's ceiling, or unlimited_resources.
     [[nodiscard]] resources ceiling(const std::string& account) const;
 
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -348,8 +348,8 @@
     std::vector<std::string> m_ended_unconfirmed_vms;
     /// Job -> when a suspected task of it was last started; recent ones only.
     std::map<std::string, timestamp> m_suspect_starts;
-    bool m_has_suspect_marks = false;       ///< VMs are marked as running suspected tasks.
-    bool m_isolation_lacks_vm = false;      ///< A task to be isolated finds no VM without long-lived tasks.
+    bool m_has_suspect_marks = false;  ///< VMs are marked as running suspected tasks.
+    bool m_isolation_lacks_vm = false; ///< A task to be isolated finds no VM without long-lived tasks.
     start_window m_start_window;
     /// Set while starts are held back; as of the last decision.
     std::optional<std::int64_t> m_sustained_millicores;
--- a/node/allowance_task.cpp
+++ b/node/allowance_task.cpp
@@ -110,6 +110,19 @@
     });
 }
 
+void allowance_task::log_stored(const jobs::allowance_write& item) const {
+    const jobs::resources allowance = item.wanted.of_pool(m_pool);
+    const jobs::resources total = item.wanted.total();
+    log_event(event_id::allowance_stored, {{"pool", m_pool},
+                                           {"account", item.account},
+                                           {"cpu", allowance.cpu_millicores},
+                                           {"cpu_of_all_pools", total.cpu_millicores},
+                                           {"cpu_limit", item.wanted.limit.cpu_millicores},
+                                           {"memory_mb", allowance.memory_mb},
+                                           {"memory_mb_of_all_pools", total.memory_mb},
+                                           {"memory_mb_limit", item.wanted.limit.memory_mb}});
+}
+
 void allowance_task::on_written(const std::vector<jobs::allowance_write>& writes, std::int64_t token,
                                 const platform::store_answer& answer) {
     for (const jobs::allowance_write& item : writes) {
@@ -118,6 +131,7 @@
         switch (answer.status) {
         case platform::store_status::ok:
             m_allowances.write_succeeded(item.account, answer.revision);
+            log_stored(item);
             break;
         case platform::store_status::conflict:
             m_allowances.write_conflicted(item.account,
--- a/node/allowance_task.hpp
+++ b/node/allowance_task.hpp
@@ -38,6 +38,7 @@
     void write(const std::vector<jobs::allowance_write>& writes);
     void on_written(const std::vector<jobs::allowance_write>& writes, std::int64_t token,
                     const platform::store_answer& answer);
+    void log_stored(const jobs::allowance_write& item) const;
     void refresh_if_limited(timestamp now);
 
     platform::store_client& m_store;
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds previous_owner_head_start = 500ms;
 
 constexpr milliseconds watch_wait = 5s;
+/// A node that has had no answer of the store for this long claims no duty that is handed over to it.
+constexpr milliseconds max_silence_to_claim = 200ms;
 
 std::string generate_incarnation() {
     std::random_device source;
@@ -254,6 +256,36 @@
     return delay;
 }
 
+/// Nodes with a lower rank claim the duty first. `duties`: number of duties that the node already has.
+std::pair<double, std::uint64_t> membership_task::claim_rank(const std::string& duty, const node_record& node,
+                                                             std::size_t duties) const {
+    const double load = static_cast<double>(duties + 1) / node.processor_share;
+    return {load, hash64(duty + "/" + node.id)};
+}
+
+std::vector<node_record> membership_task::successors(const std::string& duty) const {
+    std::map<std::string, std::size_t> duties;
+    for (const auto& [name, alive] : m_liveness_keys) {
+        ++duties[alive.value];
+    }
+    std::vector<node_record> others;
+    for (const auto& [id, node] : m_nodes) {
+        if (id != m_self.id) {
+            others.push_back(node);
+        }
+    }
+    std::ranges::sort(others, {}, [&](const node_record& node) {
+        const auto held = duties.find(node.id);
+        return claim_rank(duty, node, held == duties.end() ? 0 : held->second);
+    });
+    return others;
+}
+
+std::int64_t membership_task::token_of(const std::string& duty) const {
+    const auto found = m_owned.find(duty);
+    return found == m_owned.end() ? 0 : found->second.item.token;
+}
+
 /// Returns how many nodes precede this node in the claim order of a duty. The node whose load would be lowest
 /// comes first, so that duties are distributed by the nodes' processor shares; a hash breaks ties. Duties
 /// that are vacant at the same time are assigned one after the other, else one node could be the first choice
@@ -264,10 +296,7 @@
         ++duties[alive.value];
     }
     for (const std::string& vacant : m_duties) {
-        const auto rank = [&](const node_record& node) {
-            const auto load = static_cast<double>(duties[node.id] + 1) / node.processor_share;
-            return std::pair{load, hash64(vacant + "/" + node.id)};
-        };
+        const auto rank = [&](const node_record& node) { return claim_rank(vacant, node, duties[node.id]); };
         if (vacant == duty) {
             const auto own = rank(m_self);
             return static_cast<std::size_t>(
@@ -282,10 +311,52 @@
     return m_nodes.size();
 }
 
+bool membership_task::can_claim() const {
+    return m_claiming_enabled && m_listed && m_lease != 0 && m_registered_at != timestamp(0);
+}
+
+void membership_task::accept_handover(const std::string& duty, std::int64_t token,
+                                      std::function<void(bool)> done) {
+    const timestamp now = event_loop::now();
+    const bool is_current = m_owner_revisions[duty] == token && !m_pending_claims.contains(duty);
+    if (!can_claim() || !is_current || m_store.unresponsive_for(now) >= max_silence_to_claim) {
+        done(false);
+        return;
+    }
+    // In an outage that has just begun this node may not have noticed it yet: a claim that is sent then could
+    // be carried out seconds later.
+    m_handovers[duty] = std::move(done);
+    m_store.get(owner_prefix + duty, [this, duty, token,
+                                      alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+        if (alive.expired()) {
+            return;
+        }
+        const bool is_unchanged = revision_of(answer, owner_prefix + duty) == token;
+        if (answer.status == platform::store_status::ok && is_unchanged && !m_pending_claims.contains(duty)) {
+            claim(duty);
+        } else {
+            finish_handover(duty, false);
+        }
+    });
+}
+
+void membership_task::finish_handover(const std::string& duty, bool claimed) {
+    const auto waiting = m_handovers.extract(duty);
+    if (!waiting.empty()) {
+        waiting.mapped()(claimed);
+    }
+}
+
+void membership_task::surrender(const std::string& duty) {
+    if (m_owned.erase(duty) > 0) {
+        m_handlers.lost(duty);
+    }
+}
+
 void membership_task::claim_vacant_duties() {
     m_claim_timer->start(claim_interval);
     const timestamp now = event_loop::now();
-    const bool ready = m_claiming_enabled && m_listed && m_lease != 0 && m_registered_at != timestamp(0);
+    const bool ready = can_claim();
     const bool startup_delay_passed = now - m_started_at >= startup_claim_delay;
     for (const std::string& duty : m_duties) {
         const auto alive = m_liveness_keys.find(duty);
@@ -340,6 +411,7 @@
                                           const platform::store_answer& answer) {
     m_pending_claims.erase(duty);
     m_vacant_since.erase(duty);
+    finish_handover(duty, answer.status == platform::store_status::ok);
     if (answer.status == platform::store_status::no_lease) {
         m_lease = 0;
         m_renew_timer->start(milliseconds(0));
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -69,6 +69,15 @@
     void set_duties(std::set<std::string> duties);
     /// Releases one duty at once, so that another node can claim it.
     void release(const std::string& duty);
+    /// Claims a duty whose owner, under this fencing token, can't reach the store. Has no effect if this node
+    /// doesn't reach it either, or knows a newer owner. Calls `done` once, with whether the claim succeeded.
+    void accept_handover(const std::string& duty, std::int64_t token, std::function<void(bool)> done);
+    /// Ends this node's ownership of a duty that another node has claimed.
+    void surrender(const std::string& duty);
+    /// The other nodes, in the order in which they would claim the duty.
+    [[nodiscard]] std::vector<node_record> successors(const std::string& duty) const;
+    /// The fencing token under which this node owns the duty; 0 if it doesn't.
+    [[nodiscard]] std::int64_t token_of(const std::string& duty) const;
     /// Stops claiming duties and removes the node's registration, so that other nodes no longer count this
     /// node as a candidate.
     void stop_claiming();
@@ -105,6 +114,10 @@
     void apply_change(const platform::store_item& item);
     void apply_owner(const std::string& duty, const platform::store_item& item);
     void claim_vacant_duties();
+    [[nodiscard]] bool can_claim() const;
+    void finish_handover(const std::string& duty, bool claimed);
+    [[nodiscard]] std::pair<double, std::uint64_t>
+    claim_rank(const std::string& duty, const node_record& node, std::size_t duties) const;
     [[nodiscard]] milliseconds claim_delay(const std::string& duty) const;
     [[nodiscard]] std::size_t claim_position(const std::string& duty) const;
     void claim(const std::string& duty);
@@ -135,6 +148,8 @@
     std::map<std::string, owned_duty> m_owned;
     std::set<std::string> m_duties;
     std::set<std::string> m_pending_claims; ///< Claims in flight.
+    std::map<std::string, std::function<void(bool)>>
+        m_handovers; ///< Duty -> who waits for this node's claim.
     bool m_claiming_enabled = true;
     bool m_renewal_failed = false;
     bool m_listed = false;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "node/guaranteed_reply.hpp"
 #include "node/keys.hpp"
+#include "node/store_health.hpp"
 
 #include <algorithm>
 
@@ -20,6 +21,10 @@
 /// zone that is cut off return to its nodes until their deadlines have passed.
 constexpr milliseconds store_reach_timeout = 1s;
 constexpr milliseconds peer_timeout = 800ms;
+/// A successor answers after two calls to the store. Short, so that several can be asked within the lease.
+constexpr milliseconds handover_timeout = 300ms;
+/// Most nodes that are asked to take over a pool during one failure of the store.
+constexpr std::size_t max_handover_attempts = 8;
 /// After SIGTERM the platform stops sending requests after two failed readiness checks, one a second.
 constexpr milliseconds shed_duration = 2500ms;
 /// The process ends all open requests this long before the end of the grace period.
@@ -168,6 +173,59 @@
     }
 }
 
+// --- Handover ---
+
+/// Asks other nodes to claim this node's pools while the store answers none of its calls. Without this, a
+/// pool whose owner the store turns away, or that is cut off from the store, stands still until the owner's
+/// lease has expired: two seconds in which no end is stored and no VM is added.
+void node::hand_over_pools(timestamp now) {
+    if (m_stopping || !store_is_failing(m_store, now)) {
+        m_handovers.clear();
+        return;
+    }
+    for (const auto& [duty, task] : m_pools) {
+        if (!m_handovers.contains(duty)) {
+            hand_over(duty, 0);
+        }
+    }
+}
+
+/// Asks one node after the other, beginning with the successor number `attempt`.
+void node::hand_over(const std::string& duty, std::size_t attempt) {
+    const std::vector<node_record> successors = m_membership.successors(duty);
+    m_handovers.insert(duty);
+    if (attempt >= std::min(max_handover_attempts, successors.size()) || !m_membership.owns(duty)) {
+        return;
+    }
+    const node_record& successor = successors[attempt];
+    peer_request request;
+    request.kind = static_cast<std::uint8_t>(peer_request_kind::handover);
+    request.pool = duty.substr(pool_duty("").size());
+    request.configuration_version = m_configuration.current().version;
+    request.token = m_membership.token_of(duty);
+    m_peers.call({successor.address, successor.port}, request, handover_timeout,
+                 [this, duty, attempt, token = request.token, to = successor.id,
+                  alive = m_lifetime.weak_token()](const peer_answer& answer) {
+                     if (alive.expired() || m_membership.token_of(duty) != token) {
+                         return;
+                     }
+                     log_event(event_id::duty_handover,
+                               {{"duty", duty}, {"to", to}, {"outcome", name_of(outcome_of(answer))}});
+                     if (outcome_of(answer) == peer_outcome::ok) {
+                         m_membership.surrender(duty);
+                     } else if (m_handovers.contains(duty)) {
+                         hand_over(duty, attempt + 1);
+                     }
+                 });
+}
+
+void node::accept_handover(const peer_request& request, peer_server::reply done) {
+    m_membership.accept_handover(
+        pool_duty(request.pool), request.token, [done = std::move(done)](bool claimed) {
+            done(make_answer(claimed ? peer_outcome::ok : peer_outcome::unavailable));
+        });
+}
+
 // --- Requests ---
 
 bool node::handle_local(const peer_request& request, const peer_server::reply& done) {
@@ -226,6 +284,10 @@
         answer.store_age_ms = (event_loop::now() - m_membership.renewed_at()).count();
         done(answer);
     };
+    if (static_cast<peer_request_kind>(request.kind) == peer_request_kind::handover) {
+        accept_handover(request, guaranteed_reply::make(with_version, m_lifetime.weak_token()));
+        return;
+    }
     if (!handle_local(request, with_version)) {
         with_version(make_answer(peer_outcome::not_owner));
     }
@@ -267,6 +329,7 @@
     for (const auto& [duty, task] : m_pools) {
         task->answer_stalled_submits();
     }
+    hand_over_pools(now);
     const bool is_ready = ready();
     m_ingress.set_connection_shedding(!is_ready);
     if (is_ready != m_was_ready) {
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -33,6 +33,9 @@
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
     void handle_store_recovery();
+    void hand_over_pools(timestamp now);
+    void hand_over(const std::string& duty, std::size_t attempt);
+    void accept_handover(const peer_request& request, peer_server::reply done);
     [[nodiscard]] peer_outcome check_key(peer_request& request) const;
     void set_account_metrics(const pool_task& task);
     bool handle_local(const peer_request& request, const peer_server::reply& done);
@@ -57,6 +60,7 @@
     membership_task m_membership;
     std::map<std::string, std::unique_ptr<pool_task>> m_pools;
     std::unique_ptr<fleet_task> m_fleet;
+    std::set<std::string> m_handovers; ///< Duties handed over since the store was last reached.
     ingress_task m_ingress;
     peer_server m_peer_server;
     http_server m_readiness;
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -10,12 +10,13 @@
 
 /// Kind of a request from one node to another.
 enum class peer_request_kind : std::uint8_t {
-    submit,         ///< Accept a job.
-    status,         ///< Return a job's phase.
-    cancel,         ///< Cancel a job.
-    count,          ///< Return how many jobs of a queue have not started.
-    demand_query,   ///< Keep the listed VMs empty; return the pool's demand and its VMs.
-    admission_query ///< Return whether a submit of the job would be accepted; `spec` has no payload.
+    submit,          ///< Accept a job.
+    status,          ///< Return a job's phase.
+    cancel,          ///< Cancel a job.
+    count,           ///< Return how many jobs of a queue have not started.
+    demand_query,    ///< Keep the listed VMs empty; return the pool's demand and its VMs.
+    admission_query, ///< Return whether a submit of the job would be accepted; `spec` has no payload.
+    handover         ///< Claim the pool: its owner can't reach the store and stops acting once it is claimed.
 };
 
 /// Outcome of a request to a peer.
@@ -52,6 +53,7 @@
     /// Digest of an API key that the sender can't check, because its configuration may be outdated. The
     /// receiver checks it.
     std::vector<std::uint8_t> unchecked_key;
+    std::int64_t token = 0; ///< With `handover`: the owner's fencing token.
 
     // The account and the key are written last and only if there are any, so that requests without them can
     // be read by versions of the program without accounts.
@@ -59,8 +61,8 @@
     void save(Archive& archive) const {
         archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
                 configuration_version);
-        if (!account.empty() || !unchecked_key.empty()) {
-            archive(account, unchecked_key);
+        if (!account.empty() || !unchecked_key.empty() || token != 0) {
+            archive(account, unchecked_key, token);
         }
     }
     template <typename Archive>
@@ -68,7 +70,7 @@
         archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
                 configuration_version);
         if (archive.remaining_bytes() > 0) {
-            archive(account, unchecked_key);
+            archive(account, unchecked_key, token);
         }
     }
 };
--- a/node/pool_accounts.cpp
+++ b/node/pool_accounts.cpp
@@ -33,7 +33,14 @@
 /// a limit that was lowered meanwhile would be exceeded by a node that can't hear of it.
 void pool_task::apply_ceilings(timestamp now) {
     std::map<std::string, jobs::resources> ceilings = m_allowances.allowances().ceilings();
-    if (m_context.configuration.age(now) > m_context.settings.configuration_time) {
+    const milliseconds age = m_context.configuration.age(now);
+    const bool confirmed = age <= m_context.settings.configuration_time || ceilings.empty();
+    if (confirmed != m_limits_confirmed) {
+        m_limits_confirmed = confirmed;
+        log_event(confirmed ? event_id::limits_confirmed : event_id::limits_unconfirmed,
+                  {{"pool", m_pool}, {"configuration_age_ms", age.count()}});
+    }
+    if (!confirmed) {
         for (auto& [account, ceiling] : ceilings) {
             ceiling = {};
         }
@@ -43,7 +50,24 @@
 
 void pool_task::update_allowances(timestamp now) {
     m_allowances.update(m_scheduler.accounts().demand(), now);
-    m_scheduler.accounts().set_limited(m_allowances.allowances().limited_accounts());
+    std::set<std::string> limited = m_allowances.allowances().limited_accounts();
+    for (const std::string& account : limited) {
+        if (!m_scheduler.accounts().is_limited(account)) {
+            const jobs::account_demand demand = m_scheduler.accounts().demand_of(account);
+            log_event(event_id::account_limited, {{"pool", m_pool},
+                                                  {"account", account},
+                                                  {"cpu_used", demand.used.cpu_millicores},
+                                                  {"cpu_blocked", demand.blocked.cpu_millicores},
+                                                  {"memory_mb_used", demand.used.memory_mb},
+                                                  {"memory_mb_blocked", demand.blocked.memory_mb}});
+        }
+    }
+    for (const std::string& account : m_scheduler.accounts().limited()) {
+        if (!limited.contains(account)) {
+            log_event(event_id::account_not_limited, {{"pool", m_pool}, {"account", account}});
+        }
+    }
+    m_scheduler.accounts().set_limited(std::move(limited));
 }
 
 } // namespace siskinpaddle::node
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -28,6 +28,8 @@
     case peer_request_kind::demand_query:
         answer_demand_query(request, done);
         return;
+    case peer_request_kind::handover:
+        break; // Concerns the node that is to own the pool.
     }
     done(make_answer(peer_outcome::unavailable));
 }
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -172,7 +172,7 @@
                                     {"wanted_cores", load.wanted_millicores() / 1000},
                                     {"late_cores", load.late_millicores() / 1000},
                                     {"sustained_cores", load.sustained_millicores.value_or(0) / 1000},
-                                    {"limited", m_scheduler.accounts().limited_count()},
+                                    {"limited", m_scheduler.accounts().limited().size()},
                                     {"waiting_ms", load.queue_wait().count()},
                                     {"jobs", m_scheduler.job_count()},
                                     {"inbox", inbox_jobs()},
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -227,7 +227,8 @@
     std::unique_ptr<timer> m_unresponsive_timer;
     std::unique_ptr<timer> m_decision_timer;
     bool m_decision_scheduled = false;
-    bool m_was_acting = true; ///< Whether the owner could act, as last logged.
+    bool m_was_acting = true;       ///< Whether the owner could act, as last logged.
+    bool m_limits_confirmed = true; ///< Whether the accounts' limits were known to be the newest, likewise.
 
     std::vector<waiting_submit> m_submits;      ///< Waiting for the write in flight or for its retry.
     std::vector<waiting_submit> m_sent_submits; ///< Part of the write in flight.
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -120,6 +120,12 @@
     vm_capacity_changed = 1954,
     vm_restarted = 1955,
     link_load = 1956,
+    allowance_stored = 1957,
+    account_limited = 1958,
+    account_not_limited = 1959,
+    limits_unconfirmed = 1960,
+    limits_confirmed = 1961,
+    duty_handover = 1962,
 };
 
 /// Number, name and level of an event.
@@ -228,6 +234,12 @@
     event_definition{event_id::vm_capacity_changed, "vm-capacity-changed", event_level::info},
     event_definition{event_id::vm_restarted, "vm-restarted", event_level::warning},
     event_definition{event_id::link_load, "link-load", event_level::info},
+    event_definition{event_id::allowance_stored, "allowance-stored", event_level::info},
+    event_definition{event_id::account_limited, "account-limited", event_level::info},
+    event_definition{event_id::account_not_limited, "account-not-limited", event_level::info},
+    event_definition{event_id::limits_unconfirmed, "limits-unconfirmed", event_level::warning},
+    event_definition{event_id::limits_confirmed, "limits-confirmed", event_level::info},
+    event_definition{event_id::duty_handover, "duty-handover", event_level::warning},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
