VMs that are to be kept empty before they are listed are reported as empty

Change: the owner reports such VMs as idle and released. Test: node/unused_vm_test; without the change the VM is in no answer. Load pattern: a wave beside VMs that crash.

--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -138,6 +138,22 @@
     }
 }
 
+/// Adds the VMs that were to be kept empty before they were listed. They are not recorded and get no task, so
+/// the scheduler does not know them, and their machines can be ordered away at once.
+void pool_task::add_unused_vms(std::vector<jobs::vm_load>& loads) const {
+    for (const auto& [vm, info] : m_directory.vms()) {
+        if (info.pool != m_pool || !is_evacuated(vm) || m_scheduler.vms().contains(vm) ||
+            m_vm_record.may_contain(vm)) {
+            continue;
+        }
+        jobs::vm_load unused;
+        unused.vm = vm;
+        unused.is_idle = true;
+        unused.released = true;
+        loads.push_back(unused);
+    }
+}
+
 void pool_task::answer_demand_query(const peer_request& request, const reply& done) {
     const std::set<std::string> wanted(request.vms_to_empty.begin(), request.vms_to_empty.end());
     const bool changed = wanted != m_evacuated_vms;
@@ -156,6 +172,7 @@
     for (jobs::vm_load& vm : answer.demand.vms) {
         vm.released = is_evacuated(vm.vm) && !m_vm_record.may_contain(vm.vm);
     }
+    add_unused_vms(answer.demand.vms);
     answer.demand.vms = jobs::merge_by_id(answer.demand.vms);
     if (changed) {
         schedule_decision();
