Submits and the soak's faults in files of their own

Change: a submit's way (admission copy, refusals for load, answers of the owner) is in node/ingress_submits.cpp, the cluster's faults in soak/test_cluster_faults.cpp; is_node_fault() stands beside the kinds it speaks of. No behaviour changes.

--- /dev/null
+++ b/node/ingress_submits.cpp
@@ -0,0 +1,195 @@
+#include "node/ingress_task.hpp"
+
+#include "node/job_lookup.hpp"
+#include "node/keys.hpp"
+#include "node/store_health.hpp"
+
+namespace siskinpaddle::node {
+
+namespace {
+
+/// A pool counts as overloaded for this long after a refusal, which is the time to replace a dead owner.
+constexpr milliseconds overload_ttl = 2s;
+/// Limits change rarely.
+constexpr milliseconds retry_after_over_limit = 60s;
+
+} // namespace
+
+void ingress_task::handle_submit(client_context& client) {
+    const std::string_view body = client.request->body();
+    findings problems;
+    client.spec = platform::decode_job(body, client.call.job, client.call.queue, problems);
+    if (body.size() > m_context.configuration.current().max_body_bytes) {
+        problems.add("/", "body exceeds the configured max_body_bytes");
+    }
+    if (problems.empty()) {
+        submit_to_owner(client);
+        return;
+    }
+    log_event(event_id::client_refused, {{"job", client.call.job},
+                                         {"why", "invalid"},
+                                         {"place", problems.items().front().location},
+                                         {"problem", problems.items().front().message}});
+    platform::answer_invalid(*client.request, problems.to_string());
+}
+
+/// Sends the job to the owner of its pool. While the owner refuses jobs, it is asked without the payload
+/// first: refused submits could fill its link, and the reports of its VMs and the renewals of its claim would
+/// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
+void ingress_task::submit_to_owner(const client_context& client) {
+    const bool asks_first = recent_overload(client.call.pool) != nullptr;
+    peer_request message =
+        make_request(asks_first ? peer_request_kind::admission_query : peer_request_kind::submit, client);
+    message.spec = client.spec;
+    if (!asks_first) {
+        send_to_owner(client, message, &ingress_task::submit_answered);
+        return;
+    }
+    message.spec.payload.clear();
+    send_to_owner(client, message, &ingress_task::admission_answered);
+}
+
+void ingress_task::admission_answered(const client_context& client, const peer_answer& answer) {
+    if (outcome_of(answer) == peer_outcome::unanswered) {
+        // The query stored nothing, so the job can be refused. Through the inbox it would be accepted without
+        // admission, by a pool whose owner refuses jobs and is too busy to answer.
+        refuse_unless_stored(client, m_overloads[client.call.pool].retry_after);
+        return;
+    }
+    if (outcome_of(answer) != peer_outcome::admissible) {
+        submit_answered(client, answer);
+        return;
+    }
+    peer_request message = make_request(peer_request_kind::submit, client);
+    message.spec = client.spec;
+    send_to_owner(client, message, &ingress_task::submit_answered);
+}
+
+void ingress_task::submit_answered(const client_context& client, const peer_answer& answer) {
+    switch (outcome_of(answer)) {
+    case peer_outcome::ok:
+        observe(client, "ok");
+        platform::answer_accepted(*client.request);
+        return;
+    case peer_outcome::id_in_use:
+        observe(client, "id_in_use");
+        platform::answer_id_in_use(*client.request);
+        return;
+    case peer_outcome::over_limit:
+        observe(client, "over_limit");
+        platform::answer_over_limit(*client.request, "needs more than the account's limit",
+                                    retry_after_over_limit);
+        return;
+    case peer_outcome::overloaded:
+        m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
+        refuse_for_load(client, answer);
+        return;
+    default:
+        submit_through_store(client, outcome_of(answer) == peer_outcome::unknown ||
+                                         outcome_of(answer) == peer_outcome::unanswered);
+        return;
+    }
+}
+
+/// Returns the pool's overload refusal if it is recent, else null. Guards against an owner that is
+/// unresponsive because it is overloaded: jobs that are then stored in its inbox are accepted without its
+/// admission control, hundreds of jobs a second for which there is no free capacity.
+const ingress_task::overload* ingress_task::recent_overload(const std::string& pool) const {
+    const auto found = m_overloads.find(pool);
+    const bool recent =
+        found != m_overloads.end() && event_loop::now() - found->second.refused_at <= overload_ttl;
+    return recent ? &found->second : nullptr;
+}
+
+void ingress_task::refuse_overloaded(const client_context& client, milliseconds retry_after) {
+    observe(client, "overloaded");
+    platform::answer_overloaded(*client.request, retry_after);
+}
+
+/// Reports that the job is not accepted. An owner whose copy of the inbox is old may have refused a repeated
+/// submit of a job that is stored in the inbox and will run; in that case the store is read first.
+void ingress_task::refuse_for_load(const client_context& client, const peer_answer& answer) {
+    const milliseconds retry_after(answer.retry_after_ms);
+    if (milliseconds(answer.inbox_age_ms) <= jobs::max_count_age) {
+        refuse_overloaded(client, retry_after);
+        return;
+    }
+    if (client.owner_checks_key) {
+        report_unknown_outcome(client, "key-unconfirmed");
+        return;
+    }
+    refuse_unless_stored(client, retry_after);
+}
+
+/// A previous attempt to submit the same job may have been accepted although its client got no answer.
+void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after) {
+    look_up_job(m_context.store, client.call.pool, client.call.job,
+                [this, client, retry_after, alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!found.store_reached) {
+                        report_unknown_outcome(client, "store");
+                    } else if (found.has_job_for(client.account)) {
+                        observe(client, "ok");
+                        platform::answer_accepted(*client.request);
+                    } else {
+                        refuse_overloaded(client, retry_after);
+                    }
+                });
+}
+
+/// Stores the job in the inbox, where the pool's next owner finds it. `may_be_stored`: the owner may have
+/// accepted the job, so a refusal could be wrong.
+void ingress_task::submit_through_store(const client_context& client, bool may_be_stored) {
+    if (store_is_failing(m_context.store, event_loop::now())) {
+        may_be_stored ? report_unknown_outcome(client, "store")
+                      : refuse(client, "store", retry_after_no_owner);
+        return;
+    }
+    const overload* recent = recent_overload(client.call.pool);
+    if (recent != nullptr && !may_be_stored) {
+        refuse_unless_stored(client, recent->retry_after);
+        return;
+    }
+    const jobs::job_record record{client.spec, wall_clock_ms(), client.account};
+    const std::string& id = client.call.job;
+    platform::store_transaction change;
+    change.conditions.push_back({submit_key(client.call.pool, id), 0});
+    change.conditions.push_back({job_prefix(client.call.pool) + id, 0});
+    change.conditions.push_back({progress_prefix(client.call.pool) + id, 0});
+    change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
+    const std::uint64_t write_id = m_next_write_id++;
+    m_inbox_writes.emplace(write_id, inbox_write{client, event_loop::now()});
+    m_context.store.commit(change, [this, client, may_be_stored, write_id,
+                                    alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+        if (alive.expired() || m_inbox_writes.erase(write_id) == 0) {
+            return; // The unknown outcome has already been reported.
+        }
+        if (answer.status == platform::store_status::ok ||
+            answer.status == platform::store_status::conflict) {
+            observe(client, "ok_by_store");
+            platform::answer_accepted(*client.request);
+        } else if (answer.status == platform::store_status::refused && !may_be_stored) {
+            refuse(client, "store", retry_after_no_owner);
+        } else {
+            report_unknown_outcome(client, "store");
+        }
+    });
+}
+
+void ingress_task::answer_stalled_submits() {
+    const timestamp now = event_loop::now();
+    if (!store_is_unresponsive(m_context.store, now)) {
+        return;
+    }
+    std::erase_if(m_inbox_writes, [&](const auto& item) {
+        if (now - item.second.sent_at < store_unresponsive_after) {
+            return false;
+        }
+        report_unknown_outcome(item.second.client, "store");
+        return true;
+    });
+}
+
+} // namespace siskinpaddle::node
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -51,6 +51,10 @@
     [[nodiscard]] timestamp peer_reached_store_at() const noexcept { return m_peer_reached_store_at; }
 
   private:
+    /// Sent while no node can accept the job; an owner is replaced in about three seconds.
+    static constexpr milliseconds retry_after_no_owner = 1s;
+    static constexpr milliseconds retry_after_unavailable = 1s;
+
     using request_handle = std::shared_ptr<server_request>;
     struct client_context {
         request_handle request;
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -101,6 +101,11 @@
 
 } // namespace
 
+bool is_node_fault(fault_kind kind) noexcept {
+    return kind == fault_kind::node_kill || kind == fault_kind::node_term || kind == fault_kind::node_pause ||
+           kind == fault_kind::node_slow;
+}
+
 std::vector<planned_fault> make_plan(std::uint64_t seed, milliseconds length) {
     std::mt19937_64 random(seed);
     // The results of the standard library's distributions differ between implementations.
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -57,6 +57,9 @@
     bool operator==(const planned_fault&) const = default;
 };
 
+/// Whether the fault concerns the process of a node. Thread-safe.
+[[nodiscard]] bool is_node_fault(fault_kind kind) noexcept;
+
 /// Returns a plan over `length`, sorted by start: random faults, some of them starting together, and periodic
 /// faults that keep jobs in the pool's inbox, disturb VMs or reload nodes. The same seed gives the same plan.
 /// Pure; thread-safe.
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -15,72 +15,23 @@
 
 namespace {
 
-constexpr std::string_view pool = "p";
-/// A second pool, so that accounts run tasks in pools with different owners. No fault concerns its VMs.
-constexpr std::string_view bulk_pool = "q";
 constexpr std::uint32_t bulk_vms = 2;
 constexpr milliseconds bulk_run_time = 600ms;
 /// The grace period in the nodes' settings, and how much later than that a process may end on a busy machine
 /// before the soak reports a problem.
 constexpr milliseconds grace = 6s;
 constexpr milliseconds end_slack = 6s;
-constexpr milliseconds link_delay = 300ms;
-/// In this period a slow node runs for one iteration of the soak's event loop (2 ms): eight iterations within
-/// the lease (2 s) of an owner's claim. With periods of 60, 150, 250 and 400 ms, and one run for each of 12
-/// seeds, 0, 0, 2 and 1 runs detect an owner that counts only jobs already transferred from the inbox.
-constexpr milliseconds slow_period = 250ms;
-/// Time that the start of a node's program can take on a busy machine.
-constexpr milliseconds startup_time = 1s;
 /// Time between the crash of a VM and the start of its next incarnation.
 constexpr milliseconds vm_down_time = 1500ms;
 /// One VM in so many doesn't report its start and has another id after each; the others keep their id. Among
 /// these, clocks begin behind and ahead of the previous start's.
 constexpr std::uint32_t vm_id_period = 4;
-constexpr jobs::resources full_capacity{4000, 8192, 0};
-constexpr jobs::resources shrunk_capacity{1000, 8192, 0};
-constexpr int lost_answers = 4;
-constexpr int late_writes = 2;
-constexpr int late_starts = 3;
-constexpr int lost_stops = 2;
-/// Some late starts are still within their deadline after this delay.
-constexpr milliseconds late_start_delay = 1200ms;
 /// Clock rate of every second VM: the slowest that the platform allows. The other VMs have an exact clock.
 constexpr double slow_clock_rate = 0.98;
 /// Run time of tasks, by VM. The last one is longer than the takeover of a pool, so that the successor finds
 /// runs that a dead owner started, and is shorter than a lease.
 constexpr std::array run_times{200ms, 600ms, 1400ms, 5000ms};
 
-bool is_node_fault(fault_kind kind) {
-    return kind == fault_kind::node_kill || kind == fault_kind::node_term || kind == fault_kind::node_pause ||
-           kind == fault_kind::node_slow;
-}
-
-bool is_restart(fault_kind kind) {
-    return kind == fault_kind::vm_restarts || kind == fault_kind::vm_restarts_cut ||
-           kind == fault_kind::vm_restarts_late;
-}
-
-link_mode mode_of(fault_kind kind) {
-    switch (kind) {
-    case fault_kind::store_link_delay:
-    case fault_kind::vm_link_delay:
-    case fault_kind::vm_restarts_late:
-        return link_mode::delay;
-    case fault_kind::store_link_cut_out:
-    case fault_kind::vm_link_cut_out:
-        return link_mode::drop_to_server;
-    case fault_kind::store_link_cut_back:
-    case fault_kind::vm_link_cut_back:
-        return link_mode::drop_to_client;
-    case fault_kind::store_link_silent:
-    case fault_kind::vm_link_silent:
-    case fault_kind::vm_restarts_cut:
-        return link_mode::drop_all;
-    default:
-        return link_mode::reset;
-    }
-}
-
 std::string loopback_address(std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port);
 }
@@ -141,12 +92,13 @@
     };
     jobs::fleet_configuration configuration;
     configuration.version = m_configuration_version;
-    configuration.queues = {queue("quotes", std::string(quotes_prefix), pool),
-                            queue("bulk", std::string(bulk_prefix), bulk_pool),
-                            queue("extra", extra_prefix(m_configuration_version), pool)};
+    configuration.queues = {queue("quotes", std::string(quotes_prefix), pool_name),
+                            queue("bulk", std::string(bulk_prefix), bulk_pool_name),
+                            queue("extra", extra_prefix(m_configuration_version), pool_name)};
     configuration.queues.back().is_public = true;
     // The fake VMs don't check their capacity before they start a run.
-    configuration.pools = {{std::string(pool), false, false}, {std::string(bulk_pool), false, false}};
+    configuration.pools = {{std::string(pool_name), false, false},
+                           {std::string(bulk_pool_name), false, false}};
     configuration.max_body_bytes = 65'536;
     m_store.put(
         std::string(platform::configuration_key),
@@ -210,7 +162,7 @@
     fakes::task_machine::settings options;
     options.name = "v" + std::to_string(number + 1);
     const bool is_bulk = number >= m_settings.vms;
-    options.pool = is_bulk ? bulk_pool : pool;
+    options.pool = is_bulk ? bulk_pool_name : pool_name;
     options.run_time = is_bulk ? bulk_run_time : run_times.at(number % run_times.size());
     options.down_time = vm_down_time;
     options.clock_rate = number % 2 == 0 ? slow_clock_rate : 1;
@@ -229,24 +181,6 @@
     }
 }
 
-void test_cluster::set_shrunk(cluster_vm& state, bool enabled) {
-    state.shrink_count += enabled ? 1 : -1;
-    state.machine->set_capacity(state.shrink_count > 0 ? shrunk_capacity : full_capacity);
-}
-
-void test_cluster::set_failing(const cluster_vm& state, bool enabled) {
-    if (state.machine->vm() != nullptr) {
-        state.machine->vm()->set_failing(enabled);
-    }
-}
-
-void test_cluster::delay_orders(const cluster_vm& state) {
-    if (state.machine->vm() != nullptr) {
-        state.machine->vm()->delay_starts(late_starts, late_start_delay);
-        state.machine->vm()->lose_stops(lost_stops);
-    }
-}
-
 std::vector<vm_run> test_cluster::runs() const {
     std::vector<vm_run> result;
     for (const cluster_vm& state : m_vms) {
@@ -268,7 +202,7 @@
 /// Records the owner of the pool by its fencing token. A claim writes the token's key and the owner's name in
 /// one transaction, the name last.
 void test_cluster::record_owner(const std::string& key) {
-    const std::string duty = node::pool_duty(std::string(pool));
+    const std::string duty = node::pool_duty(std::string(pool_name));
     if (key != node::liveness_prefix + duty) {
         return;
     }
@@ -312,193 +246,6 @@
     }
 }
 
-// --- Faults ---
-
-fault_proxy* test_cluster::link_of(const planned_fault& fault) {
-    switch (fault.kind) {
-    case fault_kind::store_link_delay:
-    case fault_kind::store_link_reset:
-    case fault_kind::store_link_cut_out:
-    case fault_kind::store_link_cut_back:
-    case fault_kind::store_link_silent:
-        return m_nodes[fault.target % m_settings.nodes]->store_link.get();
-    case fault_kind::client_link_reset:
-        return m_nodes[fault.target % m_settings.nodes]->client_link.get();
-    case fault_kind::vm_link_delay:
-    case fault_kind::vm_link_reset:
-    case fault_kind::vm_link_cut_out:
-    case fault_kind::vm_link_cut_back:
-    case fault_kind::vm_link_silent:
-    case fault_kind::vm_restarts_cut:
-    case fault_kind::vm_restarts_late:
-        return m_vms[fault.target % m_settings.vms].link.get();
-    default:
-        return nullptr;
-    }
-}
-
-void test_cluster::apply_node_fault(cluster_node& state, fault_kind kind) {
-    if (kind == fault_kind::node_slow) {
-        ++state.slow_count;
-        return;
-    }
-    if (kind == fault_kind::node_pause) {
-        ++state.pause_count;
-        state.process->signal(SIGSTOP);
-        return;
-    }
-    ++state.restart_blocks;
-    state.is_ending = true;
-    if (kind == fault_kind::node_kill) {
-        state.process->kill();
-    } else {
-        state.terminated_at = state.terminated_at == timestamp(0) ? event_loop::now() : state.terminated_at;
-        state.process->signal(SIGTERM);
-    }
-}
-
-void test_cluster::revert_node_fault(cluster_node& state, fault_kind kind) {
-    if (kind != fault_kind::node_pause && kind != fault_kind::node_slow) {
-        --state.restart_blocks;
-        return;
-    }
-    --(kind == fault_kind::node_pause ? state.pause_count : state.slow_count);
-    if (state.pause_count == 0) {
-        state.process->signal(SIGCONT);
-        state.is_slow_stopped = false;
-        state.terminated_at = state.terminated_at == timestamp(0) ? timestamp(0) : event_loop::now();
-    }
-}
-
-/// Sends SIGHUP, except to a process that may not have reached main() yet: SIGHUP would end that process.
-void test_cluster::reload_node(const cluster_node& state) {
-    if (state.pause_count == 0 && event_loop::now() - state.started_at >= startup_time) {
-        state.process->signal(SIGHUP);
-    }
-}
-
-void test_cluster::switch_slow_nodes() {
-    const timestamp now = event_loop::now();
-    for (const auto& state : m_nodes) {
-        if (state->slow_count == 0 || state->pause_count > 0 ||
-            (state->is_slow_stopped && now < state->next_switch_at)) {
-            continue;
-        }
-        state->is_slow_stopped = !state->is_slow_stopped;
-        state->next_switch_at = now + slow_period;
-        state->process->signal(state->is_slow_stopped ? SIGSTOP : SIGCONT);
-    }
-}
-
-void test_cluster::set_store_fault(fault_kind kind, bool enabled) {
-    std::uint32_t& count = kind == fault_kind::store_silent ? m_silent_faults : m_busy_faults;
-    count += enabled ? 1 : -1;
-    if (kind == fault_kind::store_silent) {
-        m_store.set_silent(m_silent_faults > 0);
-    } else {
-        m_store.set_busy(m_busy_faults > 0);
-    }
-}
-
-/// While writes of job records are held, the owner doesn't answer calls from entries in time. Entries then
-/// leave jobs in the inbox, and the owner can't transfer the jobs from there.
-void test_cluster::hold_job_writes(bool enabled) {
-    m_hold_faults += enabled ? 1 : -1;
-    m_store.hold_writes(m_hold_faults > 0 ? node::job_prefix(std::string(pool)) : std::string());
-}
-
-void test_cluster::apply(const planned_fault& fault) {
-    record_outage(fault);
-    if (fault_proxy* link = link_of(fault)) {
-        ++m_link_faults[link];
-        link->set_mode(mode_of(fault.kind), link_delay);
-    }
-    if (is_restart(fault.kind) && fault.kind != fault_kind::vm_restarts_late) {
-        vm_of(fault).machine->restart();
-    }
-    if (link_of(fault) != nullptr || is_restart(fault.kind)) {
-        return;
-    }
-    if (is_node_fault(fault.kind)) {
-        apply_node_fault(*m_nodes[fault.target % m_settings.nodes], fault.kind);
-        return;
-    }
-    switch (fault.kind) {
-    case fault_kind::vm_crash:
-        vm_of(fault).machine->block_restart(true);
-        vm_of(fault).machine->crash();
-        return;
-    case fault_kind::vm_shrinks:
-        set_shrunk(vm_of(fault), true);
-        return;
-    case fault_kind::vm_fails_runs:
-        set_failing(vm_of(fault), true);
-        return;
-    case fault_kind::vm_late_orders:
-        delay_orders(vm_of(fault));
-        return;
-    case fault_kind::vm_drains:
-        vm_of(fault).machine->drain();
-        return;
-    case fault_kind::node_reloads:
-        reload_node(*m_nodes[fault.target % m_settings.nodes]);
-        return;
-    case fault_kind::store_silent:
-    case fault_kind::store_busy:
-        set_store_fault(fault.kind, true);
-        return;
-    case fault_kind::store_holds_jobs:
-        hold_job_writes(true);
-        return;
-    case fault_kind::store_lost_answers:
-        m_store.lose_answers(lost_answers);
-        return;
-    case fault_kind::store_late_writes:
-        m_store.delay_writes(late_writes);
-        return;
-    case fault_kind::store_compact:
-        m_store.compact();
-        return;
-    case fault_kind::store_leases_lapse:
-        m_store.expire_leases();
-        return;
-    default:
-        m_configuration_version += 2;
-        publish_configuration();
-        return;
-    }
-}
-
-void test_cluster::revert(const planned_fault& fault) {
-    end_outage(fault);
-    if (fault.kind == fault_kind::vm_restarts_late) {
-        vm_of(fault).machine->restart();
-    }
-    if (fault_proxy* link = link_of(fault)) {
-        if (--m_link_faults[link] == 0) {
-            link->set_mode(link_mode::pass);
-        }
-    } else if (is_node_fault(fault.kind)) {
-        revert_node_fault(*m_nodes[fault.target % m_settings.nodes], fault.kind);
-    } else if (fault.kind == fault_kind::vm_crash) {
-        vm_of(fault).machine->block_restart(false);
-    } else if (fault.kind == fault_kind::vm_shrinks) {
-        set_shrunk(vm_of(fault), false);
-    } else if (fault.kind == fault_kind::vm_fails_runs) {
-        set_failing(vm_of(fault), false);
-    } else if (fault.kind == fault_kind::vm_drains) {
-        vm_of(fault).machine->crash();
-    } else if (fault.kind == fault_kind::store_silent || fault.kind == fault_kind::store_busy) {
-        set_store_fault(fault.kind, false);
-    } else if (fault.kind == fault_kind::store_holds_jobs) {
-        hold_job_writes(false);
-    } else if (fault.kind == fault_kind::store_lost_answers) {
-        m_store.lose_answers(0);
-    } else if (fault.kind == fault_kind::store_late_writes) {
-        m_store.delay_writes(0);
-    }
-}
-
 void test_cluster::update() {
     const timestamp now = event_loop::now();
     for (const cluster_vm& state : m_vms) {
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -75,6 +75,10 @@
     [[nodiscard]] const std::vector<std::string>& problems() const noexcept { return m_problems; }
 
   private:
+    static constexpr std::string_view pool_name = "p";
+    /// A second pool, so that accounts run tasks in pools with different owners. No fault concerns its VMs.
+    static constexpr std::string_view bulk_pool_name = "q";
+
     struct cluster_node {
         std::string id;
         std::string settings_file;
