A node that the store turns away doesn't serve with keys that its configuration lacks

Change: a key that a copy which is too old doesn't have is a verdict of its own, outdated. The owner is still asked, so that a revoked key is refused for good (401), but it may not accept the key: the call gets 503 with Retry-After 1. Conclusion: what a node accepts follows one version, its own.

--- a/jobs/access.cpp
+++ b/jobs/access.cpp
@@ -12,10 +12,10 @@
     if (!key) {
         return {access_verdict::unauthorized, {}};
     }
+    const client_account* account = configuration.accounts.find_by_key(*key);
     if (settings.max_configuration_age > 0ms && configuration_age > settings.max_configuration_age) {
-        return {access_verdict::unconfirmed, {}};
+        return {account == nullptr ? access_verdict::outdated : access_verdict::unconfirmed, {}};
     }
-    const client_account* account = configuration.accounts.find_by_key(*key);
     if (account == nullptr) {
         return {access_verdict::unauthorized, {}};
     }
--- a/jobs/access.hpp
+++ b/jobs/access.hpp
@@ -19,7 +19,8 @@
 enum class access_verdict : std::uint8_t {
     granted,
     unauthorized, ///< The call has no key, or one that the configuration doesn't contain.
-    unconfirmed   ///< The key may have been revoked by a newer configuration.
+    unconfirmed,  ///< The key may have been revoked by a newer configuration.
+    outdated      ///< The configuration doesn't contain the key, and a newer one may have added it.
 };
 
 struct access_decision {
@@ -33,7 +34,9 @@
 ///
 /// Guards against keys that are revoked while this node can't hear of it, because it is cut off from the
 /// store, or was frozen with the call in its socket: without the check of the age such a key would be served
-/// for as long as that lasts.
+/// for as long as that lasts. Another node may confirm a key that is `unconfirmed`, but not one that this
+/// node doesn't know: with such a key this node would act on a newer configuration than its own, and with the
+/// next call on its own again.
 [[nodiscard]] access_decision check_access(const fleet_configuration& configuration,
                                            const queue_settings& queue, const std::optional<key_digest>& key,
                                            milliseconds configuration_age, const access_settings& settings);
@@ -49,4 +52,5 @@
 inline constexpr std::array siskinpaddle::enum_names<siskinpaddle::jobs::access_verdict>{
     std::pair{siskinpaddle::jobs::access_verdict::granted, std::string_view("granted")},
     std::pair{siskinpaddle::jobs::access_verdict::unauthorized, std::string_view("unauthorized")},
-    std::pair{siskinpaddle::jobs::access_verdict::unconfirmed, std::string_view("unconfirmed")}};
+    std::pair{siskinpaddle::jobs::access_verdict::unconfirmed, std::string_view("unconfirmed")},
+    std::pair{siskinpaddle::jobs::access_verdict::outdated, std::string_view("outdated")}};
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -74,7 +74,8 @@
                            m_context.configuration.age(event_loop::now()), m_context.access);
     m_context.counters.increment("access_" + std::string(name_of(decision.verdict)));
     client.account = decision.account;
-    client.owner_checks_key = decision.verdict == jobs::access_verdict::unconfirmed;
+    client.key_unknown = decision.verdict == jobs::access_verdict::outdated;
+    client.owner_checks_key = client.key_unknown || decision.verdict == jobs::access_verdict::unconfirmed;
     if (decision.verdict == jobs::access_verdict::unauthorized) {
         refuse_unauthorized(client);
         return false;
@@ -101,6 +102,7 @@
     message.account = client.account;
     if (client.owner_checks_key && client.call.key) {
         message.unchecked_key.assign(client.call.key->begin(), client.call.key->end());
+        message.key_unknown = client.key_unknown;
     }
     return message;
 }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -64,6 +64,7 @@
         std::string account; ///< Empty for a public queue, or while `owner_checks_key`.
         /// This node's configuration may be outdated: the pool's owner checks the API key.
         bool owner_checks_key = false;
+        bool key_unknown = false; ///< The owner may refuse the key, but not accept it.
     };
     struct cached_count {
         std::uint64_t jobs = 0;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -266,12 +266,13 @@
     request.account = decision.account;
     switch (decision.verdict) {
     case jobs::access_verdict::granted:
-        return peer_outcome::ok;
+        return request.key_unknown ? peer_outcome::unconfirmed : peer_outcome::ok;
     case jobs::access_verdict::unauthorized:
         // The sender may have a newer version, with a key that this node has not heard of.
         return request.configuration_version > configuration.version ? peer_outcome::unconfirmed
                                                                      : peer_outcome::unauthorized;
     case jobs::access_verdict::unconfirmed:
+    case jobs::access_verdict::outdated:
         return peer_outcome::unconfirmed;
     }
     return peer_outcome::unconfirmed;
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -53,6 +53,9 @@
     /// Digest of an API key that the sender can't check, because its configuration may be outdated. The
     /// receiver checks it.
     std::vector<std::uint8_t> unchecked_key;
+    /// The sender's configuration doesn't contain the key: the receiver may refuse the request, but not serve
+    /// it.
+    bool key_unknown = false;
     std::int64_t token = 0; ///< With `handover`: the owner's fencing token.
 
     // The account and the key are written last and only if there are any, so that requests without them can
@@ -62,7 +65,7 @@
         archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
                 configuration_version);
         if (!account.empty() || !unchecked_key.empty() || token != 0) {
-            archive(account, unchecked_key, token);
+            archive(account, unchecked_key, key_unknown, token);
         }
     }
     template <typename Archive>
@@ -70,7 +73,7 @@
         archive(kind, pool, job, queue, spec, vms_to_empty, arriving_vms, unneeded_machines,
                 configuration_version);
         if (archive.remaining_bytes() > 0) {
-            archive(account, unchecked_key, token);
+            archive(account, unchecked_key, key_unknown, token);
         }
     }
 };
--- a/tests/node/accounts_test.cpp
+++ b/tests/node/accounts_test.cpp
@@ -166,6 +166,26 @@
     CHECK(d.call("n2", "GET", "/quotes/", {}, {second_acme_key}).code == 200);
 }
 
+// Guards against a node that serves with a key from a newer configuration than its own, and the next call by
+// its own again.
+TEST_CASE("a node that the store turns away doesn't serve with keys that were added since") {
+    account_deployment d(100ms);
+    d.start_second_node();
+    d.store.set_second_port_busy(true);
+    d.wait(revocation_time); // Until the watch that was open has ended.
+    d.configure(account_configuration(4, {{acme_key, "acme-secret-3"}}));
+    REQUIRE(d.until([&] { return d.call("n1", "GET", "/quotes/", {}, {"acme-secret-3"}).code == 200; }));
+    d.wait(revocation_time);
+    const http_answer refused = d.call("n2", "POST", job_target, d.job_body(1), {"acme-secret-3"});
+    CHECK(refused.code == 503);
+    CHECK(refused.headers.get("Retry-After") == "1");
+    CHECK(d.call("n2", "GET", "/quotes/", {}, {"acme-secret-3"}).code == 503);
+    CHECK(d.store.count("sp/job/p/") + d.store.count("sp/progress/p/") == 0);
+    CHECK(d.call("n2", "POST", job_target, d.job_body(1), {acme_key}).code == 200);
+    d.store.set_second_port_busy(false);
+    CHECK(d.until([&] { return d.call("n2", "GET", "/quotes/", {}, {"acme-secret-3"}).code == 200; }));
+}
+
 TEST_CASE("a node that neither the store nor an owner confirms refuses calls with a key at once") {
     account_deployment d(100ms);
     d.start_second_node();
