--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -129,10 +129,6 @@
         return true;
     case peer_outcome::not_owner:
     case peer_outcome::unreachable:
-        if (client.owner_checks_key) {
-            refuse(client, "key-unconfirmed", retry_after_unavailable);
-        }
-        return client.owner_checks_key;
     case peer_outcome::unknown_job:
     case peer_outcome::unavailable:
         // What the store holds can't be shown to an account that only the owner knows.
