A job that its account's limit makes late is refused before the limit is used up

Admission looked at the limit only once tasks were waiting for it. Ruled out: tasks that are not started while there is room (the account's use stayed at its limit), lost jobs (all ran on). Change: work that waits is counted by account, and a job is admitted if the pool and its account's limit can both do it in time. A job of an account that waits for its limit is judged by its ceiling in the pool, as before. Load pattern: a hot account in a pool that is short of VMs, at a takeover or at the onset of a turn. Before: the new test fails in its first case (accepted); after: passes, tests/jobs 21 of 21.

--- a/jobs/account_ledger.cpp
+++ b/jobs/account_ledger.cpp
@@ -4,6 +4,15 @@
 
 namespace siskinpaddle::jobs {
 
+namespace {
+
+resources amount_or_unlimited(const std::map<std::string, resources>& amounts, const std::string& account) {
+    const auto found = amounts.find(account);
+    return found == amounts.end() ? unlimited_resources : found->second;
+}
+
+} // namespace
+
 void account_ledger::add_run(const std::string& account, const resources& need, bool adopted) {
     if (!account.empty()) {
         usage& item = m_usage[account];
@@ -37,8 +46,11 @@
 }
 
 resources account_ledger::ceiling(const std::string& account) const {
-    const auto found = m_ceilings.find(account);
-    return found == m_ceilings.end() ? unlimited_resources : found->second;
+    return amount_or_unlimited(m_ceilings, account);
+}
+
+resources account_ledger::limit(const std::string& account) const {
+    return amount_or_unlimited(m_limits, account);
 }
 
 bool account_ledger::admits(const std::string& account, const resources& need) const {
--- a/jobs/account_ledger.hpp
+++ b/jobs/account_ledger.hpp
@@ -35,6 +35,10 @@
 
     /// Sets what each account may use in this pool. An account that is missing may use any amount.
     void set_ceilings(std::map<std::string, resources> ceilings) { m_ceilings = std::move(ceilings); }
+    /// Sets what each account may use in all pools. An account that is missing has no limit.
+    void set_limits(std::map<std::string, resources> limits) { m_limits = std::move(limits); }
+    /// The account's limit, or unlimited_resources.
+    [[nodiscard]] resources limit(const std::string& account) const;
     /// Whether a run that needs this much may start.
     [[nodiscard]] bool admits(const std::string& account, const resources& need) const;
     /// What the account uses for certain or perhaps.
@@ -68,6 +72,7 @@
     std::map<std::string, usage> m_usage;
     std::map<std::string, resources> m_inherited;
     std::map<std::string, resources> m_ceilings;
+    std::map<std::string, resources> m_limits;
     std::map<std::string, resources> m_blocked;
     std::set<std::string> m_limited;
 };
--- a/jobs/allowances.cpp
+++ b/jobs/allowances.cpp
@@ -160,6 +160,16 @@
     return result;
 }
 
+std::map<std::string, resources> pool_allowances::limits() const {
+    std::map<std::string, resources> result;
+    for (const auto& [name, state] : m_accounts) {
+        if (const resources limit = limit_of(state); !unlimited_resources.fits_in(limit)) {
+            result.emplace(name, limit);
+        }
+    }
+    return result;
+}
+
 std::map<std::string, resources> pool_allowances::stored() const {
     std::map<std::string, resources> result;
     for (const auto& [name, state] : m_accounts) {
--- a/jobs/allowances.hpp
+++ b/jobs/allowances.hpp
@@ -108,6 +108,8 @@
 
     /// What the pool may have running, for all accounts with a limit.
     [[nodiscard]] std::map<std::string, resources> ceilings() const;
+    /// The limits in force, for all accounts that have one.
+    [[nodiscard]] std::map<std::string, resources> limits() const;
     /// The stored allowances of this pool, by account.
     [[nodiscard]] std::map<std::string, resources> stored() const;
     /// Accounts whose tasks wait until runs end or other pools lower their allowances.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -53,17 +53,23 @@
         return {true, 0ms, load().queue_wait()};
     }
     const job_state probe(spec, timestamp(0));
-    const pool_load present = m_accounts.is_limited(account) ? load_of_limited(account) : load();
-    return admit(spec, *found, probe.critical_path_ms(), present);
+    const auto admit_at = [&](const pool_load& present) {
+        return admit(spec, *found, probe.critical_path_ms(), present);
+    };
+    if (m_accounts.is_limited(account)) {
+        return admit_at(load_within(account, m_accounts.ceiling(account)));
+    }
+    // The pool may get more machines for the work that waits, but the account never gets beyond its limit.
+    const admission_verdict by_limit = admit_at(load_within(account, m_accounts.limit(account)));
+    return by_limit.accepted ? admit_at(load()) : by_limit;
 }
 
-/// The load that a job of a limited account meets: its account's work, which runs within the account's
-/// ceiling.
-pool_load scheduler::load_of_limited(const std::string& account) const {
+/// The load that a job meets if only its account's work is ahead of it, and at most `available` serves it.
+pool_load scheduler::load_within(const std::string& account, const resources& available) const {
     pool_load load;
-    const auto waiting = m_limited_work.find(account);
-    load.waiting_work = waiting == m_limited_work.end() ? 0 : waiting->second;
-    load.usable_millicores = m_accounts.ceiling(account).cpu_millicores;
+    const auto waiting = m_account_work.find(account);
+    load.waiting_work = waiting == m_account_work.end() ? 0 : waiting->second;
+    load.usable_millicores = available.cpu_millicores;
     return load;
 }
 
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -279,7 +279,7 @@
     void mark_suspect_vms();
     [[nodiscard]] std::size_t usable_vm_count() const;
     [[nodiscard]] double shrink_factor() const;
-    [[nodiscard]] pool_load load_of_limited(const std::string& account) const;
+    [[nodiscard]] pool_load load_within(const std::string& account, const resources& available) const;
     [[nodiscard]] vm_state* choose_vm_for_task(const job_state& job, const task_id& id,
                                                const step_advice* advice, const std::string& preferred_rack,
                                                timestamp now);
@@ -329,8 +329,8 @@
     std::int64_t m_runnable_work = 0;
     std::int64_t m_upcoming_work = 0;
     std::int64_t m_late_work = 0;
-    /// Waiting work of each account whose limit keeps its tasks from starting.
-    std::map<std::string, std::int64_t> m_limited_work;
+    /// Waiting work of each account that is not late, or that waits for the account's limit.
+    std::map<std::string, std::int64_t> m_account_work;
     milliseconds m_wall_offset{0}; ///< Time of day minus the owner's clock, as of the last decision.
     work_gauge m_work_gauge;
     demand_meter m_demand_meter;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -269,7 +269,7 @@
     m_runnable_work = 0;
     m_upcoming_work = 0;
     m_late_work = 0;
-    m_limited_work.clear();
+    m_account_work.clear();
     for (const auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.total_idle_tasks() == 0) {
             continue;
@@ -280,7 +280,7 @@
                 break;
             }
             if (m_accounts.is_limited(job.account())) {
-                m_limited_work[job.account()] += estimate_waiting_work(job, occurrence, m_work_gauge).all;
+                m_account_work[job.account()] += estimate_waiting_work(job, occurrence, m_work_gauge).all;
             } else if (begins_at > now) {
                 m_upcoming_work += estimate_waiting_work(job, occurrence, m_work_gauge).runnable;
             } else if (rank_of(job, *queue_of(job), begins_at, now).group <= 1) {
@@ -296,6 +296,7 @@
     const waiting_work waiting = estimate_waiting_work(job, occurrence, m_work_gauge);
     m_waiting_work += waiting.all;
     m_runnable_work += waiting.runnable;
+    m_account_work[job.account()] += waiting.all;
 }
 
 void scheduler::place_step(job_state& job, step_position position, timestamp now) {
--- a/node/pool_accounts.cpp
+++ b/node/pool_accounts.cpp
@@ -46,6 +46,7 @@
         }
     }
     m_scheduler.accounts().set_ceilings(std::move(ceilings));
+    m_scheduler.accounts().set_limits(m_allowances.allowances().limits());
 }
 
 void pool_task::update_allowances(timestamp now) {
--- a/tests/jobs/account_limits_test.cpp
+++ b/tests/jobs/account_limits_test.cpp
@@ -145,6 +145,33 @@
     CHECK(p.pool().demand(p.now()).need_millicores < 4000);
 }
 
+// Guards against jobs that are accepted while the pool has few VMs, and late once it has more, because their
+// account's limit is used up by then.
+TEST_CASE("a job that its account's limit makes late is refused before the limit is used up") {
+    struct limit_case {
+        const char* description;
+        std::string account;
+        resources limit;
+        bool accepted;
+    };
+    const std::vector<limit_case> cases{
+        {"the work that waits is more than the limit can do", "a", cores(4), false},
+        {"another account", "b", cores(4), true},
+        {"a limit that suffices", "a", cores(24), true},
+        {"a limit of memory alone", "a", {unlimited_amount, 1000, unlimited_amount}, true}};
+    for (const limit_case& item : cases) {
+        INFO(item.description);
+        account_pool p;
+        p.add_vm("v1");
+        p.pool().accounts().set_limits({{"a", item.limit}});
+        p.pool().accounts().set_ceilings({{"a", cores(4)}});
+        p.add_job_of("a", "j1", {p.step(28)});
+        p.start_all();
+        CHECK(p.pool().check_admission(p.record("next", {p.step(1)}).spec, item.account).accepted ==
+              item.accepted);
+    }
+}
+
 TEST_CASE("a job that can never fit an account's limit is found") {
     struct limit_case {
         const char* description;
