One queue for the tests that run nodes

Cause: three test files built the same queue (duplicates: 7 lines each). Change: quotes_queue(); a comment of a peer's outcome says whose version may be outdated.

--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -31,7 +31,7 @@
     admissible,   ///< With `admission_query`: the job would be accepted now.
     unanswered,   ///< No valid answer came: the request may have been carried out.
     unauthorized, ///< The client's API key is not valid.
-    unconfirmed,  ///< The API key can't be checked: the receiver's configuration may be outdated.
+    unconfirmed,  ///< The API key can't be accepted: the sender or the receiver may have an outdated version.
     id_in_use,    ///< Another account's job has the id.
     over_limit    ///< Not accepted: a task or gang needs more than the account may have running.
 };
--- a/tests/node/accounts_test.cpp
+++ b/tests/node/accounts_test.cpp
@@ -21,14 +21,7 @@
 
 /// A configuration with two accounts, a queue for accounts, "/quotes/", and a public one, "/open/".
 std::string account_configuration(std::int64_t version, const account_options& options = {}) {
-    jobs::queue_settings queue;
-    queue.name = "quotes";
-    queue.host = "h.example";
-    queue.prefix = "/quotes/";
-    queue.pool = "p";
-    queue.max_attempts = 3;
-    queue.stretch_factor = 1.6;
-    queue.target_latency = 5s;
+    const jobs::queue_settings queue = quotes_queue();
     jobs::queue_settings open = queue;
     open.name = "open";
     open.prefix = "/open/";
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include "fakes/platform_store.hpp"
 #include "net/free_port.hpp"
 #include "net/loop_until.hpp"
+#include "node/quotes_queue.hpp"
 #include "platform/wire.hpp"
 #include "telemetry/test_log.hpp"
 
@@ -27,14 +28,7 @@
 }
 
 std::string configuration() {
-    jobs::queue_settings queue;
-    queue.name = "quotes";
-    queue.host = "h.example";
-    queue.prefix = "/quotes/";
-    queue.pool = "p";
-    queue.max_attempts = 3;
-    queue.stretch_factor = 1.6;
-    queue.target_latency = 5s;
+    const jobs::queue_settings queue = quotes_queue();
     jobs::fleet_configuration result;
     result.version = 2;
     jobs::queue_settings other = queue;
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -6,6 +6,7 @@
 #include "net/free_port.hpp"
 #include "net/loop_until.hpp"
 #include "node/node.hpp"
+#include "node/quotes_queue.hpp"
 #include "telemetry/test_log.hpp"
 
 #include <boost/json.hpp>
@@ -45,17 +46,9 @@
     }
 
     static std::string configuration(std::int64_t version, const std::string& prefix = "/quotes/") {
-        jobs::queue_settings queue;
-        queue.name = "quotes";
-        queue.host = "h.example";
-        queue.prefix = prefix;
-        queue.pool = "p";
-        queue.max_attempts = 3;
-        queue.stretch_factor = 1.6;
-        queue.target_latency = 5s;
         jobs::fleet_configuration result;
         result.version = version;
-        result.queues = {queue};
+        result.queues = {quotes_queue(prefix)};
         result.pools = {{"p", false}};
         result.max_body_bytes = 65'536;
         return platform::encode_configuration(result);
