Soak: limits go up when the faults are over

Change: a last configuration raises the limits to their largest. The check and its 60 s are as they were; the limits are checked as before. New test: raised limits are the largest of each account.

--- a/soak/account_script.cpp
+++ b/soak/account_script.cpp
@@ -1,6 +1,7 @@
 #include "soak/account_script.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace siskinpaddle::soak {
 
@@ -15,9 +16,9 @@
 constexpr int ok = 200;
 constexpr int unauthorized = 401;
 
-std::size_t limit_of(std::size_t account, std::size_t version) {
-    return account == account_script::hot_account ? hot_limits.at(version % hot_limits.size())
-                                                  : other_limits.at(version % other_limits.size());
+std::span<const std::size_t> limits_of(std::size_t account) {
+    return account == account_script::hot_account ? std::span<const std::size_t>(hot_limits)
+                                                  : std::span<const std::size_t>(other_limits);
 }
 
 std::string job_of(const std::string& task) {
@@ -45,7 +46,9 @@
             valid.front()->revoked = now;
         }
         m_keys.push_back({"key-" + std::to_string(++m_issued), account, now, std::nullopt});
-        const std::size_t tasks = limit_of(account, version);
+        const std::span<const std::size_t> limits = limits_of(account);
+        const std::size_t tasks =
+            m_limits_raised ? std::ranges::max(limits) : limits[version % limits.size()];
         m_limits.push_back({account, tasks, now});
         platform::account_entry entry;
         entry.account.name = name_of(account);
--- a/soak/account_script.hpp
+++ b/soak/account_script.hpp
@@ -47,6 +47,9 @@
     /// needs.
     [[nodiscard]] std::vector<platform::account_entry> publish(const jobs::resources& task, timestamp now);
 
+    /// The next versions have the largest limits.
+    void raise_limits() noexcept { m_limits_raised = true; }
+
     [[nodiscard]] static std::string name_of(std::size_t account);
     /// A key of the account that the newest configuration has.
     [[nodiscard]] const std::string& valid_key(std::size_t account);
@@ -65,6 +68,7 @@
     std::vector<issued_key> m_keys;
     std::vector<issued_limit> m_limits;
     std::uint64_t m_issued = 0;
+    bool m_limits_raised = false;
 };
 
 /// Returns starts that bring what an account has running on all VMs above the largest limit that was in force
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -62,6 +62,8 @@
     /// The accounts of the published configurations.
     [[nodiscard]] account_script& accounts() noexcept { return m_accounts; }
     [[nodiscard]] const account_script& accounts() const noexcept { return m_accounts; }
+    /// Publishes a configuration with the accounts' largest limits.
+    void raise_limits();
     /// Path prefix of the queue that exists only in this configuration version.
     [[nodiscard]] static std::string extra_prefix(std::int64_t version);
 
@@ -124,6 +126,7 @@
     void record_outage(const planned_fault& fault);
     void end_outage(const planned_fault& fault);
     void publish_configuration();
+    void publish_next_configuration();
     void apply_node_fault(cluster_node& state, fault_kind kind);
     void revert_node_fault(cluster_node& state, fault_kind kind);
     void set_store_fault(fault_kind kind, bool enabled);
--- a/soak/test_cluster_faults.cpp
+++ b/soak/test_cluster_faults.cpp
@@ -219,12 +219,21 @@
         m_store.expire_leases();
         return;
     default:
-        m_configuration_version += 2;
-        publish_configuration();
+        publish_next_configuration();
         return;
     }
 }
 
+void test_cluster::publish_next_configuration() {
+    m_configuration_version += 2;
+    publish_configuration();
+}
+
+void test_cluster::raise_limits() {
+    m_accounts.raise_limits();
+    publish_next_configuration();
+}
+
 void test_cluster::revert(const planned_fault& fault) {
     end_outage(fault);
     if (fault.kind == fault_kind::vm_restarts_late) {
--- a/tests/soak/account_script_test.cpp
+++ b/tests/soak/account_script_test.cpp
@@ -27,6 +27,21 @@
     CHECK(script.limits().size() == 3 * account_script::accounts);
 }
 
+TEST_CASE("raised limits are the largest of each account") {
+    account_script script(1);
+    for (const milliseconds at : {1000ms, 2000ms, 3000ms, 4000ms}) {
+        static_cast<void>(script.publish(task, at));
+    }
+    script.raise_limits();
+    static_cast<void>(script.publish(task, 5000ms));
+    for (std::size_t account = 0; account < account_script::accounts; ++account) {
+        const std::size_t raised = script.limits()[4 * account_script::accounts + account].tasks;
+        CHECK(std::ranges::all_of(script.limits(), [&](const issued_limit& item) {
+            return item.account != account || item.tasks <= raised;
+        }));
+    }
+}
+
 TEST_CASE("an answer to a call with a key is checked by when the call was sent") {
     account_script script(1);
     static_cast<void>(script.publish(task, 1000ms));
