--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -61,8 +61,8 @@
         m_load_generator.start();
         run_faults();
         m_load_generator.stop_submitting();
-        m_cluster
-            .raise_limits(); // Accepted jobs may wait for a limit that was lowered for as long as it lasts.
+        // Accepted jobs may wait for a limit that was lowered for as long as it lasts.
+        m_cluster.raise_limits();
         const bool has_recovered = wait_for_recovery() && wait_for_burst();
         if (has_recovered) {
             wait_for_last_counts();
