--- a/jobs/client_account.hpp
+++ b/jobs/client_account.hpp
@@ -37,8 +37,8 @@
 
     [[nodiscard]] const std::vector<client_account>& all() const noexcept { return m_accounts; }
     [[nodiscard]] const client_account* find(std::string_view name) const;
-    /// The account with this key, or null. Takes the same time for every key, so that the time of a refusal
-    /// tells nothing about valid keys.
+    /// The account with this key, or null. Takes the same time for every key, so that valid keys can't be
+    /// guessed from the time of a refusal.
     [[nodiscard]] const client_account* find_by_key(const key_digest& key) const;
 
   private:
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -176,8 +176,8 @@
 // --- Handover ---
 
 /// Asks other nodes to claim this node's pools while the store answers none of its calls. Without this, a
-/// pool whose owner the store turns away, or that is cut off from the store, stands still until the owner's
-/// lease has expired: two seconds in which no end is stored and no VM is added.
+/// pool whose owner can't reach the store would store no ends of runs and add no VMs until the owner's lease
+/// expires, which takes two seconds.
 void node::hand_over_pools(timestamp now) {
     if (m_stopping || !store_is_failing(m_store, now)) {
         m_handovers.clear();
--- a/tests/jobs/access_test.cpp
+++ b/tests/jobs/access_test.cpp
@@ -82,7 +82,7 @@
     CHECK(may_access_job("", ""));
 }
 
-// Guards against records that an earlier version of the program can't read, or reads as damaged.
+// Guards against records that are unreadable for earlier versions of the program.
 TEST_CASE("records of jobs without an account keep their format") {
     job_record record;
     record.spec.id = "j";
--- a/tests/node/accounts_test.cpp
+++ b/tests/node/accounts_test.cpp
@@ -140,7 +140,7 @@
     CHECK(d.call("n1", "GET", "/quotes/", {}, {second_acme_key}).code == 200);
 }
 
-// Guards against a key that a node goes on serving because the store turns the node away.
+// Guards against a node that accepts a revoked key because it can't read newer configurations.
 TEST_CASE("a node that the store turns away serves through the pool's owner, which refuses revoked keys") {
     account_deployment d(100ms);
     d.start_second_node();
--- a/tests/node/handover_test.cpp
+++ b/tests/node/handover_test.cpp
@@ -35,8 +35,7 @@
 
 } // namespace
 
-// Guards against a pool that stands still for two seconds of a demand peak because the store turns its owner
-// away.
+// Guards against a pool that starts no tasks for two seconds because its owner can't reach the store.
 TEST_CASE("an owner that the store turns away hands its pool over before its lease expires") {
     two_nodes d(1200ms);
     CHECK(d.call("n1", "POST", "/quotes/" + job_a, d.job_body(6)).code == 200);
