Log how old the configuration is when a queue is refused, and how each version arrived

An added queue was refused with 404 for seconds, and the log did not tell why its version was late. 1932 for an unknown queue and 1917 now give the age of the copy, the newest version heard of and the bytes of an unfinished answer; 1915 gives the bytes, items and receive time of the answer that held the version; the metrics have configuration_age_ms. No decision changes: the fields tell a silent watch (age without bytes) from a replayed history (many items, long receive time).

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -135,6 +135,17 @@
         return std::move(m_connection);
     }
 
+    [[nodiscard]] std::size_t received_bytes() const noexcept { return m_received_bytes; }
+
+    void record_input(std::size_t bytes) {
+        if (m_received_bytes == 0) {
+            m_first_byte_at = event_loop::now();
+        }
+        m_received_bytes += bytes;
+        extend_deadline();
+    }
+
+  private:
     /// Extends the deadline when a part of the answer arrives. Over a slow link, a large answer takes longer
     /// than the timeout that detects an unresponsive peer; aborted half read and requested again, the answer
     /// would never arrive.
@@ -146,7 +157,6 @@
         m_deadline.start(std::clamp(remaining, 0ms, m_call.timeout));
     }
 
-  private:
     static void on_error(evhttp_request_error error, void* self) {
         auto* item = static_cast<exchange*>(self);
         item->m_error = error;
@@ -185,6 +195,7 @@
         answer.body.resize(evbuffer_get_length(body));
         evbuffer_remove(body, answer.body.data(), answer.body.size());
         m_owner.m_bytes_received += answer.body.size();
+        answer.receive_time = event_loop::now() - m_first_byte_at;
     }
 
     [[nodiscard]] exchange_status failure_status() const {
@@ -228,12 +239,14 @@
     bool m_failed = false;
     bool m_completed = false;
     timestamp m_started_at = event_loop::now();
+    timestamp m_first_byte_at{0};
+    std::size_t m_received_bytes = 0; ///< Of the answer, headers included.
 };
 
 void http_client::connection::on_input(evbuffer* input, const evbuffer_cb_info* info, void* self) {
     const auto* item = static_cast<connection*>(self);
     if (info->n_added > 0 && item->active_exchange != nullptr) {
-        item->active_exchange->extend_deadline();
+        item->active_exchange->record_input(info->n_added);
     }
     read_available(input, bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle)), info->n_added);
 }
@@ -259,6 +272,11 @@
     m_exchanges.erase(call_id);
 }
 
+std::size_t http_client::received_bytes(std::uint64_t call_id) const {
+    const auto found = m_exchanges.find(call_id);
+    return found == m_exchanges.end() ? 0 : found->second->received_bytes();
+}
+
 std::unique_ptr<http_client::connection> http_client::acquire_connection(const endpoint& to, bool fresh) {
     std::vector<std::unique_ptr<connection>>& idle = m_idle_connections[to];
     if (!fresh && !idle.empty()) {
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -53,6 +53,7 @@
     int code = 0;
     http_headers headers;
     std::string body;
+    milliseconds receive_time{0}; ///< From the first part of the answer to the last.
 };
 
 /// Limits of an HTTP client; sizes in bytes.
@@ -81,6 +82,9 @@
     /// Ends an exchange without calling its callback. Ignores the id of an ended or unknown exchange.
     void cancel(std::uint64_t call_id);
 
+    /// Number of bytes of the answer that have arrived so far; 0 for an ended or unknown exchange.
+    [[nodiscard]] std::size_t received_bytes(std::uint64_t call_id) const;
+
     [[nodiscard]] byte_counts traffic() const noexcept { return {m_bytes_sent, m_bytes_received}; }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
     [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -55,7 +55,9 @@
     }
     log_event(event_id::fleet_config_behind, {{"version", m_current.version},
                                               {"heard_of", m_newest_peer_version},
-                                              {"watched_at", m_watch.revision()}});
+                                              {"watched_at", m_watch.revision()},
+                                              {"age_ms", age(event_loop::now()).count()},
+                                              {"arriving_bytes", m_watch.arriving_bytes()}});
     m_watch.refresh();
 }
 
@@ -101,6 +103,9 @@
     log_event(event_id::fleet_config_in_force, {{"version", configuration->version},
                                                 {"before", m_current.version},
                                                 {"revision", item.revision},
+                                                {"bytes", m_watch.last_transfer().bytes},
+                                                {"items", m_watch.last_transfer().items},
+                                                {"receive_ms", m_watch.last_transfer().receive_time.count()},
                                                 {"queues", configuration->queues.size()},
                                                 {"accounts", configuration->accounts.all().size()}});
     m_current = std::move(*configuration);
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -28,6 +28,10 @@
     [[nodiscard]] milliseconds age(timestamp now) const noexcept {
         return m_newest_is_readable ? now - m_watch.confirmed_at() : milliseconds::max();
     }
+    /// The newest version that a peer has reported; may be older than the current one.
+    [[nodiscard]] std::int64_t newest_peer_version() const noexcept { return m_newest_peer_version; }
+    /// Number of bytes of an unfinished answer of the store that have arrived so far.
+    [[nodiscard]] std::size_t arriving_bytes() const { return m_watch.arriving_bytes(); }
     [[nodiscard]] bool is_loaded() const noexcept { return m_current.version > 0; }
     [[nodiscard]] const std::map<std::int64_t, platform::maintenance_wave>& waves() const noexcept {
         return m_waves;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -36,10 +36,7 @@
         request, platform::decode_client_call(*request, configuration), {}, event_loop::now(), {}, false};
     const jobs::queue_settings* queue = configuration.find_queue(client.call.queue);
     if (queue == nullptr) {
-        log_event(
-            event_id::client_refused,
-            {{"target", request->target()}, {"why", "no-queue"}, {"configuration", configuration.version}});
-        platform::answer_no_queue(*request);
+        refuse_unknown_queue(client);
         return;
     }
     if (!admit_client(client, *queue)) {
@@ -61,11 +58,22 @@
         handle_count(client);
         return;
     case platform::client_request::invalid:
-        platform::answer_no_queue(*request);
+        refuse_unknown_queue(client);
         return;
     }
 }
 
+void ingress_task::refuse_unknown_queue(const client_context& client) {
+    const configuration_task& configuration = m_context.configuration;
+    log_event(event_id::client_refused, {{"target", client.request->target()},
+                                         {"why", "no-queue"},
+                                         {"configuration", configuration.current().version},
+                                         {"heard_of", configuration.newest_peer_version()},
+                                         {"age_ms", configuration.age(event_loop::now()).count()},
+                                         {"arriving_bytes", configuration.arriving_bytes()}});
+    platform::answer_no_queue(*client.request);
+}
+
 /// Checks the API key of the call. If this node can't, the pool's owner does: it may reach the store while
 /// this node does not.
 bool ingress_task::admit_client(client_context& client, const jobs::queue_settings& queue) {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -87,6 +87,7 @@
     void handle_count(const client_context& client);
     [[nodiscard]] peer_request make_request(peer_request_kind kind, const client_context& client) const;
     [[nodiscard]] bool refuse_unchecked(const client_context& client, const peer_answer& answer);
+    void refuse_unknown_queue(const client_context& client);
     void refuse_unauthorized(const client_context& client);
     void send_to_owner(const client_context& client, const peer_request& message, handler next);
     void record_owner_response(const std::string& owner, const peer_answer& answer);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -466,6 +466,8 @@
     const milliseconds silence = m_store.unresponsive_for(event_loop::now());
     m_counters.set("store_unanswered_ms", static_cast<std::uint64_t>(silence.count()));
     m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
+    m_counters.set("configuration_age_ms",
+                   static_cast<std::uint64_t>(m_configuration.age(event_loop::now()).count()));
     m_counters.set("loop_lag_ms",
                    static_cast<std::uint64_t>(std::exchange(m_longest_lag, milliseconds(0)).count()));
     const link_traffic link = traffic();
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -94,13 +94,29 @@
         m_listing.clear();
         m_listing_revision = 0;
         m_page_sent_at = event_loop::now();
+        m_last_transfer = {};
     }
-    m_store.range(m_prefix, after,
-                  [this, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
-                      if (!alive.expired()) {
-                          apply_page(answer, round);
-                      }
-                  });
+    m_pending_page =
+        m_store.range(m_prefix, after,
+                      [this, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+                          if (!alive.expired()) {
+                              apply_page(answer, round);
+                          }
+                      });
+}
+
+std::size_t watch_task::arriving_bytes() const {
+    std::size_t bytes = 0;
+    for (const std::optional<std::uint64_t>& call : {m_pending_watch, m_pending_page}) {
+        bytes += call ? m_store.received_bytes(*call) : 0;
+    }
+    return bytes;
+}
+
+void watch_task::record_transfer(const platform::store_answer& answer) {
+    m_last_transfer.bytes += answer.bytes;
+    m_last_transfer.items += answer.items.size();
+    m_last_transfer.receive_time += answer.receive_time;
 }
 
 void watch_task::apply_page(const platform::store_answer& answer, std::uint64_t round) {
@@ -112,6 +128,7 @@
         return;
     }
     record_success();
+    record_transfer(answer);
     if (m_listing_revision == 0) {
         // The pages are not a snapshot: changes during the listing appear in a watch from the first page's
         // revision.
@@ -188,6 +205,7 @@
         return;
     }
     m_pending_watch.reset();
+    m_last_transfer = {};
     if (answer.status == platform::store_status::compacted) {
         begin_listing();
         return;
@@ -197,6 +215,7 @@
         return;
     }
     record_success();
+    record_transfer(answer);
     for (const platform::store_item& item : answer.items) {
         apply(item);
     }
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -43,6 +43,16 @@
         return m_items;
     }
 
+    /// Size of the latest answers: all pages of a listing, or one watch.
+    struct transfer {
+        std::size_t bytes = 0;
+        std::size_t items = 0; ///< Includes earlier states of an item that has changed several times.
+        milliseconds receive_time{0};
+    };
+    [[nodiscard]] const transfer& last_transfer() const noexcept { return m_last_transfer; }
+    /// Number of bytes of an unfinished answer that have arrived so far.
+    [[nodiscard]] std::size_t arriving_bytes() const;
+
     /// Lists the items again at once, e.g. because a peer reports a newer version. A listing that has just
     /// begun is used instead.
     void refresh();
@@ -57,6 +67,7 @@
     void apply(const platform::store_item& item);
     void retry_after_failure(platform::store_status status, std::function<void()> action);
     void record_success();
+    void record_transfer(const platform::store_answer& answer);
     void schedule(milliseconds pause, std::function<void()> action);
 
     event_loop& m_loop;
@@ -81,6 +92,8 @@
     timestamp m_complete_until{0};
     timestamp m_confirmed_at{0};
     std::optional<std::uint64_t> m_pending_watch; ///< The watch call that waits for a change.
+    std::optional<std::uint64_t> m_pending_page;  ///< The call for a page of the listing.
+    transfer m_last_transfer;
     std::unique_ptr<timer> m_retry_timer;
     std::function<void()> m_retry_action;
     lifetime m_lifetime;
