Failing test: an added queue is refused with 404 by an outdated configuration

Callers get 404 for a queue that the operator added longer ago than the allowed time.

A silent watch gives 404 for four kinds of calls, and a node answers 404 after a peer has named a newer version.

The link fault proxy moves from the soak to the fakes, where tests of nodes can use it, and can silence the connections that are open.

--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -109,8 +109,8 @@
     auto state = std::make_unique<cluster_node>();
     state->id = "n" + std::to_string(number + 1);
     state->clients = {process_address(), tests::free_port()};
-    state->store_link = std::make_unique<fault_proxy>(m_loop, endpoint{"127.0.0.1", m_store.port()});
-    state->client_link = std::make_unique<fault_proxy>(m_loop, state->clients);
+    state->store_link = std::make_unique<fakes::fault_proxy>(m_loop, endpoint{"127.0.0.1", m_store.port()});
+    state->client_link = std::make_unique<fakes::fault_proxy>(m_loop, state->clients);
     state->client_port = state->client_link->listen();
     state->settings_file = m_settings.folder + "/" + state->id + ".json";
     state->log = m_settings.folder + "/" + state->id + ".log";
@@ -171,7 +171,7 @@
     state.machine = std::make_unique<fakes::task_machine>(m_loop, m_store, options);
     state.machine->on_incarnation_start([this, &state](const endpoint& server) {
         if (state.link == nullptr) {
-            state.link = std::make_unique<fault_proxy>(m_loop, server);
+            state.link = std::make_unique<fakes::fault_proxy>(m_loop, server);
             state.machine->set_registered_port(state.link->listen());
         }
         state.link->set_server(server);
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "fakes/fault_proxy.hpp"
 #include "fakes/platform_store.hpp"
 #include "fakes/task_machine.hpp"
 #include "soak/account_script.hpp"
 #include "soak/child_process.hpp"
 #include "soak/fault_plan.hpp"
-#include "soak/fault_proxy.hpp"
 #include "soak/invariant_checks.hpp"
 
 #include <memory>
@@ -86,8 +86,8 @@
         std::string settings_file;
         std::string log;
         endpoint clients;
-        std::unique_ptr<fault_proxy> store_link;
-        std::unique_ptr<fault_proxy> client_link;
+        std::unique_ptr<fakes::fault_proxy> store_link;
+        std::unique_ptr<fakes::fault_proxy> client_link;
         std::uint16_t client_port = 0;
         std::unique_ptr<child_process> process;
         std::uint32_t starts = 0;
@@ -102,7 +102,7 @@
     };
     struct cluster_vm {
         std::unique_ptr<fakes::task_machine> machine;
-        std::unique_ptr<fault_proxy> link;
+        std::unique_ptr<fakes::fault_proxy> link;
         std::uint32_t shrink_count = 0; ///< Number of open faults that reduce the VM's capacity.
     };
     /// Period in which a node, or all nodes, may be unable to reach the store or the VMs.
@@ -132,7 +132,7 @@
     void set_store_fault(fault_kind kind, bool enabled);
     void hold_job_writes(bool enabled);
     static void reload_node(const cluster_node& state);
-    [[nodiscard]] fault_proxy* link_of(const planned_fault& fault);
+    [[nodiscard]] fakes::fault_proxy* link_of(const planned_fault& fault);
 
     event_loop& m_loop;
     test_cluster_settings m_settings;
@@ -142,7 +142,7 @@
     std::vector<cluster_vm> m_vms;
     std::map<std::int64_t, const cluster_node*> m_owners; ///< Owners of the pool by fencing token.
     std::vector<contact_outage> m_outages;
-    std::map<fault_proxy*, std::uint32_t> m_link_faults; ///< Number of open faults per link.
+    std::map<fakes::fault_proxy*, std::uint32_t> m_link_faults; ///< Number of open faults per link.
     std::int64_t m_configuration_version = 2;
     std::uint32_t m_silent_faults = 0;
     std::uint32_t m_busy_faults = 0;
--- a/soak/test_cluster_faults.cpp
+++ b/soak/test_cluster_faults.cpp
@@ -29,24 +29,24 @@
            kind == fault_kind::vm_restarts_late;
 }
 
-link_mode mode_of(fault_kind kind) {
+fakes::link_mode mode_of(fault_kind kind) {
     switch (kind) {
     case fault_kind::store_link_delay:
     case fault_kind::vm_link_delay:
     case fault_kind::vm_restarts_late:
-        return link_mode::delay;
+        return fakes::link_mode::delay;
     case fault_kind::store_link_cut_out:
     case fault_kind::vm_link_cut_out:
-        return link_mode::drop_to_server;
+        return fakes::link_mode::drop_to_server;
     case fault_kind::store_link_cut_back:
     case fault_kind::vm_link_cut_back:
-        return link_mode::drop_to_client;
+        return fakes::link_mode::drop_to_client;
     case fault_kind::store_link_silent:
     case fault_kind::vm_link_silent:
     case fault_kind::vm_restarts_cut:
-        return link_mode::drop_all;
+        return fakes::link_mode::drop_all;
     default:
-        return link_mode::reset;
+        return fakes::link_mode::reset;
     }
 }
 
@@ -70,7 +70,7 @@
     }
 }
 
-fault_proxy* test_cluster::link_of(const planned_fault& fault) {
+fakes::fault_proxy* test_cluster::link_of(const planned_fault& fault) {
     switch (fault.kind) {
     case fault_kind::store_link_delay:
     case fault_kind::store_link_reset:
@@ -165,7 +165,7 @@
 
 void test_cluster::apply(const planned_fault& fault) {
     record_outage(fault);
-    if (fault_proxy* link = link_of(fault)) {
+    if (fakes::fault_proxy* link = link_of(fault)) {
         ++m_link_faults[link];
         link->set_mode(mode_of(fault.kind), link_delay);
     }
@@ -239,9 +239,9 @@
     if (fault.kind == fault_kind::vm_restarts_late) {
         vm_of(fault).machine->restart();
     }
-    if (fault_proxy* link = link_of(fault)) {
+    if (fakes::fault_proxy* link = link_of(fault)) {
         if (--m_link_faults[link] == 0) {
-            link->set_mode(link_mode::pass);
+            link->set_mode(fakes::link_mode::pass);
         }
     } else if (is_node_fault(fault.kind)) {
         revert_node_fault(*m_nodes[fault.target % m_settings.nodes], fault.kind);
--- a/soak/fault_proxy.cpp
+++ b/tests/fakes/fault_proxy.cpp
@@ -1,4 +1,4 @@
-#include "soak/fault_proxy.hpp"
+#include "fakes/fault_proxy.hpp"
 
 #include <arpa/inet.h>
 #include <deque>
@@ -9,7 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace siskinpaddle::soak {
+namespace siskinpaddle::fakes {
 
 namespace {
 
@@ -51,6 +51,11 @@
         bufferevent_free(m_server);
     }
 
+    void silence() {
+        m_has_dropped_to_server = true;
+        m_has_dropped_to_client = true;
+    }
+
     void reset() {
         reset_on_close(bufferevent_getfd(m_client));
         reset_on_close(bufferevent_getfd(m_server));
@@ -192,4 +197,10 @@
     }
 }
 
-} // namespace siskinpaddle::soak
+void fault_proxy::silence_connections() {
+    for (const auto& item : m_connections) {
+        item->silence();
+    }
+}
+
+} // namespace siskinpaddle::fakes
--- a/soak/fault_proxy.hpp
+++ b/tests/fakes/fault_proxy.hpp
@@ -7,7 +7,7 @@
 
 struct evconnlistener;
 
-namespace siskinpaddle::soak {
+namespace siskinpaddle::fakes {
 
 /// What the proxy does to its connections.
 enum class link_mode : std::uint8_t {
@@ -32,6 +32,8 @@
     /// Listens on a free port of the loopback address and returns the port; 0 on failure.
     [[nodiscard]] std::uint16_t listen();
     void set_mode(link_mode mode, milliseconds delay = milliseconds(0));
+    /// The open connections forward nothing more and are not reset; new ones work.
+    void silence_connections();
     /// Sets the server for new connections.
     void set_server(endpoint server) { m_server = std::move(server); }
 
@@ -50,4 +52,4 @@
     lifetime m_lifetime;
 };
 
-} // namespace siskinpaddle::soak
+} // namespace siskinpaddle::fakes
--- /dev/null
+++ b/tests/node/stale_configuration_test.cpp
@@ -0,0 +1,101 @@
+#include "fakes/fault_proxy.hpp"
+#include "node/configuration_task.hpp"
+#include "node/node_deployment.hpp"
+
+#include <algorithm>
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+const std::string added_queue = "/fares/";
+const std::string job = "00000000000000aa";
+/// Time within which a new configuration must be in force, in the nodes' settings.
+constexpr milliseconds configuration_time = 2s;
+/// Time after the loss of a link within which a node must follow the store again.
+constexpr milliseconds contact_time = 3s;
+
+void wait(node_deployment& d, milliseconds time) {
+    const timestamp began = event_loop::now();
+    REQUIRE(d.until([&] { return event_loop::now() - began >= time; }));
+}
+
+std::string configuration_with(std::int64_t version, const std::vector<std::string>& prefixes) {
+    jobs::fleet_configuration result;
+    result.version = version;
+    for (const std::string& prefix : prefixes) {
+        result.queues.push_back(quotes_queue(prefix));
+        result.queues.back().name = prefix;
+    }
+    result.pools = {{"p", false}};
+    result.max_body_bytes = 65'536;
+    return platform::encode_configuration(result);
+}
+
+} // namespace
+
+TEST_CASE("a node whose watch hears of no change doesn't refuse an added queue as unknown") {
+    // Guards against clients that are told 404 for a queue which the operator added more than the allowed
+    // time before.
+    struct refusal_case {
+        std::string description;
+        std::string prefix; ///< Of the queue that the new version has.
+        std::string method;
+        std::string target;
+    };
+    const std::vector<refusal_case> cases{
+        {"count of an added queue", added_queue, "GET", added_queue},
+        {"submit to an added queue", added_queue, "POST", added_queue + job},
+        {"status in an added queue", added_queue, "GET", added_queue + job},
+        {"a longer prefix, which is no call of the shorter one", "/quotes/new/", "POST",
+         "/quotes/new/" + job}};
+    for (const refusal_case& item : cases) {
+        INFO(item.description);
+        node_deployment d;
+        d.serve_with_one_vm(100ms);
+        d.store.hold_watches(std::string(platform::operator_prefix));
+        d.configure(configuration_with(4, {item.prefix}));
+        wait(d, configuration_time);
+        CHECK(d.call("n1", item.method, item.target, item.method == "POST" ? d.job_body(1) : "").code != 404);
+    }
+}
+
+TEST_CASE("a node that a peer has told of a newer version doesn't refuse a queue as unknown") {
+    node_deployment d;
+    d.serve_with_one_vm(100ms);
+    const std::uint16_t port = d.store.open_second_port();
+    d.start_node("n2", [port](node::node_settings& settings) {
+        settings.store.port = port;
+        settings.configuration_time = 1min; // The age of the copy does not matter here.
+    });
+    d.wait_until_serving("n2");
+    d.store.set_second_port_busy(true);
+    wait(d, 1100ms); // Until the watch that was open has ended.
+    d.configure(configuration_with(4, {"/quotes/", added_queue}));
+    REQUIRE(d.until([&] { return d.metric("n1", "siskinpaddle_configuration_version") == 4; }));
+    CHECK(d.call("n2", "GET", added_queue).code == 404);
+    CHECK(d.call("n2", "POST", "/quotes/" + job, d.job_body(1)).code == 200); // Answered by "n1".
+    const http_answer refused = d.call("n2", "GET", added_queue);
+    CHECK(refused.code == 503);
+    CHECK(refused.headers.get("Retry-After") == "1");
+}
+
+TEST_CASE("a configuration comes into force in time after all connections to the store went silent") {
+    // Guards against a node that waits for one timeout on each of its idle connections, of which none works.
+    node_deployment d;
+    fakes::fault_proxy link(d.loop, {"127.0.0.1", d.store.port()});
+    const std::uint16_t port = link.listen();
+    REQUIRE(port != 0);
+    d.add_vm("v1", 100ms);
+    d.start_node("n1", [port](node::node_settings& settings) { settings.store.port = port; });
+    d.wait_until_serving("n1");
+    for (int i = 0; i < 20; ++i) {
+        d.call("n1", "POST", "/quotes/" + std::to_string(1'000'000'000'000'000 + i), d.job_body(1));
+    }
+    link.silence_connections();
+    const timestamp silent_since = event_loop::now();
+    d.configure(configuration_with(4, {added_queue}));
+    REQUIRE(d.until([&] { return d.metric("n1", "siskinpaddle_configuration_version") == 4; }));
+    CHECK(event_loop::now() - silent_since < contact_time);
+}
