A queue or key is refused as unknown only by a configuration that is proved recent

Callers got 404 for a queue that had been added longer ago than a configuration may take to come into force. Cause: the node refused by its copy whatever its age. The same held for 401: an unknown key was refused by a copy of up to 4.6 s, without strict revocation of any age, where a new key has to be known within 3 s, and a call without a key although a newer version may have made its queue public.

A refusal now needs a copy that was the newest within the allowed time less 0.4 s, and no peer may have named a newer one. Otherwise the node asks the store whether the configuration's revision is unchanged (a transaction of one condition, a few bytes; a conflict brings the newest version), once for all calls that wait, for at most 250 ms; then it handles the call again. Over a link that takes longer than 0.5 s for a large configuration, or when the store fails, it doesn't ask: the client gets 503 with Retry-After at once. An unknown key goes to the pool's owner as before, who refuses it by the same rule.

It works because the time of the proof is when the store was asked, so whatever delays the copy (a silent watch, a full link, a lost link, a pause) makes it unproven by itself.

--- a/jobs/access.hpp
+++ b/jobs/access.hpp
@@ -16,11 +16,20 @@
     milliseconds max_configuration_age{0};
 };
 
+/// How well it is known that the configuration in force is the newest.
+struct configuration_freshness {
+    /// Time since it was known to be the newest, read after the call has arrived, on a clock that counts
+    /// while the process is stopped.
+    milliseconds age{0};
+    /// Whether what it lacks may be refused: no newer version that should be in force by now can exist.
+    bool is_confirmed = false;
+};
+
 enum class access_verdict : std::uint8_t {
     granted,
     unauthorized, ///< The call has no key, or one that the configuration doesn't contain.
     unconfirmed,  ///< The key may have been revoked by a newer configuration.
-    outdated      ///< The configuration doesn't contain the key, and a newer one may have added it.
+    outdated      ///< The configuration doesn't admit the call, and a newer one may do so.
 };
 
 struct access_decision {
@@ -29,8 +38,7 @@
 };
 
 /// Decides whether a call to the queue may be served. `key`: the digest of its API key, if it has exactly
-/// one. `configuration_age`: time since the configuration was known to be the newest, read after the call has
-/// arrived, on a clock that counts while the process is stopped. Pure; thread-safe.
+/// one. Pure; thread-safe.
 ///
 /// Guards against keys that are revoked while this node can't hear of it, because it is cut off from the
 /// store, or was frozen with the call in its socket: without the check of the age such a key would be served
@@ -39,7 +47,8 @@
 /// next call on its own again.
 [[nodiscard]] access_decision check_access(const fleet_configuration& configuration,
                                            const queue_settings& queue, const std::optional<key_digest>& key,
-                                           milliseconds configuration_age, const access_settings& settings);
+                                           const configuration_freshness& freshness,
+                                           const access_settings& settings);
 
 /// Whether a job of the account `owner` may be shown to, repeated or cancelled by `account`. Jobs without an
 /// account, from public queues or stored by a version of the program without accounts, are accessible by
--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -1,5 +1,6 @@
 #include "node/configuration_task.hpp"
 
+#include "node/store_health.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <algorithm>
@@ -21,6 +22,12 @@
 constexpr milliseconds catch_up_delay = 700ms;
 /// On a narrow link the delay is twice the transfer time of a large configuration.
 constexpr int transfer_time_factor = 2;
+/// Longest time that a call waits for confirm(). A slow store answers within 200 ms; a healthy one needs 4
+/// ms.
+constexpr milliseconds max_confirm_wait = 250ms;
+/// Over a slower link the store is not asked by confirm(): a large configuration would arrive twice, and too
+/// late for the call.
+constexpr milliseconds max_compare_transfer_time = 500ms;
 /// Most problems of one configuration that are logged.
 constexpr std::size_t max_logged_problems = 8;
 
@@ -31,12 +38,13 @@
 } // namespace
 
 configuration_task::configuration_task(event_loop& loop, platform::store_client& store,
-                                       std::function<void()> on_change, milliseconds max_age)
-    : m_on_change(std::move(on_change)),
+                                       std::function<void()> on_change, const configuration_ages& ages)
+    : m_store(store), m_on_change(std::move(on_change)), m_ages(ages),
       m_catch_up_delay(
           std::max(catch_up_delay, transfer_time_factor * store.transfer_time(platform::large_value_bytes))),
       m_catch_up_timer(loop.make_timer([this] { refresh_if_behind(); })),
-      m_watch(loop, store, std::string(platform::operator_prefix), watch_wait(max_age),
+      m_confirm_timer(loop.make_timer([this] { release_waiting(); })),
+      m_watch(loop, store, std::string(platform::operator_prefix), watch_wait(ages.max_age),
               [this](const platform::store_item& item) { apply_item(item); }) {}
 
 void configuration_task::record_peer_version(std::int64_t version) {
@@ -61,6 +69,49 @@
     m_watch.refresh();
 }
 
+void configuration_task::confirm(std::function<void()> done) {
+    const bool can_ask = !store_is_failing(m_store, event_loop::now()) &&
+                         m_store.transfer_time(platform::large_value_bytes) <= max_compare_transfer_time;
+    if (!can_ask) {
+        done();
+        return;
+    }
+    if (m_waiting.empty()) {
+        m_confirm_timer->start(max_confirm_wait);
+    }
+    m_waiting.push_back(std::move(done));
+    if (!m_is_comparing) {
+        compare_with_store();
+    }
+}
+
+void configuration_task::compare_with_store() {
+    const std::string key(platform::configuration_key);
+    const auto known = m_watch.items().find(key);
+    m_is_comparing = true;
+    m_store.compare(key, known == m_watch.items().end() ? 0 : known->second.revision,
+                    [this, sent_at = event_loop::now(),
+                     alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+                        if (alive.expired()) {
+                            return;
+                        }
+                        m_is_comparing = false;
+                        for (const platform::store_item& item : answer.items) {
+                            m_watch.apply(item);
+                        }
+                        if (answer.status == platform::store_status::ok || !answer.items.empty()) {
+                            m_compared_at = sent_at;
+                        }
+                        release_waiting();
+                    });
+}
+
+void configuration_task::release_waiting() {
+    for (const auto& done : std::exchange(m_waiting, {})) {
+        done();
+    }
+}
+
 void configuration_task::apply_wave(const platform::store_item& item) {
     if (item.deleted) {
         return;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -31,11 +31,18 @@
         platform::answer_unavailable(*request, retry_after_unavailable);
         return;
     }
+    client_context client;
+    client.request = request;
+    client.received_at = event_loop::now();
+    dispatch(std::move(client));
+}
+
+void ingress_task::dispatch(client_context client) {
     const jobs::fleet_configuration& configuration = m_context.configuration.current();
-    client_context client{
-        request, platform::decode_client_call(*request, configuration), {}, event_loop::now(), {}, false};
+    client.call = platform::decode_client_call(*client.request, configuration);
     const jobs::queue_settings* queue = configuration.find_queue(client.call.queue);
-    if (queue == nullptr) {
+    // A path that is no call of its queue may belong to a queue with a longer prefix.
+    if (queue == nullptr || client.call.request == platform::client_request::invalid) {
         refuse_unknown_queue(client);
         return;
     }
@@ -58,20 +65,45 @@
         handle_count(client);
         return;
     case platform::client_request::invalid:
-        refuse_unknown_queue(client);
         return;
     }
 }
 
 void ingress_task::refuse_unknown_queue(const client_context& client) {
     const configuration_task& configuration = m_context.configuration;
+    if (!configuration.is_confirmed(event_loop::now())) {
+        confirm_configuration(client);
+        return;
+    }
     log_event(event_id::client_refused, {{"target", client.request->target()},
                                          {"why", "no-queue"},
                                          {"configuration", configuration.current().version},
+                                         {"age_ms", configuration.age(event_loop::now()).count()}});
+    platform::answer_no_queue(*client.request);
+}
+
+/// Handles the call again once the store was asked for a newer configuration. If it can't be asked, the
+/// client may come back: the version that has its queue or key is on its way.
+void ingress_task::confirm_configuration(client_context client) {
+    configuration_task& configuration = m_context.configuration;
+    if (!client.configuration_compared) {
+        client.configuration_compared = true;
+        configuration.confirm([this, client = std::move(client), alive = m_lifetime.weak_token()] {
+            if (!alive.expired()) {
+                dispatch(client);
+            }
+        });
+        return;
+    }
+    observe(client, "refused");
+    log_event(event_id::client_refused, {{"target", client.request->target()},
+                                         {"why", "configuration-unconfirmed"},
+                                         {"configuration", configuration.current().version},
                                          {"heard_of", configuration.newest_peer_version()},
                                          {"age_ms", configuration.age(event_loop::now()).count()},
-                                         {"arriving_bytes", configuration.arriving_bytes()}});
-    platform::answer_no_queue(*client.request);
+                                         {"arriving_bytes", configuration.arriving_bytes()},
+                                         {"after_ms", (event_loop::now() - client.received_at).count()}});
+    platform::answer_unavailable(*client.request, retry_after_unavailable);
 }
 
 /// Checks the API key of the call. If this node can't, the pool's owner does: it may reach the store while
@@ -79,11 +111,16 @@
 bool ingress_task::admit_client(client_context& client, const jobs::queue_settings& queue) {
     const jobs::access_decision decision =
         jobs::check_access(m_context.configuration.current(), queue, client.call.key,
-                           m_context.configuration.age(event_loop::now()), m_context.access);
+                           m_context.configuration.freshness(event_loop::now()), m_context.access);
+    const bool outdated = decision.verdict == jobs::access_verdict::outdated;
+    if (outdated && !(client.configuration_compared && client.call.key)) {
+        confirm_configuration(client);
+        return false;
+    }
     m_context.counters.increment("access_" + std::string(name_of(decision.verdict)));
     client.account = decision.account;
-    client.key_unknown = decision.verdict == jobs::access_verdict::outdated;
-    client.owner_checks_key = client.key_unknown || decision.verdict == jobs::access_verdict::unconfirmed;
+    client.key_unknown = outdated;
+    client.owner_checks_key = outdated || decision.verdict == jobs::access_verdict::unconfirmed;
     if (decision.verdict == jobs::access_verdict::unauthorized) {
         refuse_unauthorized(client);
         return false;
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -65,6 +65,8 @@
         /// This node's configuration may be outdated: the pool's owner checks the API key.
         bool owner_checks_key = false;
         bool key_unknown = false; ///< The owner may refuse the key, but not accept it.
+        /// The store was asked whether this node's configuration is the newest.
+        bool configuration_compared = false;
     };
     struct cached_count {
         std::uint64_t jobs = 0;
@@ -82,12 +84,14 @@
     using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
 
     void handle_request(const request_handle& request);
+    void dispatch(client_context client);
     [[nodiscard]] bool admit_client(client_context& client, const jobs::queue_settings& queue);
     void handle_submit(client_context& client);
     void handle_count(const client_context& client);
     [[nodiscard]] peer_request make_request(peer_request_kind kind, const client_context& client) const;
     [[nodiscard]] bool refuse_unchecked(const client_context& client, const peer_answer& answer);
     void refuse_unknown_queue(const client_context& client);
+    void confirm_configuration(client_context client);
     void refuse_unauthorized(const client_context& client);
     void send_to_owner(const client_context& client, const peer_request& message, handler next);
     void record_owner_response(const std::string& owner, const peer_answer& answer);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -47,7 +47,7 @@
     : m_loop(loop), m_settings(settings), m_store(loop, settings.store, settings.link_mbps), m_vms(loop),
       m_machines(loop, settings.machines), m_advice(loop, settings.advice), m_peers(loop),
       m_configuration(
-          loop, m_store, [this] { configuration_changed(); }, max_configuration_age_of(settings)),
+          loop, m_store, [this] { configuration_changed(); }, configuration_ages_of(settings)),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
                     [this](const std::string& duty) { duty_lost(duty); },
@@ -261,8 +261,9 @@
         return peer_outcome::unconfirmed;
     }
     std::ranges::copy(request.unchecked_key, key.begin());
-    const jobs::access_decision decision = jobs::check_access(
-        configuration, *queue, key, m_configuration.age(event_loop::now()), access_settings_of(m_settings));
+    const jobs::access_decision decision =
+        jobs::check_access(configuration, *queue, key, m_configuration.freshness(event_loop::now()),
+                           access_settings_of(m_settings));
     request.account = decision.account;
     switch (decision.verdict) {
     case jobs::access_verdict::granted:
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -46,7 +46,13 @@
 
 constexpr double one_hour_ms = 3'600'000;
 /// Covers drift between this node's clock and the store's.
-constexpr milliseconds revocation_margin = 400ms;
+constexpr milliseconds configuration_age_margin = 400ms;
+
+void require_above_margin(milliseconds value, const std::string& path, findings& out) {
+    if (value <= configuration_age_margin) {
+        out.add(path, "must be above " + std::to_string(configuration_age_margin.count()));
+    }
+}
 
 } // namespace
 
@@ -54,19 +60,21 @@
     jobs::access_settings access;
     access.uses_accounts = settings.key_revocation_time > 0ms;
     if (settings.strict_key_revocation) {
-        access.max_configuration_age = settings.key_revocation_time - revocation_margin;
+        access.max_configuration_age = settings.key_revocation_time - configuration_age_margin;
     }
     return access;
 }
 
-milliseconds max_configuration_age_of(const node_settings& settings) {
+configuration_ages configuration_ages_of(const node_settings& settings) {
     const jobs::access_settings access = access_settings_of(settings);
-    if (!access.uses_accounts) {
-        return 0ms;
-    }
-    return access.max_configuration_age == 0ms
-               ? settings.configuration_time
-               : std::min(settings.configuration_time, access.max_configuration_age);
+    configuration_ages ages;
+    ages.max_refusal_age = settings.configuration_time - configuration_age_margin;
+    if (access.uses_accounts) {
+        ages.max_age = access.max_configuration_age == 0ms
+                           ? settings.configuration_time
+                           : std::min(settings.configuration_time, access.max_configuration_age);
+    }
+    return ages;
 }
 
 node_settings parse_node_settings(const boost::json::value& document, findings& out) {
@@ -107,12 +115,13 @@
     if (root.child("revoke_ms") != nullptr) {
         settings.key_revocation_time = read_duration(root, "revoke_ms", 1, one_hour_ms, out);
         settings.strict_key_revocation = root.flag_or("strict_revoke", false);
-        if (settings.strict_key_revocation && settings.key_revocation_time <= revocation_margin) {
-            out.add("/revoke_ms", "must be above " + std::to_string(revocation_margin.count()));
+        if (settings.strict_key_revocation) {
+            require_above_margin(settings.key_revocation_time, "/revoke_ms", out);
         }
     }
     if (root.child("config_apply_ms") != nullptr) {
         settings.configuration_time = read_duration(root, "config_apply_ms", 1, one_hour_ms, out);
+        require_above_margin(settings.configuration_time, "/config_apply_ms", out);
     }
     settings.maintenance_time = read_duration(root, "upkeep_s", 1000, one_hour_ms, out);
     settings.move_time = read_duration(root, "move_s", 1000, one_hour_ms, out);
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -7,6 +7,12 @@
 
 namespace siskinpaddle::node {
 
+/// Bounds on the age of the copy of the configuration.
+struct configuration_ages {
+    milliseconds max_age{0}; ///< What the age has to stay below while the store responds; 0: no bound.
+    milliseconds max_refusal_age{0}; ///< Maximum age by which a queue or an API key may be refused.
+};
+
 /// Default speed of the network link, Mbit/s.
 inline constexpr double default_link_mbps = 1000;
 /// Default for the longest time that a VM takes to stop a run.
@@ -53,9 +59,9 @@
 /// Returns when calls with an API key may be served, for jobs::check_access().
 [[nodiscard]] jobs::access_settings access_settings_of(const node_settings& settings);
 
-/// Returns the age that the configuration must not reach while the store responds: beyond it, keys can't be
-/// checked, and accounts with a limit start nothing. 0 without client accounts.
-[[nodiscard]] milliseconds max_configuration_age_of(const node_settings& settings);
+/// Returns the bounds on the configuration's age. Beyond `max_age` (0 without client accounts) keys can't be
+/// checked, and accounts with a limit start nothing.
+[[nodiscard]] configuration_ages configuration_ages_of(const node_settings& settings);
 
 /// Parses and validates a settings document; findings name every problem with its place.
 [[nodiscard]] node_settings parse_node_settings(const boost::json::value& document, findings& out);
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -53,6 +53,9 @@
     /// Number of bytes of an unfinished answer that have arrived so far.
     [[nodiscard]] std::size_t arriving_bytes() const;
 
+    /// Takes over an item's state that was read elsewhere, unless the copy holds a newer one.
+    void apply(const platform::store_item& item);
+
     /// Lists the items again at once, e.g. because a peer reports a newer version. A listing that has just
     /// begun is used instead.
     void refresh();
@@ -64,7 +67,6 @@
     void finish_listing();
     void watch(std::uint64_t round);
     void apply_events(const platform::store_answer& answer, std::uint64_t round);
-    void apply(const platform::store_item& item);
     void retry_after_failure(platform::store_status status, std::function<void()> action);
     void record_success();
     void record_transfer(const platform::store_answer& answer);
