A call that times out closes the connections that were idle before it

When connections go silent without a reset, each call on a pooled connection waits for its own timeout: the watch of the configuration for its wait and a second, and its retry, on the next silent connection, for as long again. Two in a row are 4 s, more than a machine in touch has. The client drops the connections to the same server that have carried nothing since the timed-out call was sent, so that the next call opens a new one; connections that have worked since stay.

Failed before: of six calls after one timeout, one was answered; six now.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -136,6 +136,8 @@
     }
 
     [[nodiscard]] std::size_t received_bytes() const noexcept { return m_received_bytes; }
+    [[nodiscard]] const endpoint& server() const noexcept { return m_call.to; }
+    [[nodiscard]] timestamp started_at() const noexcept { return m_started_at; }
 
     void record_input(std::size_t bytes) {
         if (m_received_bytes == 0) {
@@ -329,10 +331,20 @@
                 return_connection(std::move(used));
             }
             used.reset();
+            if (answer.status == exchange_status::timed_out) {
+                close_connections_idle_since(ended->server(), ended->started_at());
+            }
             ended->release_callback()(std::move(answer));
         });
 }
 
+void http_client::close_connections_idle_since(const endpoint& to, timestamp time) {
+    const auto idle = m_idle_connections.find(to);
+    if (idle != m_idle_connections.end()) {
+        std::erase_if(idle->second, [&](const auto& item) { return item->idle_since <= time; });
+    }
+}
+
 void http_client::close_idle_connections() {
     const timestamp now = event_loop::now();
     for (auto& [to, idle] : m_idle_connections) {
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -65,7 +65,8 @@
 };
 
 /// Sends HTTP requests, each on a connection that no other request uses meanwhile, and keeps some idle
-/// connections for reuse. Never retries a request.
+/// connections for reuse. A call that times out closes the connections to its server that were idle before
+/// the call. Never retries a request.
 class http_client {
   public:
     http_client(event_loop& loop, http_client_limits limits = {});
@@ -97,6 +98,10 @@
     void return_connection(std::unique_ptr<connection> item);
     void finish(std::uint64_t call_id, http_answer answer, bool reusable);
     void close_idle_connections();
+    /// Closes the connections to `to` that have carried nothing since `time`. When connections go silent
+    /// without a reset, as behind a link that lost its state, all of them do: each would cost a call its
+    /// timeout.
+    void close_connections_idle_since(const endpoint& to, timestamp time);
 
     event_loop& m_loop;
     http_client_limits m_limits;
--- a/tests/net/raw_server.hpp
+++ b/tests/net/raw_server.hpp
@@ -2,6 +2,7 @@
 
 #include "net/net.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -51,6 +52,9 @@
         }
     }
 
+    /// Requests on the open connections get no answer from now on; new connections work.
+    void silence_connections() { m_silent_connections = m_connections; }
+
     int requests = 0; ///< Request heads that arrived.
     int resets = 0;   ///< Connections that the client reset.
     int closes = 0;   ///< Connections that the client closed in order, which delivers all sent data.
@@ -88,6 +92,9 @@
         }
         evbuffer_drain(input, text.size());
         ++requests;
+        if (std::ranges::find(m_silent_connections, item) != m_silent_connections.end()) {
+            return;
+        }
         if (remaining_answers == 0) {
             close_connection(item);
             return;
@@ -110,6 +117,7 @@
 
     void close_connection(bufferevent* item) {
         std::erase(m_connections, item);
+        std::erase(m_silent_connections, item);
         bufferevent_free(item);
     }
 
@@ -118,6 +126,7 @@
     bool m_close_after;
     evconnlistener* m_listener = nullptr;
     std::vector<bufferevent*> m_connections;
+    std::vector<bufferevent*> m_silent_connections;
 };
 
 } // namespace siskinpaddle::tests
