Soak: time from a configuration's publication to its effect on each node

The soak checked that no node goes back to an older version, not when a version comes into force, so a queue refused 3 s and more after it was added passed, and so did a key refused by an old copy: the bound of keys was that of revocation.

Each node is now asked by two ways every 0.3 s: the queue that only the newest version has, and the version in its metrics. From 3 s after publication no node may refuse the queue with 404; a node in touch must not serve the previous queue and must show the version. A new key must not be refused from 3 s on, before 5 s.

--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cstdlib>
 #include <iomanip>
 #include <sstream>
 
@@ -36,15 +37,17 @@
 /// One job in so many is in the queue of the other pool.
 constexpr std::uint64_t bulk_one_in = 4;
 constexpr std::uint64_t account_seed = 0xacc;
-/// A node that can't reach the store trusts its configuration no longer than a revoked key may be served, so
-/// it refuses no key that was issued before.
+/// A node refuses no key by a configuration that may be older than a new one may take to come into force.
 constexpr account_bounds key_bounds{
-    .revocation = key_revocation_time, .key_lag = key_revocation_time, .limit_lag = 0ms};
+    .revocation = key_revocation_time, .key_lag = configuration_time, .limit_lag = 0ms};
 /// Longer than an owner's lease, so that a takeover of the pool occurs while most long-lived jobs are
 /// running.
 constexpr milliseconds long_lived_duration = 4s;
 /// Time after a job's acceptance within which each node that answers for the job's pool must know the job.
 constexpr milliseconds visible_within = 3s;
+/// Time after a fault within which a node must follow the store again: the platform's bound.
+constexpr milliseconds contact_time = 3s;
+constexpr std::string_view version_metric = "siskinpaddle_configuration_version ";
 constexpr int ok = 200;
 constexpr int job_unknown = 410;
 constexpr int no_such_queue = 404;
@@ -143,6 +146,7 @@
     for (std::uint32_t node = 0; node < m_cluster.nodes(); ++node) {
         if (m_iterations % probe_interval_iterations == 0) {
             probe_configuration(node);
+            read_version(node);
         }
         if (m_iterations % count_interval_iterations == 0) {
             query_count(node);
@@ -308,13 +312,45 @@
     seen.is_probing = true;
     const bool old = seen.version == m_cluster.configuration_version() && m_random() % 2 == 0;
     const std::int64_t version = m_cluster.configuration_version() - (old ? 2 : 0);
+    configuration_report report;
+    report.queried_version = version;
+    report.sent = event_loop::now();
+    report.was_in_touch = m_cluster.is_in_touch(node, contact_time);
     send(node, {"GET", test_cluster::extra_prefix(version), {}, {}},
-         [this, node, version, before = seen](const http_answer& answer) {
-             process_probe_answer(node, version, before,
-                                  answer.status == exchange_status::answered ? answer.code : 0);
+         [this, node, report, before = seen](const http_answer& answer) mutable {
+             const int code = answer.status == exchange_status::answered ? answer.code : 0;
+             report.is_present = code == ok;
+             report.is_missing = code == no_such_queue;
+             check_configuration(node, report);
+             process_probe_answer(node, report.queried_version, before, code);
          });
 }
 
+void load_generator::read_version(std::uint32_t node) {
+    configuration_report report;
+    report.sent = event_loop::now();
+    report.was_in_touch = m_cluster.is_in_touch(node, contact_time);
+    http_call call;
+    call.to = m_cluster.metrics_endpoint(node);
+    call.target = "/metrics";
+    m_client.send(std::move(call), [this, node, report](const http_answer& answer) mutable {
+        const std::size_t at = answer.body.find(version_metric);
+        if (answer.status == exchange_status::answered && at != std::string::npos) {
+            report.reported_version =
+                std::strtoll(answer.body.c_str() + at + version_metric.size(), nullptr, 10);
+            check_configuration(node, report);
+        }
+    });
+}
+
+void load_generator::check_configuration(std::uint32_t node, const configuration_report& report) {
+    configuration_report ended = report;
+    ended.answered = event_loop::now();
+    if (const auto problem = check_time_to_effect(ended, m_cluster.publications(), configuration_time)) {
+        m_problems.push_back("n" + std::to_string(node + 1) + ": " + *problem);
+    }
+}
+
 void load_generator::process_probe_answer(std::uint32_t node, std::int64_t version,
                                           observed_configuration previous, int code) {
     observed_configuration& seen = m_observed_configurations[node];
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -52,6 +52,9 @@
     void probe_access();
     void query_count(std::uint32_t node);
     void probe_configuration(std::uint32_t node);
+    /// Reads the version in force from the node's metrics.
+    void read_version(std::uint32_t node);
+    void check_configuration(std::uint32_t node, const configuration_report& report);
     void process_probe_answer(std::uint32_t node, std::int64_t version, observed_configuration previous,
                               int code);
     /// A client's call; `key` is empty for a call without an API key.
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -103,12 +103,14 @@
     m_store.put(
         std::string(platform::configuration_key),
         platform::encode_configuration(configuration, m_accounts.publish(task_need, event_loop::now())));
+    m_publications[m_configuration_version] = event_loop::now();
 }
 
 bool test_cluster::add_node(std::uint32_t number) {
     auto state = std::make_unique<cluster_node>();
     state->id = "n" + std::to_string(number + 1);
     state->clients = {process_address(), tests::free_port()};
+    state->metrics = {process_address(), tests::free_port()};
     state->store_link = std::make_unique<fakes::fault_proxy>(m_loop, endpoint{"127.0.0.1", m_store.port()});
     state->client_link = std::make_unique<fakes::fault_proxy>(m_loop, state->clients);
     state->client_port = state->client_link->listen();
@@ -120,7 +122,7 @@
                                        {"readiness", process_address(tests::free_port())},
                                        {"address", process_address()},
                                        {"peer_port", tests::free_port()},
-                                       {"metrics_port", tests::free_port()},
+                                       {"metrics_port", state->metrics.port},
                                        {"store", loopback_address(state->store_link->listen())},
                                        {"machines", loopback_address(tests::free_port())},
                                        {"advice", ""},
@@ -215,10 +217,20 @@
 
 bool test_cluster::had_contact(std::int64_t token, timestamp at, milliseconds contact) const {
     const auto owner = m_owners.find(token);
-    return owner != m_owners.end() && std::ranges::none_of(m_outages, [&](const contact_outage& item) {
-               const bool is_affected = item.node == nullptr || item.node == owner->second;
-               return is_affected && item.from <= at && (!item.until || *item.until + contact >= at);
-           });
+    return owner != m_owners.end() && !had_outage(*owner->second, at, contact);
+}
+
+bool test_cluster::had_outage(const cluster_node& node, timestamp at, milliseconds contact) const {
+    return std::ranges::any_of(m_outages, [&](const contact_outage& item) {
+        const bool is_affected = item.node == nullptr || item.node == &node;
+        return is_affected && item.from <= at && (!item.until || *item.until + contact >= at);
+    });
+}
+
+bool test_cluster::is_in_touch(std::uint32_t node, milliseconds contact) const {
+    const cluster_node& state = *m_nodes[node];
+    const timestamp now = event_loop::now();
+    return state.started_at + contact <= now && !had_outage(state, now, contact);
 }
 
 /// Faults of VMs, faults of the links to VMs, and new configurations are not recorded: an owner must act
@@ -226,7 +238,7 @@
 void test_cluster::record_outage(const planned_fault& fault) {
     const bool is_link_fault =
         (fault.kind >= fault_kind::store_link_delay && fault.kind <= fault_kind::store_link_silent) ||
-        fault.kind == fault_kind::client_link_reset;
+        fault.kind == fault_kind::client_link_reset || fault.kind == fault_kind::store_connections_silent;
     const bool is_store_fault =
         (fault.kind >= fault_kind::store_silent && fault.kind <= fault_kind::store_leases_lapse) ||
         fault.kind == fault_kind::store_holds_jobs;
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -5,6 +5,7 @@
 #include "fakes/task_machine.hpp"
 #include "soak/account_script.hpp"
 #include "soak/child_process.hpp"
+#include "soak/configuration_checks.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/invariant_checks.hpp"
 
@@ -59,6 +60,13 @@
     [[nodiscard]] std::uint32_t nodes() const noexcept { return m_settings.nodes; }
     /// Version of the newest configuration.
     [[nodiscard]] std::int64_t configuration_version() const noexcept { return m_configuration_version; }
+    [[nodiscard]] const publication_times& publications() const noexcept { return m_publications; }
+    [[nodiscard]] const endpoint& metrics_endpoint(std::uint32_t node) const {
+        return m_nodes[node]->metrics;
+    }
+    /// Whether the node's process ran, and neither it nor the store had a fault that can keep it from
+    /// following the store, for `contact` before now.
+    [[nodiscard]] bool is_in_touch(std::uint32_t node, milliseconds contact) const;
     /// The accounts of the published configurations.
     [[nodiscard]] account_script& accounts() noexcept { return m_accounts; }
     [[nodiscard]] const account_script& accounts() const noexcept { return m_accounts; }
@@ -86,6 +94,7 @@
         std::string settings_file;
         std::string log;
         endpoint clients;
+        endpoint metrics;
         std::unique_ptr<fakes::fault_proxy> store_link;
         std::unique_ptr<fakes::fault_proxy> client_link;
         std::uint16_t client_port = 0;
@@ -123,6 +132,8 @@
         return m_vms[fault.target % m_settings.vms];
     }
     void record_owner(const std::string& key);
+    /// Whether a fault concerned the node or the store at some time from `contact` before `at` on.
+    [[nodiscard]] bool had_outage(const cluster_node& node, timestamp at, milliseconds contact) const;
     void record_outage(const planned_fault& fault);
     void end_outage(const planned_fault& fault);
     void publish_configuration();
@@ -144,6 +155,7 @@
     std::vector<contact_outage> m_outages;
     std::map<fakes::fault_proxy*, std::uint32_t> m_link_faults; ///< Number of open faults per link.
     std::int64_t m_configuration_version = 2;
+    publication_times m_publications;
     std::uint32_t m_silent_faults = 0;
     std::uint32_t m_busy_faults = 0;
     std::uint32_t m_hold_faults = 0;
--- a/soak/test_cluster_faults.cpp
+++ b/soak/test_cluster_faults.cpp
@@ -196,6 +196,9 @@
     case fault_kind::vm_drains:
         vm_of(fault).machine->drain();
         return;
+    case fault_kind::store_connections_silent:
+        m_nodes[fault.target % m_settings.nodes]->store_link->silence_connections();
+        return;
     case fault_kind::node_reloads:
         reload_node(*m_nodes[fault.target % m_settings.nodes]);
         return;
