A body is refused as too large only by a configuration that is proved recent

The same cause as the 404: a node with an old copy answered 400 to a job that a newer version's max_body_bytes allows, and clients don't come back after a 400. The test fails without the change (400 in place of 200, 1 of 134 assertions).

--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -20,6 +20,10 @@
     findings problems;
     client.spec = platform::decode_job(body, client.call.job, client.call.queue, problems);
     if (body.size() > m_context.configuration.current().max_body_bytes) {
+        if (!m_context.configuration.is_confirmed(event_loop::now())) {
+            confirm_configuration(client);
+            return;
+        }
         problems.add("/", "body exceeds the configured max_body_bytes");
     }
     if (problems.empty()) {
--- a/tests/node/configuration_age_test.cpp
+++ b/tests/node/configuration_age_test.cpp
@@ -23,7 +23,8 @@
     REQUIRE(d.until([&] { return event_loop::now() - began >= time; }));
 }
 
-std::string configuration_with(std::int64_t version, const std::vector<std::string>& prefixes) {
+std::string configuration_with(std::int64_t version, const std::vector<std::string>& prefixes,
+                               std::size_t max_body_bytes = 65'536) {
     jobs::fleet_configuration result;
     result.version = version;
     for (const std::string& prefix : prefixes) {
@@ -31,7 +32,7 @@
         result.queues.back().name = prefix;
     }
     result.pools = {{"p", false}};
-    result.max_body_bytes = 65'536;
+    result.max_body_bytes = max_body_bytes;
     return platform::encode_configuration(result);
 }
 
@@ -66,6 +67,16 @@
     }
 }
 
+TEST_CASE("a node whose watch reports no change accepts a job by a newer limit on its size") {
+    node_deployment d;
+    d.serve_with_one_vm(100ms);
+    d.store.hold_watches(std::string(platform::operator_prefix));
+    const std::string large_body = d.job_body(1) + std::string(70'000, ' ');
+    d.configure(configuration_with(4, {"/quotes/"}, 100'000));
+    wait(d, configuration_time);
+    CHECK(d.call("n1", "POST", "/quotes/" + job, large_body).code == 200);
+}
+
 // Guards against a 404 that nothing proves, and against clients that wait for a store which does not answer.
 TEST_CASE("a node that can't reach the store has clients of an unknown queue return") {
     struct store_case {
