A watch whose answer is too large lists the items instead

A watch that is behind gets every state of every item since its revision. Above 8 MB the answer is dropped, and the node asked for the same answer again and again: twenty configurations of 400 KB, a storm of six seconds at one each 0.3 s, kept it on its old version until the store forgot the history. The listing that follows has the newest state alone.

The test fails without the change: ten states of 1 MB, the newest not known after loop_until's limit.

--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -69,3 +69,25 @@
         CHECK(client.call_counts().at("range") == row.listings);
     }
 }
+
+TEST_CASE("a watch whose answer is too large lists the items instead") {
+    // Guards against a node that asks for the same answer again and again: twenty large configurations exceed
+    // what it reads.
+    constexpr std::size_t item_bytes = 1'000'000;
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    std::string newest;
+    node::watch_task watch(loop, client, "op/", 1s,
+                           [&](const platform::store_item& item) { newest = item.value.substr(0, 1); });
+    bool ready = false;
+    watch.start([&] { ready = true; });
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    store.hold_watches("op/");
+    for (int number = 0; number < 10; ++number) {
+        store.put("op/large", std::string(item_bytes, static_cast<char>('a' + number)));
+    }
+    store.hold_watches({});
+    CHECK(loop_until(loop, [&] { return newest == "j"; }));
+}
