A node that is behind on a narrow link reads the newest configuration, not each one

A watch that is behind returns every state since its revision, each whole.

After an answer that took 0.5 s or more to arrive, the node lists the other items under op/ and compares the configuration's revision with the store's: unchanged costs a few bytes, changed brings the newest alone, and the watch goes on from the listing. Within one answer only the configuration's newest state is decoded.

--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -45,7 +45,9 @@
       m_catch_up_timer(loop.make_timer([this] { refresh_if_behind(); })),
       m_confirm_timer(loop.make_timer([this] { release_waiting(); })),
       m_watch(loop, store, std::string(platform::operator_prefix), watch_wait(ages.max_age),
-              [this](const platform::store_item& item) { apply_item(item); }) {}
+              [this](const platform::store_item& item) { apply_item(item); }) {
+    m_watch.set_large_item(std::string(platform::configuration_key));
+}
 
 void configuration_task::record_peer_version(std::int64_t version) {
     m_newest_peer_version = std::max(m_newest_peer_version, version);
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -18,6 +18,8 @@
 /// The timeout is at least this many times the transfer time of a large value: over a narrow link, two
 /// listings at once would compete for bandwidth and neither would complete.
 constexpr int transfer_time_factor = 3;
+/// From this receive time of an answer on, the large item may have changed again meanwhile.
+constexpr milliseconds slow_transfer = 500ms;
 
 } // namespace
 
@@ -59,6 +61,23 @@
     list({}, m_round);
 }
 
+void watch_task::begin_partial_listing() {
+    m_is_listing = true;
+    m_listing_started_at = event_loop::now();
+    ++m_round;
+    reset_listing();
+    m_is_partial_listing = true;
+    read_page(m_large_item, m_round);
+}
+
+void watch_task::reset_listing() {
+    m_listing.clear();
+    m_listing_revision = 0;
+    m_page_sent_at = event_loop::now();
+    m_last_transfer = {};
+    m_is_partial_listing = false;
+}
+
 void watch_task::record_success() {
     if (m_failing_since != timestamp(0)) {
         log_event(event_id::watch_resumed, {{"prefix", m_prefix},
@@ -91,11 +110,12 @@
 
 void watch_task::list(const std::string& after, std::uint64_t round) {
     if (after.empty()) {
-        m_listing.clear();
-        m_listing_revision = 0;
-        m_page_sent_at = event_loop::now();
-        m_last_transfer = {};
+        reset_listing();
     }
+    read_page(after, round);
+}
+
+void watch_task::read_page(const std::string& after, std::uint64_t round) {
     m_pending_page =
         m_store.range(m_prefix, after,
                       [this, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
@@ -143,8 +163,35 @@
         list(last, round);
         return;
     }
+    if (m_is_partial_listing) {
+        compare_large_item(round);
+        return;
+    }
     finish_listing();
-    watch(round);
+    continue_watching(round);
+}
+
+void watch_task::compare_large_item(std::uint64_t round) {
+    const platform::store_item known = m_items.at(m_large_item);
+    m_pending_page = m_store.compare(
+        m_large_item, known.revision,
+        [this, known, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+            if (alive.expired() || !m_running || round != m_round) {
+                return;
+            }
+            if (answer.status == platform::store_status::ok) {
+                m_listing[known.key] = known;
+            } else if (answer.status != platform::store_status::conflict) {
+                retry_after_failure(answer.status, [this, round] { list({}, round); });
+                return;
+            }
+            record_transfer(answer);
+            for (const platform::store_item& item : answer.items) {
+                m_listing[item.key] = item;
+            }
+            finish_listing();
+            continue_watching(round);
+        });
 }
 
 void watch_task::finish_listing() {
@@ -216,9 +263,7 @@
     }
     record_success();
     record_transfer(answer);
-    for (const platform::store_item& item : answer.items) {
-        apply(item);
-    }
+    apply_newest(answer.items);
     m_revision = std::max(m_revision, answer.revision);
     m_confirmed_at = std::max(m_confirmed_at, m_watch_sent_at);
     // A watch without changes is answered at the end of its wait; one with changes may have been answered at
@@ -230,9 +275,33 @@
     }
     if (m_pause.count() > 0 && !answer.items.empty()) {
         schedule(m_pause, [this, round] { watch(round); });
+    } else {
+        continue_watching(round);
+    }
+}
+
+void watch_task::continue_watching(std::uint64_t round) {
+    if (m_last_transfer.receive_time >= slow_transfer && m_items.contains(m_large_item)) {
+        begin_partial_listing();
     } else {
         watch(round);
     }
 }
 
+/// Skips the states of the large item that a later one in the same answer replaces: an answer may hold tens
+/// of configurations, of which each takes tens of milliseconds to decode.
+void watch_task::apply_newest(const std::vector<platform::store_item>& items) {
+    std::int64_t newest_large = 0;
+    for (const platform::store_item& item : items) {
+        if (item.key == m_large_item) {
+            newest_large = std::max(newest_large, item.revision);
+        }
+    }
+    for (const platform::store_item& item : items) {
+        if (item.key != m_large_item || item.revision == newest_large) {
+            apply(item);
+        }
+    }
+}
+
 } // namespace siskinpaddle::node
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -27,6 +27,10 @@
     void start(std::function<void()> on_ready = {});
     void stop() { m_running = false; }
 
+    /// Names the item that may be large. Precondition: it is the first item under the prefix. After an answer
+    /// that took long to arrive, the item's newest state is read: a watch would return all of its states
+    /// since then, one after the other.
+    void set_large_item(std::string key) { m_large_item = std::move(key); }
     /// Takes effect from the next watch on.
     void set_pause(milliseconds pause) noexcept { m_pause = pause; }
 
@@ -62,10 +66,18 @@
 
   private:
     void begin_listing();
+    /// Lists all items but the large one, which is read only if it has changed.
+    void begin_partial_listing();
+    void reset_listing();
     void list(const std::string& after, std::uint64_t round);
+    void read_page(const std::string& after, std::uint64_t round);
     void apply_page(const platform::store_answer& answer, std::uint64_t round);
+    void compare_large_item(std::uint64_t round);
     void finish_listing();
     void watch(std::uint64_t round);
+    /// Watches on, or reads the large item's newest state first.
+    void continue_watching(std::uint64_t round);
+    void apply_newest(const std::vector<platform::store_item>& items);
     void apply_events(const platform::store_answer& answer, std::uint64_t round);
     void retry_after_failure(platform::store_status status, std::function<void()> action);
     void record_success();
@@ -87,7 +99,9 @@
     bool m_running = false;
     int m_failures = 0;
     timestamp m_failing_since{0};
+    std::string m_large_item; ///< Empty: there is none.
     bool m_is_listing = false;
+    bool m_is_partial_listing = false;
     timestamp m_listing_started_at{0};
     timestamp m_page_sent_at{0};  ///< When the first page of the listing was requested.
     timestamp m_watch_sent_at{0}; ///< When the latest watch was sent.
--- a/tests/fakes/fault_proxy.cpp
+++ b/tests/fakes/fault_proxy.cpp
@@ -108,13 +108,23 @@
             return;
         }
         bufferevent* to = to_server ? m_server : m_client;
-        const milliseconds delay = m_proxy.m_mode == link_mode::delay ? m_proxy.m_delay : milliseconds(0);
-        if (delay.count() == 0 && m_delayed.empty()) {
+        const timestamp due = due_time(bytes.size());
+        const timestamp now = event_loop::now();
+        if (due <= now && m_delayed.empty()) {
             bufferevent_write(to, bytes.data(), bytes.size());
             return;
         }
-        m_delayed.push_back({event_loop::now() + delay, to, std::move(bytes)});
-        m_timer->start(delay);
+        m_delayed.push_back({due, to, std::move(bytes)});
+        m_timer->start(std::max(milliseconds(0), m_delayed.front().due - now));
+    }
+
+    [[nodiscard]] timestamp due_time(std::size_t bytes) const {
+        const timestamp now = event_loop::now();
+        if (m_proxy.m_bytes_per_s > 0) {
+            const timestamp start = m_delayed.empty() ? now : std::max(now, m_delayed.back().due);
+            return start + milliseconds(bytes * 1000 / m_proxy.m_bytes_per_s);
+        }
+        return now + (m_proxy.m_mode == link_mode::delay ? m_proxy.m_delay : milliseconds(0));
     }
 
     void send_due() {
--- a/tests/fakes/fault_proxy.hpp
+++ b/tests/fakes/fault_proxy.hpp
@@ -34,6 +34,8 @@
     void set_mode(link_mode mode, milliseconds delay = milliseconds(0));
     /// The open connections forward nothing more and are not reset; new ones work.
     void silence_connections();
+    /// Limits what each connection carries in each direction; 0: no limit.
+    void set_rate(std::size_t bytes_per_s) { m_bytes_per_s = bytes_per_s; }
     /// Sets the server for new connections.
     void set_server(endpoint server) { m_server = std::move(server); }
 
@@ -48,6 +50,7 @@
     evconnlistener* m_listener = nullptr;
     link_mode m_mode = link_mode::pass;
     milliseconds m_delay{0};
+    std::size_t m_bytes_per_s = 0;
     std::list<std::unique_ptr<proxied_connection>> m_connections;
     lifetime m_lifetime;
 };
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -1,7 +1,9 @@
+#include "fakes/fault_proxy.hpp"
 #include "fakes/platform_store.hpp"
 #include "net/loop_until.hpp"
 #include "node/watch_task.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -70,6 +72,79 @@
     }
 }
 
+TEST_CASE("over a narrow link a watch that is behind does not transfer each state of a large item") {
+    // Guards against a node that is many versions behind during a series of large configurations: each state
+    // takes seconds, and the next watch returns all states since then.
+    constexpr std::size_t bytes_per_s = 1'000'000;
+    constexpr std::size_t item_bytes = 600'000;
+    constexpr int last_state = 6;
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    fakes::fault_proxy link(loop, {"127.0.0.1", store.port()});
+    const std::uint16_t port = link.listen();
+    REQUIRE(port != 0);
+    link.set_rate(bytes_per_s);
+    platform::store_client client(loop, {"127.0.0.1", port}, 8);
+    const auto state = [](int number) { return std::string(item_bytes, static_cast<char>('0' + number)); };
+    store.put("op/large", "0");
+    std::vector<std::string> seen;
+    std::vector<std::string> removed;
+    node::watch_task watch(loop, client, "op/", 1s, [&](const platform::store_item& item) {
+        if (item.deleted) {
+            removed.push_back(item.key);
+        } else {
+            seen.push_back(item.key == "op/large" ? item.value.substr(0, 1) : item.key);
+        }
+    });
+    watch.set_large_item("op/large");
+    bool ready = false;
+    watch.start([&] { ready = true; });
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    store.put("op/wave/1", "old");
+    REQUIRE(loop_until(loop, [&] { return seen.size() == 2; }));
+    store.put("op/large", state(1));
+    REQUIRE(loop_until(loop, [&] { return watch.arriving_bytes() > 0; }));
+    for (int number = 2; number <= last_state; ++number) {
+        store.put("op/large", state(number));
+    }
+    store.put("op/wave/2", "new");
+    store.remove("op/wave/1");
+    REQUIRE(
+        loop_until(loop, [&] { return std::ranges::find(seen, std::to_string(last_state)) != seen.end(); }));
+    std::ranges::sort(seen);
+    CHECK(seen == std::vector<std::string>{"0", "1", std::to_string(last_state), "op/wave/1", "op/wave/2"});
+    CHECK(removed == std::vector<std::string>{"op/wave/1"});
+    store.put("op/large", "7");
+    CHECK(loop_until(loop, [&] { return seen.back() == "7"; }));
+}
+
+TEST_CASE("of several states of a large item in one answer only the newest is reported") {
+    // Guards against a node that decodes tens of large configurations in a row after it could not follow the
+    // store for some seconds.
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    std::vector<std::string> seen;
+    node::watch_task watch(loop, client, "op/", 200ms,
+                           [&](const platform::store_item& item) { seen.push_back(item.value); });
+    watch.set_large_item("op/large");
+    bool ready = false;
+    watch.start([&] { ready = true; });
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    store.hold_watches("op/");
+    for (const char* value : {"1", "2", "3"}) {
+        store.put("op/large", value);
+    }
+    for (const char* value : {"u", "v"}) {
+        store.put("op/wave/1", value);
+    }
+    store.hold_watches({});
+    REQUIRE(loop_until(loop, [&] { return seen.size() >= 3; }));
+    CHECK(seen == std::vector<std::string>{"3", "u", "v"});
+}
+
 TEST_CASE("a watch whose answer is too large lists the items instead") {
     // Guards against a node that asks for the same answer again and again: twenty large configurations exceed
     // what it reads.
