--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -145,6 +145,9 @@
         }
         m_received_bytes += bytes;
         extend_deadline();
+        if (m_call.on_progress) {
+            m_call.on_progress(m_received_bytes);
+        }
     }
 
   private:
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -45,6 +45,8 @@
     /// which leaves it unknown whether the request was executed; a request that must not be executed twice
     /// can't be retried then.
     bool fresh_connection = false;
+    /// Called when a part of the answer has arrived, with the number of bytes so far; may be empty.
+    std::function<void(std::size_t)> on_progress;
 };
 
 struct http_answer {
