The time of a client's call has an initial value

clang-tidy finds a member that the implicit constructor leaves uninitialised, now that a call is built up field by field. It was set before each use; nothing changes in behaviour.

--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -60,7 +60,7 @@
         request_handle request;
         platform::client_call call;
         jobs::job_spec spec; ///< Set for a submit.
-        timestamp received_at;
+        timestamp received_at{0};
         std::string account; ///< Empty for a public queue, or while `owner_checks_key`.
         /// This node's configuration may be outdated: the pool's owner checks the API key.
         bool owner_checks_key = false;
