Log what the store's bytes are for, and how long each read of a takeover takes

The log named the link's bytes by the other end only, counted an answer when it was complete (so 450 to 590 KB/s on a link of 250), and said nothing about the takeover's reads. No logic changes here.

http_client counts bytes as they arrive, headers included. Event 1963 store-reads, beside 1956, names the kilobytes by the items that were read; the metric store_received_bytes{items} is the same. 1921 pool-taken-over says how long each read took.

From 40.3 to 43.4 s madina-2 reads 81 KB/s of the configuration and nothing else: no answer of a VM, of the store's lease, or of a write, while 1918 says that three listings begun by the store's "recovery" time out and are begun again. So the link carries answers that nobody waits for any more. At 43.47 s 425,984 of 456,343 bytes of a configuration have arrived, and it is read from the beginning again.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -144,6 +144,7 @@
             m_first_byte_at = event_loop::now();
         }
         m_received_bytes += bytes;
+        m_owner.m_bytes_received += bytes;
         extend_deadline();
         if (m_call.on_progress) {
             m_call.on_progress(m_received_bytes);
@@ -199,7 +200,6 @@
         evbuffer* body = evhttp_request_get_input_buffer(request);
         answer.body.resize(evbuffer_get_length(body));
         evbuffer_remove(body, answer.body.data(), answer.body.size());
-        m_owner.m_bytes_received += answer.body.size();
         answer.receive_time = event_loop::now() - m_first_byte_at;
     }
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -379,6 +379,7 @@
         total_sent += sent(end);
         total_received += received(end);
     }
+    const std::string store_reads = describe_store_reads(seconds);
     const double link_kb = m_settings.link_mbps * kilobytes_per_megabit;
     if (static_cast<double>(std::max(total_sent, total_received)) < link_kb * logged_link_share) {
         return;
@@ -395,6 +396,19 @@
                                     {"clients_out", sent(4)},
                                     {"clients_in", received(4)},
                                     {"link_kb", static_cast<std::int64_t>(link_kb)}});
+    log_event(event_id::store_reads, {{"kb", store_reads}});
+}
+
+/// Kilobytes a second that the store has sent since the last call, by the items that were read.
+std::string node::describe_store_reads(double seconds) {
+    std::string text;
+    for (const auto& [items, bytes] : m_store.received_by_items()) {
+        const std::int64_t read = kilobytes(bytes - std::exchange(m_store_reads[items], bytes), seconds);
+        if (read > 0) {
+            text += (text.empty() ? "" : ",") + items + ":" + std::to_string(read);
+        }
+    }
+    return text.empty() ? "-" : text;
 }
 
 void node::stop(std::function<void()> stopped) {
@@ -477,6 +491,9 @@
         m_counters.set("link_sent_bytes" + label, link.at(end).sent);
         m_counters.set("link_received_bytes" + label, link.at(end).received);
     }
+    for (const auto& [items, bytes] : m_store.received_by_items()) {
+        m_counters.set("store_received_bytes{items=\"" + items + "\"}", bytes);
+    }
     for (const auto& [duty, task] : m_pools) {
         const std::string label = "{pool=\"" + task->pool() + "\"}";
         m_counters.set("pool_jobs" + label, task->scheduler().job_count());
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -45,6 +45,7 @@
     void tick();
     [[nodiscard]] link_traffic traffic() const;
     void log_link_load(timestamp now);
+    std::string describe_store_reads(double seconds);
     void finish_stop();
     [[nodiscard]] std::string metrics_text();
 
@@ -69,7 +70,8 @@
     std::function<void()> m_stopped;
     timestamp m_stop_at{0};
     std::size_t m_stopping_pools = 0;
-    link_traffic m_link_traffic; ///< As of the last log line.
+    link_traffic m_link_traffic;                                     ///< As of the last log line.
+    std::map<std::string, std::uint64_t, std::less<>> m_store_reads; ///< Likewise.
     timestamp m_link_logged_at{0};
     timestamp m_tick_due{0};
     milliseconds m_longest_lag{0}; ///< Longest delay of a tick since the metrics were last read.
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -16,7 +16,19 @@
 void pool_task::start() {
     log_event(event_id::pool_taking_over,
               {{"pool", m_pool}, {"epoch", m_ownership.epoch}, {"token", m_ownership.token}});
-    m_directory.start([this] { load_progress({}); });
+    m_load_step_began = event_loop::now();
+    m_directory.start([this] {
+        record_load_time("registrations");
+        load_progress({});
+    });
+}
+
+/// Records how long the part of the state took to read, for the log.
+void pool_task::record_load_time(std::string_view part) {
+    const timestamp now = event_loop::now();
+    const milliseconds elapsed = now - std::exchange(m_load_step_began, now);
+    m_load_times +=
+        (m_load_times.empty() ? "" : ",") + std::string(part) + ":" + std::to_string(elapsed.count());
 }
 
 void pool_task::retry_loading(std::function<void()> step) {
@@ -45,6 +57,7 @@
             if (answer.has_more && !answer.items.empty()) {
                 load_progress(answer.items.back().key);
             } else {
+                record_load_time("progress");
                 load_jobs({});
             }
         });
@@ -80,6 +93,7 @@
             if (answer.has_more && !answer.items.empty()) {
                 load_jobs(answer.items.back().key);
             } else {
+                record_load_time("jobs");
                 load_vms();
             }
         });
@@ -103,6 +117,7 @@
                 log_event(event_id::run_noted, {{"what", "record-damaged"}, {"key", vms_key(m_pool)}});
             }
         }
+        record_load_time("vm-record");
         m_allowances.load([this] { load_inbox(); });
     });
 }
@@ -110,10 +125,12 @@
 /// Cancellations that did not reach an owner are in the inbox and have to take effect before any task of
 /// their jobs starts.
 void pool_task::load_inbox() {
+    record_load_time("allowances");
     m_inbox_cancels.start([this] { m_inbox.start([this] { finish_loading(); }); });
 }
 
 void pool_task::finish_loading() {
+    record_load_time("inbox");
     const timestamp now = event_loop::now();
     m_scheduler.accounts().set_inherited(m_allowances.allowances().stored());
     for (const auto& [id, progress] : m_loaded_progress) {
@@ -130,7 +147,8 @@
                                           {"epoch", m_ownership.epoch},
                                           {"jobs", m_scheduler.job_count()},
                                           {"ended", m_ended.size()},
-                                          {"vms", m_vm_record.stored().size()}});
+                                          {"vms", m_vm_record.stored().size()},
+                                          {"reads_ms", m_load_times}});
     for (const auto& [vm, info] : m_directory.vms()) {
         on_vm_changed(vm, info);
     }
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -109,6 +109,7 @@
     void load_inbox();
     void finish_loading();
     void retry_loading(std::function<void()> step);
+    void record_load_time(std::string_view part);
     [[nodiscard]] timestamp accepted_at(std::int64_t wall_ms) const;
 
     // VMs.
@@ -250,6 +251,8 @@
     std::unique_ptr<timer> m_store_timer;
     std::unique_ptr<timer> m_load_retry_timer;
     std::function<void()> m_load_retry_step;
+    timestamp m_load_step_began{0};
+    std::string m_load_times; ///< How long each part of the state took to read, for the log.
     bool m_store_in_flight = false;
     bool m_store_planned = false;
     bool m_store_urgent = false;
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -126,6 +126,7 @@
     limits_unconfirmed = 1960,
     limits_confirmed = 1961,
     duty_handover = 1962,
+    store_reads = 1963,
 };
 
 /// Number, name and level of an event.
@@ -240,6 +241,7 @@
     event_definition{event_id::limits_unconfirmed, "limits-unconfirmed", event_level::warning},
     event_definition{event_id::limits_confirmed, "limits-confirmed", event_level::info},
     event_definition{event_id::duty_handover, "duty-handover", event_level::warning},
+    event_definition{event_id::store_reads, "store-reads", event_level::info},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
