Large answers of the store leave a part of the node's link to other answers

Cause: a node reads the store as fast as it sends. A configuration of 456 KB, the registrations and the stored jobs fill the link, and what else arrives waits behind them for longer than its timeout: 0.7 s for the renewal of the node's lease, 0.8 s for a VM's answer. The VMs count as unreachable (1936, outcome=unknown, though each has answered), the store as lost (1911, 242 times from 25 s on), and everything is asked again, which fills the link further: from 40.3 to 43.4 s one owner received 81 KB/s of the configuration and nothing else.

Change: answers that may be large (watches, ranges, comparisons) share one limit, two thirds of the link less what the other connections receive, a quarter at the least; libevent's rate-limit group does the work. Small calls aren't limited. It is a share of the link that the settings state, so links on which a configuration takes milliseconds see nothing of it.

Red before: a range of 200 KB takes the whole link whatever else arrives.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -60,7 +60,8 @@
     evhttp_connection* handle = nullptr;
     bool has_written = false; ///< Bytes of the current request were passed to the socket.
     bool resets_on_close = false;
-    int socket_error = 0; ///< The error with which connecting failed, if any.
+    bool is_limited = false; ///< Read within the client's limit for large answers.
+    int socket_error = 0;    ///< The error with which connecting failed, if any.
     timestamp idle_since{0};
     http_client* owner = nullptr;
 
@@ -69,6 +70,7 @@
     connection& operator=(const connection&) = delete;
     ~connection() {
         if (handle != nullptr) {
+            set_limited(false); // libevent frees the stream later, maybe after the client.
             bufferevent* stream = evhttp_connection_get_bufferevent(handle);
             evbuffer_remove_cb(bufferevent_get_output(stream), on_output, this);
             evbuffer_remove_cb(bufferevent_get_input(stream), on_input, this);
@@ -89,6 +91,19 @@
 
     static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self);
 
+    void set_limited(bool limited) {
+        if (limited == is_limited) {
+            return;
+        }
+        is_limited = limited;
+        bufferevent* stream = evhttp_connection_get_bufferevent(handle);
+        if (limited) {
+            owner->m_large_reads->add(stream);
+        } else {
+            owner->m_large_reads->remove(stream);
+        }
+    }
+
     /// Sets the socket to discard unsent data when the connection closes for any reason, including the end of
     /// the process. After an orderly close the kernel would deliver requests held up by a network partition
     /// once the partition heals, long after the caller has stopped waiting for them and acted otherwise: an
@@ -112,6 +127,9 @@
         m_connection = m_owner.acquire_connection(m_call.to, m_call.fresh_connection);
         m_connection->has_written = false;
         m_connection->active_exchange = this;
+        if (m_call.may_be_large && m_owner.m_large_reads != nullptr) {
+            m_connection->set_limited(true);
+        }
         m_request = evhttp_request_new(on_complete, this);
         evhttp_request_set_error_cb(m_request, on_error);
         evkeyvalq* fields = evhttp_request_get_output_headers(m_request);
@@ -132,6 +150,7 @@
     callback release_callback() { return std::move(m_done); }
     std::unique_ptr<connection> release_connection() {
         m_connection->active_exchange = nullptr;
+        m_connection->set_limited(false);
         return std::move(m_connection);
     }
 
@@ -253,10 +272,24 @@
     if (info->n_added > 0 && item->active_exchange != nullptr) {
         item->active_exchange->record_input(info->n_added);
     }
-    read_available(input, bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle)), info->n_added);
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(item->handle));
+    if (!item->is_limited) {
+        read_available(input, socket, info->n_added);
+        return;
+    }
+    // libevent counts the bytes of its own read only once this callback has returned.
+    read_limit& limit = *item->owner->m_large_reads;
+    const std::size_t allowed = limit.available() - std::min(limit.available(), info->n_added);
+    if (const std::size_t bytes = read_available(input, socket, info->n_added, allowed); bytes > 0) {
+        limit.record_read(bytes);
+    }
 }
 
-http_client::http_client(event_loop& loop, http_client_limits limits) : m_loop(loop), m_limits(limits) {
+http_client::http_client(event_loop& loop, http_client_limits limits)
+    : m_loop(loop), m_limits(limits),
+      m_large_reads(limits.max_large_read_rate == 0
+                        ? nullptr
+                        : std::make_unique<read_limit>(loop, limits.max_large_read_rate)) {
     m_idle_timer = loop.make_timer([this] { close_idle_connections(); });
     m_idle_timer->start(m_limits.max_idle_time);
 }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -347,6 +347,7 @@
         log_event(reachable ? event_id::store_back : event_id::store_unreachable,
                   {{"store", m_settings.store.to_string()}});
     }
+    share_link(now);
     log_link_load(now);
     if (m_stopping) {
         finish_stop();
@@ -358,6 +359,20 @@
             m_ingress.traffic()};
 }
 
+/// Lets the store's large answers have what the other connections leave of the link.
+void node::share_link(timestamp now) {
+    std::uint64_t received = 0;
+    for (const byte_counts& end :
+         {m_vms.traffic(), m_peers.traffic(), m_peer_server.traffic(), m_ingress.traffic()}) {
+        received += end.received;
+    }
+    const milliseconds elapsed = now - std::exchange(m_link_shared_at, now);
+    const std::uint64_t bytes = received - std::exchange(m_other_bytes_received, received);
+    if (elapsed > 0ms) {
+        m_store.set_other_receive_rate(bytes * 1000 / static_cast<std::uint64_t>(elapsed.count()));
+    }
+}
+
 /// Logs what the node's link carried in the last second, by the other end, if that is much of what it can
 /// carry: the link of a pool's owner bounds what the pool can start.
 void node::log_link_load(timestamp now) {
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] bool ready() const;
     void tick();
     [[nodiscard]] link_traffic traffic() const;
+    void share_link(timestamp now);
     void log_link_load(timestamp now);
     std::string describe_store_reads(double seconds);
     void finish_stop();
@@ -70,6 +71,9 @@
     std::function<void()> m_stopped;
     timestamp m_stop_at{0};
     std::size_t m_stopping_pools = 0;
+    timestamp m_link_shared_at{0};
+    /// Received by all but the store's connections, as of then.
+    std::uint64_t m_other_bytes_received = 0;
     link_traffic m_link_traffic;                                     ///< As of the last log line.
     std::map<std::string, std::uint64_t, std::less<>> m_store_reads; ///< Likewise.
     timestamp m_link_logged_at{0};
--- a/tests/node/narrow_link_test.cpp
+++ b/tests/node/narrow_link_test.cpp
@@ -34,3 +34,41 @@
     CHECK(listed == platform::store_status::ok);
     CHECK(longest < node::store_failing_after);
 }
+
+// Guards against VMs and a store that count as unreachable, since their answers arrive behind a large one.
+TEST_CASE("a large answer leaves a part of the link to other answers") {
+    constexpr double link_mbps = 2;
+    constexpr std::size_t link_bytes_per_s = 250'000;
+    constexpr std::size_t item_bytes = 150'000; // 200 KB in the answer's encoding.
+    constexpr std::size_t answer_bytes = item_bytes * 4 / 3;
+    struct shared_link_case {
+        std::string description;
+        std::size_t other_bytes_per_s = 0;
+        double large_share = 0; ///< Of the link, for the large answer.
+    };
+    const std::vector<shared_link_case> cases{{"nothing else arrives", 0, 2.0 / 3},
+                                              {"VMs answer", 60'000, 0.43},
+                                              {"the link is full of other answers", 250'000, 0.25}};
+    for (const shared_link_case& item : cases) {
+        INFO(item.description);
+        event_loop loop;
+        fakes::platform_store store(loop);
+        REQUIRE(store.listen({"127.0.0.1", 0}));
+        store.put("sp/job/p/a", std::string(item_bytes, 'x'));
+        platform::store_client client(loop, {"127.0.0.1", store.port()}, link_mbps);
+        client.set_other_receive_rate(item.other_bytes_per_s);
+        std::optional<platform::store_status> listed;
+        const timestamp began = event_loop::now();
+        client.range("sp/job/", {}, [&](const platform::store_answer& answer) { listed = answer.status; });
+        std::optional<platform::store_status> read;
+        client.get("sp/none", [&](const platform::store_answer& answer) { read = answer.status; });
+        REQUIRE(loop_until(loop, [&] { return read.has_value(); }));
+        CHECK_FALSE(listed.has_value());
+        REQUIRE(loop_until(loop, [&] { return listed.has_value(); }));
+        CHECK(listed == platform::store_status::ok);
+        const std::chrono::duration<double> elapsed = event_loop::now() - began;
+        const double share = answer_bytes / elapsed.count() / link_bytes_per_s;
+        CHECK(share < item.large_share * 1.5);
+        CHECK(share > item.large_share * 0.7);
+    }
+}
