A refresh leaves an answer alone that is arriving, and compares the large item

Now a refresh does nothing while an answer arrives: its call ends by itself if no more comes, and after a slow transfer the newest state is read anyway. Otherwise, where the large item is known, the other items are listed and the large one's revision is compared, as after a slow transfer; an unchanged configuration costs a few bytes.

--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -38,18 +38,23 @@
     refresh();
 }
 
-/// Cancels the pending watch on the wire as well: large values that are no longer needed would fill a slow
-/// link and delay the next listing.
+/// An answer that is arriving is left alone, however long it takes: over a narrow link, what has arrived of
+/// it would be carried again. Its call ends by itself when no more arrives. Otherwise cancels the pending
+/// watch on the wire as well: large values that are no longer needed would delay the listing.
 void watch_task::refresh() {
     const milliseconds timeout =
         std::max(listing_timeout, transfer_time_factor * m_store.transfer_time(platform::large_value_bytes));
-    if (m_is_listing && event_loop::now() - m_listing_started_at < timeout) {
+    if (arriving_bytes() > 0 || (m_is_listing && event_loop::now() - m_listing_started_at < timeout)) {
         return;
     }
     if (m_pending_watch) {
         m_store.cancel_watch(*std::exchange(m_pending_watch, std::nullopt));
     }
-    begin_listing();
+    if (m_items.contains(m_large_item)) {
+        begin_partial_listing();
+    } else {
+        begin_listing();
+    }
 }
 
 void watch_task::begin_listing() {
@@ -64,6 +69,7 @@
 void watch_task::begin_partial_listing() {
     m_is_listing = true;
     m_listing_started_at = event_loop::now();
+    m_retry_action = {};
     ++m_round;
     reset_listing();
     m_is_partial_listing = true;
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -61,7 +61,7 @@
     void apply(const platform::store_item& item);
 
     /// Lists the items again at once, e.g. because a peer reports a newer version. A listing that has just
-    /// begun is used instead.
+    /// begun, or an answer that is arriving, is used instead.
     void refresh();
 
   private:
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -2,6 +2,7 @@
 #include "fakes/platform_store.hpp"
 #include "net/loop_until.hpp"
 #include "node/watch_task.hpp"
+#include "platform/wire.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -29,7 +30,7 @@
     bool ready = false;
     const timestamp begun = event_loop::now();
     watch.start([&] { ready = true; });
-    const auto listings = [&] { return store.call_count("/v1/kv-range"); };
+    const auto listings = [&] { return store.call_count(std::string(platform::wire::range_path)); };
     REQUIRE(loop_until(loop, [&] { return event_loop::now() - begun > 1200ms; }));
     const std::size_t before = listings();
     REQUIRE(loop_until(loop, [&] { return listings() > before; }));
@@ -166,3 +167,68 @@
     store.hold_watches({});
     CHECK(loop_until(loop, [&] { return newest == "j"; }));
 }
+
+// Guards against a node on a narrow link that reads a configuration from the beginning again each time that a
+// peer names a newer one, and so has none of them.
+TEST_CASE("a refresh leaves an answer alone that is arriving") {
+    constexpr std::size_t bytes_per_s = 500'000;
+    constexpr std::size_t item_bytes = 600'000;
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    fakes::fault_proxy link(loop, {"127.0.0.1", store.port()});
+    const std::uint16_t port = link.listen();
+    REQUIRE(port != 0);
+    link.set_rate(bytes_per_s);
+    platform::store_client client(loop, {"127.0.0.1", port}, 8);
+    std::string newest;
+    node::watch_task watch(loop, client, "op/", 1s,
+                           [&](const platform::store_item& item) { newest = item.value.substr(0, 1); });
+    watch.set_large_item("op/large");
+    store.put("op/large", "0");
+    bool ready = false;
+    watch.start([&] { ready = true; });
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    store.put("op/large", std::string(item_bytes, '1'));
+    REQUIRE(loop_until(loop, [&] { return watch.arriving_bytes() > 0; }));
+    const std::size_t watches = store.call_count(std::string(platform::wire::watch_path));
+    const std::size_t listings = store.call_count(std::string(platform::wire::range_path));
+    std::size_t arrived = 0;
+    CHECK(loop_until(loop, [&] {
+        watch.refresh();
+        CHECK((newest == "1" || watch.arriving_bytes() >= arrived));
+        arrived = watch.arriving_bytes();
+        return newest == "1";
+    }));
+    CHECK(store.call_count(std::string(platform::wire::watch_path)) == watches);
+    CHECK(store.call_count(std::string(platform::wire::range_path)) <=
+          listings + 1); // Once the answer is complete.
+}
+
+// Guards against a node that reads the whole configuration again after each outage of the store.
+TEST_CASE("a refresh does not read a large item that is unchanged") {
+    constexpr std::size_t item_bytes = 100'000;
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    platform::store_client client(loop, {"127.0.0.1", store.port()});
+    std::vector<std::string> seen;
+    node::watch_task watch(loop, client, "op/", 1s, [&](const platform::store_item& item) {
+        seen.push_back(item.key + "=" + item.value.substr(0, 1));
+    });
+    watch.set_large_item("op/large");
+    store.put("op/large", std::string(item_bytes, '1'));
+    bool ready = false;
+    watch.start([&] { ready = true; });
+    REQUIRE(loop_until(loop, [&] { return ready; }));
+    const std::uint64_t received = client.traffic().received;
+    store.hold_watches("op/");
+    store.put("op/wave/1", "w");
+    watch.refresh();
+    REQUIRE(loop_until(loop, [&] { return seen.size() == 2; }));
+    CHECK(client.traffic().received - received < item_bytes);
+    store.put("op/large", std::string(item_bytes, '2'));
+    watch.refresh();
+    REQUIRE(loop_until(loop, [&] { return seen.size() == 3; }));
+    CHECK(seen == std::vector<std::string>{"op/large=1", "op/wave/1=w", "op/large=2"});
+}
