A queue is counted only by a configuration that is proved recent

Callers were told the count of a queue that the operator had dropped more than the allowed time before (CONFIG). A refusal needs a proof since; a count states that the queue exists, and had none.

The owner counts only if its copy is proved and has the queue; else 503 with Retry-After. An entry that the store turns away still answers through an owner that it does not.

Red before: a dropped queue is counted with 200 by a node whose watch reports no change (404 now, 503 on a narrow link).

--- a/jobs/queue_count.hpp
+++ b/jobs/queue_count.hpp
@@ -18,6 +18,8 @@
     std::size_t in_inbox = 0;        ///< Jobs that entries accepted and the scheduler does not have yet.
     milliseconds inbox_age{0};       ///< Maximum age of the owner's copy of the inbox.
     bool is_confirmed_owner = false; ///< No other node can have claimed the pool.
+    /// The configuration is not proved recent enough to state that the queue exists.
+    bool may_be_dropped = false;
 };
 
 /// Returns the queue's count of waiting jobs, or nothing if jobs may be missing from it. Pure; thread-safe.
@@ -27,7 +29,7 @@
 /// have been taken over by another node, can't determine which jobs are missing and reports no count.
 [[nodiscard]] constexpr std::optional<std::size_t>
 complete_queue_count(const queue_count_inputs& known) noexcept {
-    if (!known.is_confirmed_owner || known.inbox_age > max_count_age) {
+    if (!known.is_confirmed_owner || known.may_be_dropped || known.inbox_age > max_count_age) {
         return std::nullopt;
     }
     return known.in_scheduler + known.unconfirmed + known.in_inbox;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -152,9 +152,16 @@
     return message;
 }
 
+/// A count states that the queue exists, so like the refusal of an unknown queue it needs a configuration
+/// that is proved recent, here or at the owner: a node that is behind would count a queue that was dropped.
 void ingress_task::handle_count(const client_context& client) {
+    const bool confirmed = m_context.configuration.is_confirmed(event_loop::now());
+    if (!confirmed && !client.configuration_compared && !client.owner_checks_key) {
+        confirm_configuration(client);
+        return;
+    }
     const auto known = m_counts.find(client.call.queue);
-    if (!client.owner_checks_key && known != m_counts.end() &&
+    if (confirmed && !client.owner_checks_key && known != m_counts.end() &&
         event_loop::now() - known->second.counted_at <= jobs::max_count_age) {
         send_count(client, known->second, "copy");
         return;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -66,6 +66,8 @@
     const milliseconds confirmed_for =
         m_context.membership.confirmed_until(m_ownership.duty) - event_loop::now();
     known.is_confirmed_owner = confirmed_for > 0ms;
+    known.may_be_dropped = !m_context.configuration.is_confirmed(event_loop::now()) ||
+                           m_context.configuration.current().find_queue(request.queue) == nullptr;
     const std::optional<std::size_t> complete_count = jobs::complete_queue_count(known);
     log_event(event_id::count_computed, {{"pool", m_pool},
                                          {"queue", request.queue},
@@ -75,6 +77,7 @@
                                          {"inbox", known.in_inbox},
                                          {"inbox_age_ms", known.inbox_age.count()},
                                          {"certain_ms", confirmed_for.count()},
+                                         {"may_be_dropped", static_cast<int>(known.may_be_dropped)},
                                          {"token", m_ownership.token}});
     peer_answer answer = make_answer(complete_count ? peer_outcome::ok : peer_outcome::unavailable);
     answer.count = complete_count.value_or(0);
--- a/tests/jobs/queue_count_test.cpp
+++ b/tests/jobs/queue_count_test.cpp
@@ -29,6 +29,9 @@
              count_case{"another node may own the pool",
                         {.in_scheduler = 29, .is_confirmed_owner = false},
                         std::nullopt},
+             count_case{"a newer configuration may lack the queue",
+                        {.in_scheduler = 29, .is_confirmed_owner = true, .may_be_dropped = true},
+                        std::nullopt},
          }) {
         INFO(std::string(item.what));
         CHECK(complete_queue_count(item.known) == item.expected);
--- a/tests/node/configuration_age_test.cpp
+++ b/tests/node/configuration_age_test.cpp
@@ -67,6 +67,32 @@
     }
 }
 
+// Guards against a count of a queue that the operator dropped more than the allowed time before.
+TEST_CASE("a node that is behind does not count a queue that a newer version has dropped") {
+    struct dropped_queue_case {
+        std::string description;
+        double link_mbps = 1000;
+        int code = 0;
+        int code_of_kept_queue = 0;
+    };
+    const std::vector<dropped_queue_case> cases{{"the store is asked", 1000, 404, 200},
+                                                {"narrow link", 2, 503, 503}};
+    for (const dropped_queue_case& item : cases) {
+        INFO(item.description);
+        node_deployment d;
+        d.configure(configuration_with(3, {"/quotes/", added_queue}));
+        d.add_vm("v1", 100ms);
+        d.start_node("n1", [&](node::node_settings& settings) { settings.link_mbps = item.link_mbps; });
+        d.wait_until_serving("n1");
+        CHECK(d.call("n1", "GET", added_queue).code == 200);
+        d.store.hold_watches(std::string(platform::operator_prefix));
+        d.configure(configuration_with(4, {"/quotes/"}));
+        wait(d, configuration_time);
+        CHECK(d.call("n1", "GET", added_queue).code == item.code);
+        CHECK(d.call("n1", "GET", "/quotes/").code == item.code_of_kept_queue);
+    }
+}
+
 TEST_CASE("a node whose watch reports no change accepts a job by a newer limit on its size") {
     node_deployment d;
     d.serve_with_one_vm(100ms);
