A VM's lease counts as expired only while answers reach its owner in time

After a takeover the same happens when the longest lease of the owner before has run out and a recorded VM's answers have not come through.

Change: silence proves an end only if answers to this owner have come in time for as long as it takes to call a VM again (1.5 s). Renewals of the node's lease measure it: small, frequent, answered within 200 ms by a slow store, so one that takes over 400 ms or has no answer shows answers that are held up. A takeover whose VMs have all reported completes as before.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -46,7 +46,7 @@
             m_now += decision_interval;
             report_runs();
             const auto begin = std::chrono::steady_clock::now();
-            const decisions wanted = m_scheduler.decide(m_now, m_now.count(), true);
+            const decisions wanted = m_scheduler.decide(m_now, {m_now.count(), true, true});
             spent += std::chrono::steady_clock::now() - begin;
             start_runs(wanted.starts);
             store_changes();
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -104,6 +104,18 @@
     std::string account;
 };
 
+/// What the pool's owner knows about itself when it decides.
+struct owner_view {
+    std::int64_t wall_ms = 0; ///< Time of day, for jobs with due times.
+    /// No other node can have taken over the pool. Only then does an unresponsive VM count as ended after its
+    /// lease, since a successor that reaches the VM would renew its lease.
+    bool ownership_confirmed = false;
+    /// Answers to this owner have been arriving in time for longer than it takes to call a VM again.
+    /// Otherwise a VM may be silent only because its answers wait on the owner's own link: it may have listed
+    /// an end as done, and its task must not start again.
+    bool hears_answers = false;
+};
+
 enum class cancel_outcome : std::uint8_t { unknown_job, cancelled, already_final };
 
 /// Decides for one pool which task runs where. Pure: takes events and clock readings and returns orders. One
@@ -193,10 +205,7 @@
 
     // --- Deciding ---
 
-    /// `wall_ms`: time of day for jobs with due times. `ownership_confirmed`: no other node can have taken
-    /// over the pool; only then does an unresponsive VM count as ended after its lease, since a successor
-    /// that reaches the VM would renew its lease.
-    [[nodiscard]] decisions decide(timestamp now, std::int64_t wall_ms, bool ownership_confirmed);
+    [[nodiscard]] decisions decide(timestamp now, const owner_view& owner);
     /// Whether starts were held back until earlier ones are answered, and enough of these are. Checked with
     /// each answer, so that the next decision follows at once.
     [[nodiscard]] bool can_start_more() const noexcept { return m_start_window.can_resume(); }
@@ -290,7 +299,7 @@
 
     // Deciding.
     void drop_expired_vms(timestamp now);
-    void complete_takeover(timestamp now);
+    void complete_takeover(timestamp now, bool hears_answers);
     void settle_inherited_use();
     void update_runs(timestamp now);
     void stop_orphans(vm_state& vm, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -21,16 +21,18 @@
 
 } // namespace
 
-decisions scheduler::decide(timestamp now, std::int64_t wall_ms, bool ownership_confirmed) {
-    if (ownership_confirmed) {
-        drop_expired_vms(now);
-        complete_takeover(now);
+decisions scheduler::decide(timestamp now, const owner_view& owner) {
+    if (owner.ownership_confirmed) {
+        if (owner.hears_answers) {
+            drop_expired_vms(now);
+        }
+        complete_takeover(now, owner.hears_answers);
     }
     settle_inherited_use();
     record_unresponsive_vms(now);
     m_isolation_lacks_vm = false;
     mark_suspect_vms();
-    m_wall_offset = milliseconds(wall_ms) - now;
+    m_wall_offset = milliseconds(owner.wall_ms) - now;
     update_runs(now);
     place_waiting_tasks(now);
     measure_waiting_work(now);
@@ -50,8 +52,9 @@
     }
 }
 
-void scheduler::complete_takeover(timestamp now) {
-    if (m_takeover_completed || (!m_unconfirmed_vms.empty() && now < m_takeover_deadline)) {
+void scheduler::complete_takeover(timestamp now, bool hears_answers) {
+    const bool silent_vms_have_ended = hears_answers && now >= m_takeover_deadline;
+    if (m_takeover_completed || (!m_unconfirmed_vms.empty() && !silent_vms_have_ended)) {
         return;
     }
     m_takeover_completed = true;
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -20,6 +20,9 @@
 /// Above the response time of a store that is a hundred times slower than its usual four milliseconds; short,
 /// so that the end of an outage is detected soon.
 constexpr milliseconds renew_timeout = 700ms;
+/// An answer that takes longer is overdue: a slow store answers within 200 ms, and a VM's answers that are
+/// held up alike come within their timeout of 800 ms.
+constexpr milliseconds max_answer_time = 400ms;
 /// Covers drift between this node's clock and the store's, and late answers.
 constexpr milliseconds lease_safety_margin = 200ms;
 /// Pause after a claim that the store refused. Short compared with the lease that expires before a duty is
@@ -79,6 +82,11 @@
     return found == m_owned.end() ? timestamp(0) : found->second.confirmed_until + grace_after_lease;
 }
 
+timestamp membership_task::last_late_answer_at() const {
+    const timestamp now = event_loop::now();
+    return m_renewal_sent_at && now - *m_renewal_sent_at > max_answer_time ? now : m_last_late_answer_at;
+}
+
 void membership_task::request_lease() {
     if (m_leaving) {
         return;
@@ -132,6 +140,7 @@
         return;
     }
     const timestamp asked_at = event_loop::now();
+    m_renewal_sent_at = asked_at;
     m_store.renew_lease(
         m_lease, renew_timeout,
         [this, asked_at, alive = m_lifetime.weak_token()](const platform::lease_answer& answer) {
@@ -142,6 +151,11 @@
 }
 
 void membership_task::handle_renew_answer(const platform::lease_answer& answer, timestamp asked_at) {
+    const timestamp now = event_loop::now();
+    m_renewal_sent_at.reset();
+    if (answer.status == platform::store_status::unknown || now - asked_at > max_answer_time) {
+        m_last_late_answer_at = now;
+    }
     if (m_leaving) {
         return;
     }
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -95,6 +95,11 @@
     /// When the last lease request that the store confirmed was sent.
     [[nodiscard]] timestamp renewed_at() const noexcept { return m_renewed_at; }
 
+    /// When an answer of the store to a renewal of the lease was last overdue; the present time while one is.
+    /// Renewals are small and frequent, and answered at once: one that is late shows that this node's link,
+    /// or the store, holds answers up.
+    [[nodiscard]] timestamp last_late_answer_at() const;
+
     /// How long after the end of its lease an owner may still act.
     static constexpr milliseconds grace_after_lease = 4s;
 
@@ -137,6 +142,8 @@
     std::int64_t m_lease = 0;
     timestamp m_lease_confirmed_until{0};
     timestamp m_renewed_at{0};
+    std::optional<timestamp> m_renewal_sent_at; ///< Unset while no renewal is in flight.
+    timestamp m_last_late_answer_at{0};
     timestamp m_started_at{0};
     timestamp m_registered_at{0};
     std::map<std::string, node_record> m_nodes;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -139,10 +139,13 @@
         m_scheduler.handle_vm_ended(vm, jobs::vm_end_cause::replaced, now);
     } else if (answer.outcome != jobs::order_outcome::refused_fenced && renewal.failures++ == 0) {
         const jobs::vm_state& state = m_scheduler.vms().at(vm);
-        log_event(event_id::vm_unreachable, {{"pool", m_pool},
-                                             {"vm", vm},
-                                             {"outcome", name_of(answer.outcome)},
-                                             {"lapses_in_ms", (state.lease_expires_at() - now).count()}});
+        log_event(
+            event_id::vm_unreachable,
+            {{"pool", m_pool},
+             {"vm", vm},
+             {"outcome", name_of(answer.outcome)},
+             {"lapses_in_ms", state.has_responded() ? std::to_string((state.lease_expires_at() - now).count())
+                                                    : std::string("unknown")}});
     }
     m_scheduler.handle_vm_unreachable(vm, now);
     schedule_decision();
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -27,6 +27,10 @@
 /// store share the link, and have timeouts of 0.7 s and more.
 constexpr milliseconds max_start_link_time = 125ms;
 
+/// Longest time between the beginnings of two calls to an unresponsive VM: the timeout of a call without a
+/// wait, and the pause before it is repeated.
+constexpr milliseconds max_vm_call_interval = 1500ms;
+
 std::size_t bytes_in(milliseconds time, double mbps) {
     constexpr double bytes_per_ms_of_mbps = 125;
     return static_cast<std::size_t>(static_cast<double>(time.count()) * mbps * bytes_per_ms_of_mbps);
@@ -135,8 +139,11 @@
     const bool capacity_known = now - m_directory.complete_until() <= m_context.settings.max_capacity_age;
     m_scheduler.hold_starts(!m_vms_check_capacity && !capacity_known);
     apply_ceilings(now);
-    const bool ownership_confirmed = now < m_context.membership.confirmed_until(m_ownership.duty);
-    const jobs::decisions wanted = m_scheduler.decide(now, wall_clock_ms(), ownership_confirmed);
+    jobs::owner_view self;
+    self.wall_ms = wall_clock_ms();
+    self.ownership_confirmed = now < m_context.membership.confirmed_until(m_ownership.duty);
+    self.hears_answers = now - m_context.membership.last_late_answer_at() >= max_vm_call_interval;
+    const jobs::decisions wanted = m_scheduler.decide(now, self);
     log_decisions(wanted);
     for (const jobs::stop_order& order : wanted.stops) {
         send_stop(order);
--- a/tests/jobs/crash_simulation.cpp
+++ b/tests/jobs/crash_simulation.cpp
@@ -281,7 +281,7 @@
     if (!m_owner) {
         return;
     }
-    const decisions wanted = m_owner->decide(m_now, m_now.count() + 1'000'000, true);
+    const decisions wanted = m_owner->decide(m_now, {m_now.count() + 1'000'000, true, true});
     for (const stop_order& order : wanted.stops) {
         stop(order);
     }
--- a/tests/jobs/scheduler_fixture.hpp
+++ b/tests/jobs/scheduler_fixture.hpp
@@ -85,8 +85,8 @@
         return {sequence, order.task, order.attempt, how, ""};
     }
 
-    decisions decide(bool ownership_confirmed = true) {
-        return m_scheduler.decide(m_now, wall_ms(), ownership_confirmed);
+    decisions decide(bool ownership_confirmed = true, bool hears_answers = true) {
+        return m_scheduler.decide(m_now, {wall_ms(), ownership_confirmed, hears_answers});
     }
 
     /// The time of day runs with the scheduler's clock.
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -138,6 +138,51 @@
     CHECK(b.decide(true).starts.size() == 1);
 }
 
+// Guards against a task that runs again after it is done: its VM has listed the end, but answers wait on the
+// owner's full link until the lease has run out.
+TEST_CASE("an owner whose answers are late ends no unresponsive VM") {
+    scheduler_fixture b;
+    b.add_vm("v1");
+    b.add_job("j", {scheduler_fixture::step(1)});
+    const auto starts = b.start_all();
+    REQUIRE(starts.size() == 1);
+    b.pool().handle_vm_unreachable("v1", b.now());
+    b.pool().add_or_update_vm(b.info("v2"));
+    b.advance_clock(20'000ms);
+    b.report("v2", {});
+    CHECK(b.decide(true, false).ended_vms.empty());
+    CHECK(b.decide(true, false).starts.empty());
+    b.report("v1", {}, {scheduler_fixture::end(1, starts[0], run_end::done)});
+    CHECK(b.decide().starts.empty());
+    b.store_changes();
+    CHECK(b.pool().phase_of("j") == job_phase::completed);
+}
+
+// Guards against the same after a takeover: the VM of a previous owner's run does not get through to the new
+// owner until the longest lease has run out.
+TEST_CASE("an owner whose answers are late starts no task that a previous owner's VM may have done") {
+    scheduler_fixture b;
+    b.pool().restore_job(scheduler_fixture::record("j", {scheduler_fixture::step(1)}), std::nullopt, b.now());
+    b.pool().expect_vm(b.info("v1"));
+    b.add_vm("v2");
+    b.advance_clock(20'000ms);
+    b.report("v2", {});
+    CHECK(b.decide(true, false).starts.empty());
+    start_order previous;
+    previous.task = {"j", 0, 0, 0};
+    previous.attempt = 1;
+    b.report("v1", {}, {scheduler_fixture::end(1, previous, run_end::done)});
+    CHECK(b.decide().starts.empty());
+    CHECK(b.pool().find_job("j")->phase() == job_phase::completed);
+}
+
+TEST_CASE("a takeover with all VMs known completes while answers are late") {
+    scheduler_fixture b;
+    b.pool().restore_job(scheduler_fixture::record("j", {scheduler_fixture::step(1)}), std::nullopt, b.now());
+    b.add_vm("v2");
+    CHECK(b.decide(true, false).starts.size() == 1);
+}
+
 TEST_CASE("runs on a VM that does not respond count against the disruption budget") {
     // Guards against an exceeded disruption budget: a rack goes dark with one task, the task's run counts as
     // available until its lease expires, and maintenance moves another task.
