What a new owner or a starting node waits for may use the whole link

Now what is awaited is not limited: the first listing of a watch whose start has a handler (registrations, inbox and cancellations of a pool, nodes and owners, the configuration of a starting node), stored jobs and progress. It counts as other traffic, so the large answers in the background give way to it, down to a quarter.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -60,7 +60,7 @@
     evhttp_connection* handle = nullptr;
     bool has_written = false; ///< Bytes of the current request were passed to the socket.
     bool resets_on_close = false;
-    bool is_limited = false; ///< Read within the client's limit for large answers.
+    bool is_limited = false; ///< Read within the client's limit.
     int socket_error = 0;    ///< The error with which connecting failed, if any.
     timestamp idle_since{0};
     http_client* owner = nullptr;
@@ -98,9 +98,9 @@
         is_limited = limited;
         bufferevent* stream = evhttp_connection_get_bufferevent(handle);
         if (limited) {
-            owner->m_large_reads->add(stream);
+            owner->m_read_limit->add(stream);
         } else {
-            owner->m_large_reads->remove(stream);
+            owner->m_read_limit->remove(stream);
         }
     }
 
@@ -127,7 +127,7 @@
         m_connection = m_owner.acquire_connection(m_call.to, m_call.fresh_connection);
         m_connection->has_written = false;
         m_connection->active_exchange = this;
-        if (m_call.may_be_large && m_owner.m_large_reads != nullptr) {
+        if (m_call.is_limited && m_owner.m_read_limit != nullptr) {
             m_connection->set_limited(true);
         }
         m_request = evhttp_request_new(on_complete, this);
@@ -164,6 +164,7 @@
         }
         m_received_bytes += bytes;
         m_owner.m_bytes_received += bytes;
+        m_owner.m_limited_bytes_received += m_connection->is_limited ? bytes : 0;
         extend_deadline();
         if (m_call.on_progress) {
             m_call.on_progress(m_received_bytes);
@@ -278,7 +279,7 @@
         return;
     }
     // libevent counts the bytes of its own read only once this callback has returned.
-    read_limit& limit = *item->owner->m_large_reads;
+    read_limit& limit = *item->owner->m_read_limit;
     const std::size_t allowed = limit.available() - std::min(limit.available(), info->n_added);
     if (const std::size_t bytes = read_available(input, socket, info->n_added, allowed); bytes > 0) {
         limit.record_read(bytes);
@@ -287,9 +288,9 @@
 
 http_client::http_client(event_loop& loop, http_client_limits limits)
     : m_loop(loop), m_limits(limits),
-      m_large_reads(limits.max_large_read_rate == 0
-                        ? nullptr
-                        : std::make_unique<read_limit>(loop, limits.max_large_read_rate)) {
+      m_read_limit(limits.max_limited_read_rate == 0
+                       ? nullptr
+                       : std::make_unique<read_limit>(loop, limits.max_limited_read_rate)) {
     m_idle_timer = loop.make_timer([this] { close_idle_connections(); });
     m_idle_timer->start(m_limits.max_idle_time);
 }
--- a/net/http_client.hpp
+++ b/net/http_client.hpp
@@ -46,8 +46,8 @@
     /// which leaves it unknown whether the request was executed; a request that must not be executed twice
     /// can't be retried then.
     bool fresh_connection = false;
-    /// The answer may be large: it is read within the client's limit for such answers.
-    bool may_be_large = false;
+    /// The answer may be large and nothing waits for it: it is read within the client's limit.
+    bool is_limited = false;
     /// Called when a part of the answer has arrived, with the number of bytes so far; may be empty.
     std::function<void(std::size_t)> on_progress;
 };
@@ -67,8 +67,8 @@
     std::size_t max_headers = 32U << 10U;
     std::size_t max_idle_per_endpoint = 8;
     milliseconds max_idle_time = 2s;
-    /// Rate at which all answers that may be large are read together, in bytes per second; 0: no limit.
-    std::size_t max_large_read_rate = 0;
+    /// Rate at which the answers of limited calls are read together, in bytes per second; 0: no limit.
+    std::size_t max_limited_read_rate = 0;
 };
 
 /// Sends HTTP requests, each on a connection that no other request uses meanwhile, and keeps some idle
@@ -93,12 +93,14 @@
     /// Number of bytes of the answer that have arrived so far; 0 for an ended or unknown exchange.
     [[nodiscard]] std::size_t received_bytes(std::uint64_t call_id) const;
 
-    /// Changes the rate at which answers that may be large are read. No effect if the client has no limit.
-    void set_large_read_rate(std::size_t bytes_per_s) {
-        if (m_large_reads != nullptr) {
-            m_large_reads->set_rate(bytes_per_s);
+    /// Changes the rate at which the answers of limited calls are read. No effect if the client has no limit.
+    void set_limited_read_rate(std::size_t bytes_per_s) {
+        if (m_read_limit != nullptr) {
+            m_read_limit->set_rate(bytes_per_s);
         }
     }
+    /// Part of traffic() that was received within the limit.
+    [[nodiscard]] std::uint64_t limited_bytes_received() const noexcept { return m_limited_bytes_received; }
 
     [[nodiscard]] byte_counts traffic() const noexcept { return {m_bytes_sent, m_bytes_received}; }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
@@ -119,13 +121,14 @@
 
     event_loop& m_loop;
     http_client_limits m_limits;
-    std::unique_ptr<read_limit> m_large_reads; ///< Null: no limit. Outlives the connections.
+    std::unique_ptr<read_limit> m_read_limit; ///< Null: no limit. Outlives the connections.
     std::uint64_t m_next_call_id = 1;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<endpoint, std::vector<std::unique_ptr<connection>>> m_idle_connections;
     std::unique_ptr<timer> m_idle_timer;
     std::uint64_t m_bytes_sent = 0;
     std::uint64_t m_bytes_received = 0;
+    std::uint64_t m_limited_bytes_received = 0;
     lifetime m_lifetime;
 };
 
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -17,7 +17,9 @@
     configuration_task(event_loop& loop, platform::store_client& store, std::function<void()> on_change,
                        const configuration_ages& ages = {});
 
-    void start() { m_watch.start(); }
+    void start() {
+        m_watch.start([] {}); // The first listing is awaited: the node serves nothing without it.
+    }
     /// Lists the entries again at once.
     void refresh() { m_watch.refresh(); }
     /// Records that a peer has this version in force. If the version is newer than the current one and the
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -359,13 +359,13 @@
             m_ingress.traffic()};
 }
 
-/// Lets the store's large answers have what the other connections leave of the link.
+/// Lets the store's large answers in the background have what everything else leaves of the link.
 void node::share_link(timestamp now) {
     std::uint64_t received = 0;
-    for (const byte_counts& end :
-         {m_vms.traffic(), m_peers.traffic(), m_peer_server.traffic(), m_ingress.traffic()}) {
+    for (const byte_counts& end : traffic()) {
         received += end.received;
     }
+    received -= m_store.background_bytes_received();
     const milliseconds elapsed = now - std::exchange(m_link_shared_at, now);
     const std::uint64_t bytes = received - std::exchange(m_other_bytes_received, received);
     if (elapsed > 0ms) {
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -72,7 +72,7 @@
     timestamp m_stop_at{0};
     std::size_t m_stopping_pools = 0;
     timestamp m_link_shared_at{0};
-    /// Received by all but the store's connections, as of then.
+    /// Received besides large answers of the store in the background, as of then.
     std::uint64_t m_other_bytes_received = 0;
     link_traffic m_link_traffic;                                     ///< As of the last log line.
     std::map<std::string, std::uint64_t, std::less<>> m_store_reads; ///< Likewise.
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -60,7 +60,8 @@
                 record_load_time("progress");
                 load_jobs({});
             }
-        });
+        },
+        platform::read_priority::awaited);
 }
 
 timestamp pool_task::accepted_at(std::int64_t wall_ms) const {
@@ -96,7 +97,8 @@
                 record_load_time("jobs");
                 load_vms();
             }
-        });
+        },
+        platform::read_priority::awaited);
 }
 
 void pool_task::load_vms() {
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -122,13 +122,14 @@
 }
 
 void watch_task::read_page(const std::string& after, std::uint64_t round) {
-    m_pending_page =
-        m_store.range(m_prefix, after,
-                      [this, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
-                          if (!alive.expired()) {
-                              apply_page(answer, round);
-                          }
-                      });
+    m_pending_page = m_store.range(
+        m_prefix, after,
+        [this, round, alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+            if (!alive.expired()) {
+                apply_page(answer, round);
+            }
+        },
+        m_on_ready ? platform::read_priority::awaited : platform::read_priority::background);
 }
 
 std::size_t watch_task::arriving_bytes() const {
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -23,7 +23,8 @@
     watch_task(event_loop& loop, platform::store_client& store, std::string prefix, milliseconds wait,
                change_handler on_change, milliseconds pause = milliseconds(0));
 
-    /// Starts with a listing; `on_ready` is called once, when the first listing is complete.
+    /// Starts with a listing; `on_ready` is called once, when the first listing is complete. With `on_ready`,
+    /// that listing is awaited and may use the whole link.
     void start(std::function<void()> on_ready = {});
     void stop() { m_running = false; }
 
--- a/tests/net/read_limit_test.cpp
+++ b/tests/net/read_limit_test.cpp
@@ -23,7 +23,7 @@
                            const bool large = request->target() == "/large";
                            request->reply(200, {}, large ? std::string(answer_bytes, 'x') : "small");
                        }};
-    http_client client{loop, {.max_large_read_rate = bytes_per_s}};
+    http_client client{loop, {.max_limited_read_rate = bytes_per_s}};
 
     limited_client() { REQUIRE(server.listen({"127.0.0.1", 0})); }
 
@@ -32,7 +32,7 @@
         call.to = {"127.0.0.1", server.port()};
         call.target = large ? "/large" : "/small";
         call.timeout = 10s;
-        call.may_be_large = large;
+        call.is_limited = large;
         client.send(std::move(call), [&](http_answer result) { answer = std::move(result); });
     }
 
@@ -90,7 +90,7 @@
     std::optional<http_answer> large;
     const timestamp began = event_loop::now();
     c.send(true, large);
-    c.client.set_large_read_rate(100 * bytes_per_s);
+    c.client.set_limited_read_rate(100 * bytes_per_s);
     c.until_answered(large);
     CHECK(event_loop::now() - began < limited_time / 2);
 }
@@ -115,11 +115,11 @@
     limited_client c;
     std::optional<http_answer> large;
     {
-        http_client client(c.loop, {.max_large_read_rate = bytes_per_s});
+        http_client client(c.loop, {.max_limited_read_rate = bytes_per_s});
         http_call call;
         call.to = {"127.0.0.1", c.server.port()};
         call.target = "/large";
-        call.may_be_large = true;
+        call.is_limited = true;
         const std::uint64_t first = client.send(call, [](const http_answer&) {});
         client.send(call, [](const http_answer&) {});
         REQUIRE(loop_until(c.loop, [&] { return client.received_bytes(first) > 0; }));
--- a/tests/node/narrow_link_test.cpp
+++ b/tests/node/narrow_link_test.cpp
@@ -2,6 +2,7 @@
 #include "fakes/platform_store.hpp"
 #include "net/loop_until.hpp"
 #include "node/store_health.hpp"
+#include "node/watch_task.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -72,3 +73,31 @@
         CHECK(share > item.large_share * 0.7);
     }
 }
+
+// Guards against a pool without an owner for seconds: the stored state that its new owner reads shares the
+// link equally with configurations.
+TEST_CASE("the first listing of a watch may use the whole link, later ones may not") {
+    constexpr std::size_t item_bytes = 150'000;
+    constexpr milliseconds background_time = 1s; // 200 KB at two thirds of 250 KB/s take 1.2 s.
+    event_loop loop;
+    fakes::platform_store store(loop);
+    REQUIRE(store.listen({"127.0.0.1", 0}));
+    store.put("sp/inbox/p/submit/a", std::string(item_bytes, 'x'));
+    platform::store_client client(loop, {"127.0.0.1", store.port()}, 2);
+    bool listed = false;
+    std::size_t changes = 0;
+    node::watch_task watch(loop, client, "sp/inbox/p/submit/", 1s,
+                           [&](const platform::store_item&) { ++changes; });
+    timestamp began = event_loop::now();
+    watch.start([&] { listed = true; });
+    REQUIRE(loop_until(loop, [&] { return listed; }));
+    CHECK(event_loop::now() - began < background_time / 2);
+    CHECK(client.background_bytes_received() == 0);
+    store.hold_watches("sp/");
+    store.put("sp/inbox/p/submit/b", "y");
+    began = event_loop::now();
+    watch.refresh();
+    REQUIRE(loop_until(loop, [&] { return changes == 2; }));
+    CHECK(event_loop::now() - began > background_time / 2);
+    CHECK(client.background_bytes_received() > item_bytes);
+}
