--- a/jobs/job_state.cpp
+++ b/jobs/job_state.cpp
@@ -24,6 +24,17 @@
     return longest;
 }
 
+/// For each step, the estimated duration of the longest chain of steps that depend on it.
+std::vector<std::int64_t> times_after_steps(const job_spec& spec) {
+    std::vector<std::int64_t> after(spec.steps.size(), 0);
+    for (std::size_t i = spec.steps.size(); i-- > 0;) {
+        for (const std::uint32_t before : spec.steps[i].after) {
+            after[before] = std::max(after[before], spec.steps[i].estimate_ms + after[i]);
+        }
+    }
+    return after;
+}
+
 } // namespace
 
 findings validate_job(const job_spec& spec) {
@@ -52,7 +63,7 @@
 
 job_state::job_state(job_spec spec, timestamp accepted_at, std::string account)
     : m_spec(std::move(spec)), m_account(std::move(account)), m_accepted_at(accepted_at),
-      m_critical_path_ms(critical_path_of(m_spec)) {
+      m_critical_path_ms(critical_path_of(m_spec)), m_times_after_steps(times_after_steps(m_spec)) {
     for (const step_spec& step : m_spec.steps) {
         m_step_offsets.push_back(m_tasks_per_occurrence);
         m_tasks_per_occurrence += step.count;
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -185,6 +185,10 @@
     }
     /// Estimated duration of the longest chain of dependent steps, ms.
     [[nodiscard]] std::int64_t critical_path_ms() const noexcept { return m_critical_path_ms; }
+    /// Estimated duration of the longest chain of steps that depend on this one, ms.
+    [[nodiscard]] std::int64_t time_after_step_ms(std::uint32_t step) const {
+        return m_times_after_steps[step];
+    }
 
     /// Calls `visit(position)` for each step of each occurrence.
     template <typename Visit>
@@ -236,6 +240,7 @@
     std::uint32_t m_runs = 0;
     bool m_begun = false;
     std::int64_t m_critical_path_ms = 0;
+    std::vector<std::int64_t> m_times_after_steps; ///< By step, ms.
     bool m_requires_label = false;
     bool m_may_have_unknown_runs = false; ///< Tasks may be marked with may_have_unknown_run.
 };
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -2,9 +2,11 @@
 
 #include "jobs/account_ledger.hpp"
 #include "jobs/balance.hpp"
+#include "jobs/commitments.hpp"
 #include "jobs/job_admission.hpp"
 #include "jobs/label_meters.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/run_times.hpp"
 #include "jobs/start_window.hpp"
 #include "jobs/suspicion.hpp"
 #include "jobs/vm_end.hpp"
@@ -313,6 +315,8 @@
     bool is_blocked_by_limit(const job_state& job, step_position position);
     void measure_waiting_work(timestamp now);
     void add_waiting_work(const job_state& job, std::uint32_t occurrence);
+    void add_commitments(const job_state& job, std::uint32_t occurrence, timestamp objective_at,
+                         timestamp now);
     [[nodiscard]] std::uint64_t vms_for_long_lived(std::size_t usable_vms) const;
     [[nodiscard]] std::map<std::string, std::int64_t> wanted_by_label(timestamp now) const;
     void place_step(job_state& job, step_position position, timestamp now);
@@ -342,6 +346,8 @@
     std::map<std::string, std::int64_t> m_account_work;
     milliseconds m_wall_offset{0}; ///< Time of day minus the owner's clock, as of the last decision.
     work_gauge m_work_gauge;
+    run_times m_run_times;
+    commitments m_commitments; ///< Accepted work that can still be in time, as of the last decision.
     demand_meter m_demand_meter;
     label_meters m_label_meters;
     bool m_starts_held = false;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -262,46 +262,6 @@
     return free;
 }
 
-/// Measures the work that is still waiting after placement. Work that is already late doesn't delay other
-/// jobs and is counted separately. Occurrences that aren't due yet don't count as waiting either: if they
-/// did, a job of six occurrences in half a minute would keep every other job out of its pool while the pool
-/// is idle. Machines are requested ahead of due times. Work that waits for its account's limit needs no
-/// machines and delays no job of another account.
-void scheduler::measure_waiting_work(timestamp now) {
-    m_waiting_work = 0;
-    m_runnable_work = 0;
-    m_upcoming_work = 0;
-    m_late_work = 0;
-    m_account_work.clear();
-    for (const auto& [id, job] : m_jobs) {
-        if (is_final(job.phase()) || job.total_idle_tasks() == 0) {
-            continue;
-        }
-        for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
-            const timestamp begins_at = job.begins_at(occurrence, m_wall_offset);
-            if (begins_at > now + machine_lead_time) {
-                break;
-            }
-            if (m_accounts.is_limited(job.account())) {
-                m_account_work[job.account()] += estimate_waiting_work(job, occurrence, m_work_gauge).all;
-            } else if (begins_at > now) {
-                m_upcoming_work += estimate_waiting_work(job, occurrence, m_work_gauge).runnable;
-            } else if (rank_of(job, *queue_of(job), begins_at, now).group <= 1) {
-                add_waiting_work(job, occurrence);
-            } else {
-                m_late_work += estimate_waiting_work(job, occurrence, m_work_gauge).all;
-            }
-        }
-    }
-}
-
-void scheduler::add_waiting_work(const job_state& job, std::uint32_t occurrence) {
-    const waiting_work waiting = estimate_waiting_work(job, occurrence, m_work_gauge);
-    m_waiting_work += waiting.all;
-    m_runnable_work += waiting.runnable;
-    m_account_work[job.account()] += waiting.all;
-}
-
 void scheduler::place_step(job_state& job, step_position position, timestamp now) {
     const step_spec& step = job.spec().steps[position.step];
     if (is_blocked_by_limit(job, position)) {
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -124,8 +124,9 @@
         task.runs, [&](const run& item) { return item.attempt == end.attempt && item.vm == incarnation; });
     if (known != task.runs.end()) {
         if (end.outcome == run_end::done && known->from_scratch) {
-            m_work_gauge.record_task(job.spec().queue, job.spec().steps[end.task.step].estimate_ms,
-                                     now - known->started_at);
+            const std::int64_t estimate_ms = job.spec().steps[end.task.step].estimate_ms;
+            m_work_gauge.record_task(job.spec().queue, estimate_ms, now - known->started_at);
+            m_run_times.record(job.spec().queue, estimate_ms, now - known->started_at);
         }
         drop_run(job, end.task, end.attempt, incarnation, now);
     }
