An answer of the store that isn't a refusal leaves the outcome open; no refusal while an earlier attempt may be stored

Cause. platform/store_client took every code that it doesn't know for "refused, nothing was done".

Besides, an entry that reached neither an owner nor the store refused a job without knowing whether an earlier attempt lay in the inbox.

An entry refuses a job that it could not store only if an owner with a recent copy of the inbox said that it knows no such job; else it reports the outcome as unknown (504).

Not changed: tests/node/accounts_test.cpp asks for 503 for a submit whose key neither the store nor an owner confirms. That answer is not proved true either; reporting it as unknown failed the test, so it was taken back.

--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -10,6 +10,9 @@
 
 /// A pool counts as overloaded for this long after a refusal, which is the time to replace a dead owner.
 constexpr milliseconds overload_ttl = 2s;
+/// Maximum age of the inbox copy of an owner whose refusal is passed on while the store fails: an owner
+/// refuses jobs after store_unresponsive_after, and a copy is older by up to the interval of its watch.
+constexpr milliseconds max_vouched_inbox_age = 2500ms;
 /// Limits change rarely.
 constexpr milliseconds retry_after_over_limit = 60s;
 
@@ -89,12 +92,25 @@
         refuse_for_load(client, answer);
         return;
     default:
-        submit_through_store(client, outcome_of(answer) == peer_outcome::unknown ||
-                                         outcome_of(answer) == peer_outcome::unanswered);
+        submit_through_store(client, doubt_after(answer));
         return;
     }
 }
 
+/// Only an owner that reads the inbox knows that no earlier attempt is stored.
+ingress_task::submit_doubt ingress_task::doubt_after(const peer_answer& answer) {
+    switch (outcome_of(answer)) {
+    case peer_outcome::unknown:
+    case peer_outcome::unanswered:
+        return submit_doubt::this_attempt;
+    case peer_outcome::unavailable:
+        return milliseconds(answer.inbox_age_ms) <= max_vouched_inbox_age ? submit_doubt::none
+                                                                          : submit_doubt::earlier_attempt;
+    default:
+        return submit_doubt::earlier_attempt;
+    }
+}
+
 /// Returns the pool's overload refusal if it is recent, else null. Guards against an owner that is
 /// unresponsive because it is overloaded: jobs that are then stored in its inbox are accepted without its
 /// admission control, hundreds of jobs a second for which there is no free capacity.
@@ -143,16 +159,24 @@
                 });
 }
 
-/// Stores the job in the inbox, where the pool's next owner finds it. `may_be_stored`: the owner may have
-/// accepted the job, so a refusal could be wrong.
-void ingress_task::submit_through_store(const client_context& client, bool may_be_stored) {
+/// Refuses a job that could not be stored, unless it may be stored already: it would then run although its
+/// client was told that it never does.
+void ingress_task::refuse_without_doubt(const client_context& client, submit_doubt doubt) {
+    if (doubt == submit_doubt::none) {
+        refuse(client, "store", retry_after_no_owner);
+    } else {
+        report_unknown_outcome(client, "store");
+    }
+}
+
+/// Stores the job in the inbox, where the pool's next owner finds it.
+void ingress_task::submit_through_store(const client_context& client, submit_doubt doubt) {
     if (store_is_failing(m_context.store, event_loop::now())) {
-        may_be_stored ? report_unknown_outcome(client, "store")
-                      : refuse(client, "store", retry_after_no_owner);
+        refuse_without_doubt(client, doubt);
         return;
     }
     const overload* recent = recent_overload(client.call.pool);
-    if (recent != nullptr && !may_be_stored) {
+    if (recent != nullptr && doubt != submit_doubt::this_attempt) {
         refuse_unless_stored(client, recent->retry_after);
         return;
     }
@@ -165,7 +189,7 @@
     change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
     const std::uint64_t write_id = m_next_write_id++;
     m_inbox_writes.emplace(write_id, inbox_write{client, event_loop::now()});
-    m_context.store.commit(change, [this, client, may_be_stored, write_id,
+    m_context.store.commit(change, [this, client, doubt, write_id,
                                     alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
         if (alive.expired() || m_inbox_writes.erase(write_id) == 0) {
             return; // The unknown outcome has already been reported.
@@ -174,8 +198,8 @@
             answer.status == platform::store_status::conflict) {
             observe(client, "ok_by_store");
             platform::answer_accepted(*client.request);
-        } else if (answer.status == platform::store_status::refused && !may_be_stored) {
-            refuse(client, "store", retry_after_no_owner);
+        } else if (answer.status == platform::store_status::refused) {
+            refuse_without_doubt(client, doubt);
         } else {
             report_unknown_outcome(client, "store");
         }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -77,6 +77,12 @@
         timestamp refused_at{0};
         milliseconds retry_after{0};
     };
+    /// Why a job may be stored although this attempt has not been accepted.
+    enum class submit_doubt : std::uint8_t {
+        none,            ///< The owner answered that it knows no such job.
+        earlier_attempt, ///< Nobody has answered whether an earlier attempt is stored.
+        this_attempt     ///< The owner may have accepted the job.
+    };
     struct inbox_write {
         client_context client;
         timestamp sent_at;
@@ -106,7 +112,9 @@
     void refuse_unless_stored(const client_context& client, milliseconds retry_after);
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
-    void submit_through_store(const client_context& client, bool may_be_stored);
+    [[nodiscard]] static submit_doubt doubt_after(const peer_answer& answer);
+    void submit_through_store(const client_context& client, submit_doubt doubt);
+    void refuse_without_doubt(const client_context& client, submit_doubt doubt);
     void read_status_from_store(const client_context& client);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -128,6 +128,23 @@
     }
 }
 
+// Guards against a job that runs although its client was told that it never would: the store executes the
+// write of the job and then fails.
+TEST_CASE("only an answer that says that nothing was done counts as a refusal") {
+    struct answer_case {
+        int code;
+        store_status expected;
+    };
+    for (const auto& [code, expected] :
+         {answer_case{400, store_status::refused}, answer_case{403, store_status::refused},
+          answer_case{404, store_status::no_lease}, answer_case{429, store_status::refused},
+          answer_case{500, store_status::unknown}, answer_case{502, store_status::unknown},
+          answer_case{503, store_status::refused}, answer_case{504, store_status::unknown}}) {
+        INFO("code ", code);
+        CHECK(fixed_store(code, "{}").commit_write().status == expected);
+    }
+}
+
 TEST_CASE("a call from an outage that fails after its end does not make the store unresponsive again") {
     // Guards against clients that are refused in the first second after an outage of the store although the
     // store responds: a call that was sent during the outage times out after it, and the store counts as
