Entries know their pools' room, and leave no job in the inbox of a pool that can't serve it

A job that doesn't reach its owner is accepted through the inbox, without admission. An entry knew only its own last refusal; entries that had met none left jobs in inboxes of pools with seconds of waiting work (the twin of the grown Volta: 39 jobs became 132 in six seconds while the owner counted 7 to 75 s; trace on the untouched code).

Owners' answers to submits, admission queries, status calls and counts carry the pool's room: the time for the waiting work, how much longer jobs are likely to be refused, the capacity (three numbers, written last and optional). jobs/pool_room decides from the last one, its age, and the work that this entry has left in the inbox since, taken times the number of entries: the job is left there if it would still be of use behind all that and the owner wasn't refusing. Else the store is asked, and the client is told 429; if a write of the job may still be in flight (the owner didn't answer the submit, or this entry reported the outcome as unknown within 5 s), it is told 504. Long-lived and scheduled jobs are always left, as the owner would accept them. A pool that nothing is known of gets all jobs, as before.

Evidence. tests/jobs/pool_room_test.cpp (3 of 5 cases red with a decision that knows only the entry's own refusals) and tests/node/pool_room_test.cpp (2 of 3 red with it), green now, with tests/node/true_refusals_test.cpp. The other tests of jobs and node have not run on this commit yet.

--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -206,6 +206,9 @@
             return;
         }
         m_context.configuration.record_peer_version(answer.configuration_version);
+        if (answer.room) {
+            m_rooms[client.call.pool].record(*answer.room, event_loop::now());
+        }
         if (!refuse_unchecked(client, answer)) {
             (this->*next)(client, answer);
         }
@@ -266,6 +269,9 @@
 
 void ingress_task::report_unknown_outcome(const client_context& client, std::string_view why) {
     observe(client, "unknown");
+    if (client.call.request == platform::client_request::submit) {
+        m_unsettled_jobs[client.call.job] = event_loop::now();
+    }
     log_event(event_id::client_unknown, {{"job", client.call.job},
                                          {"call", name_of(client.call.request)},
                                          {"why", why},
