--- a/jobs/pool_room.cpp
+++ b/jobs/pool_room.cpp
@@ -28,11 +28,11 @@
     m_told->queue_wait = std::clamp(told.queue_wait, 0ms, max_wait);
     m_told_at = now;
     m_left_work = 0;
-    m_refuses_until = std::max(m_refuses_until, now + std::min(told.refuses_for, refusal_ttl));
+    m_told->refuses_for = std::min(told.refuses_for, refusal_ttl);
 }
 
 void known_room::record_refusal(milliseconds retry_after, timestamp now) noexcept {
-    m_refuses_until = now + refusal_ttl;
+    m_refused_until = now + refusal_ttl;
     m_retry_after = retry_after;
 }
 
@@ -40,10 +40,6 @@
     m_left_work += estimate_job_work(spec, {});
 }
 
-bool known_room::is_refusing(timestamp now) const noexcept {
-    return now < m_refuses_until;
-}
-
 /// Time for the work that waited when the owner told it, less what has been done since, and for the jobs that
 /// entries have left in the inbox.
 milliseconds known_room::expected_wait(std::size_t entries, timestamp now) const {
@@ -64,7 +60,8 @@
         return std::nullopt; // Admitted under any load.
     }
     const milliseconds wait = expected_wait(entries, now);
-    if (is_refusing(now)) {
+    const bool others_refused = m_told && now < m_told_at + m_told->refuses_for;
+    if (has_refused(now) || others_refused) {
         return std::clamp(std::max(m_retry_after, wait), min_delay, max_delay);
     }
     const job_state job(spec, timestamp(0));
--- a/jobs/pool_room.hpp
+++ b/jobs/pool_room.hpp
@@ -36,8 +36,9 @@
     /// Records that a job was left in the inbox.
     void record_left(const job_spec& spec);
 
-    /// Whether the owner would be likely to refuse a job now.
-    [[nodiscard]] bool is_refusing(timestamp now) const noexcept;
+    /// Whether the owner refused a job of this entry within refusal_ttl; also if it has accepted others
+    /// since.
+    [[nodiscard]] bool has_refused(timestamp now) const noexcept { return now < m_refused_until; }
     /// Returns after which delay the client should send the job again if it may not be left in the inbox;
     /// nothing if it may. `entries`: number of nodes that receive jobs; each is taken to leave as many as
     /// this one. Precondition: entries >= 1.
@@ -50,7 +51,7 @@
     std::optional<pool_room> m_told;
     timestamp m_told_at{0};
     std::int64_t m_left_work = 0; ///< Left in the inbox since m_told_at, millicore-milliseconds.
-    timestamp m_refuses_until{0};
+    timestamp m_refused_until{0};
     milliseconds m_retry_after{0};
 };
 
--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -12,9 +12,6 @@
 
 /// A write without an answer may be executed for this long: seconds after the store's timeout.
 constexpr milliseconds unsettled_ttl = 5s;
-/// Maximum age of the inbox copy of an owner whose refusal is passed on while the store fails: an owner
-/// refuses jobs after store_unresponsive_after, and a copy is older by up to the interval of its watch.
-constexpr milliseconds max_vouched_inbox_age = 2500ms;
 /// Limits change rarely.
 constexpr milliseconds retry_after_over_limit = 60s;
 
@@ -46,7 +43,7 @@
 /// first: refused submits could fill its link, and the reports of its VMs and the renewals of its claim would
 /// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
 void ingress_task::submit_to_owner(const client_context& client) {
-    const bool asks_first = m_rooms[client.call.pool].is_refusing(event_loop::now());
+    const bool asks_first = m_rooms[client.call.pool].has_refused(event_loop::now());
     peer_request message =
         make_request(asks_first ? peer_request_kind::admission_query : peer_request_kind::submit, client);
     message.spec = client.spec;
@@ -63,7 +60,7 @@
         // The query stored nothing, so the job can be refused. Through the inbox it would be accepted without
         // admission, by a pool whose owner refuses jobs and is too busy to answer.
         refuse_unless_stored(client, refusal_of(client).value_or(retry_after_unavailable),
-                             doubt_about(client, submit_doubt::earlier_attempt));
+                             is_unsettled(client.call.job));
         return;
     }
     if (outcome_of(answer) != peer_outcome::admissible) {
@@ -95,25 +92,12 @@
         refuse_for_load(client, answer);
         return;
     default:
-        submit_through_store(client, doubt_after(answer));
+        submit_through_store(client, outcome_of(answer) == peer_outcome::unknown ||
+                                         outcome_of(answer) == peer_outcome::unanswered);
         return;
     }
 }
 
-/// Only an owner that reads the inbox knows that no earlier attempt is stored.
-ingress_task::submit_doubt ingress_task::doubt_after(const peer_answer& answer) {
-    switch (outcome_of(answer)) {
-    case peer_outcome::unknown:
-    case peer_outcome::unanswered:
-        return submit_doubt::this_attempt;
-    case peer_outcome::unavailable:
-        return milliseconds(answer.inbox_age_ms) <= max_vouched_inbox_age ? submit_doubt::none
-                                                                          : submit_doubt::earlier_attempt;
-    default:
-        return submit_doubt::earlier_attempt;
-    }
-}
-
 /// The delay after which the client should return if the job may not be left in the pool's inbox, where it
 /// would be accepted without the owner's admission; nothing if it may.
 std::optional<milliseconds> ingress_task::refusal_of(const client_context& client) const {
@@ -126,12 +110,11 @@
     return room->second.refusal_of(client.spec, *queue, entries, event_loop::now());
 }
 
-/// A job whose outcome this node has reported as unknown may be stored later than a read of the store.
-ingress_task::submit_doubt ingress_task::doubt_about(const client_context& client, submit_doubt doubt) const {
-    const auto unsettled = m_unsettled_jobs.find(client.call.job);
-    const bool may_be_written =
-        unsettled != m_unsettled_jobs.end() && event_loop::now() - unsettled->second <= unsettled_ttl;
-    return may_be_written ? submit_doubt::this_attempt : doubt;
+/// Whether this node has reported the outcome of an attempt as unknown: a write of the job may be executed
+/// later than a read of the store.
+bool ingress_task::is_unsettled(const std::string& job) const {
+    const auto found = m_unsettled_jobs.find(job);
+    return found != m_unsettled_jobs.end() && event_loop::now() - found->second <= unsettled_ttl;
 }
 
 void ingress_task::refuse_overloaded(const client_context& client, milliseconds retry_after) {
@@ -156,52 +139,53 @@
 
 /// A previous attempt to submit the same job may have been accepted although its client got no answer.
 void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after,
-                                        submit_doubt doubt) {
-    look_up_job(
-        m_context.store, client.call.pool, client.call.job,
-        [this, client, retry_after, doubt, alive = m_lifetime.weak_token()](const lookup_answer& found) {
-            if (alive.expired()) {
-                return;
-            }
-            if (!found.store_reached) {
-                report_unknown_outcome(client, "store");
-            } else if (found.has_job_for(client.account)) {
-                observe(client, "ok");
-                platform::answer_accepted(*client.request);
-            } else if (doubt == submit_doubt::this_attempt) {
-                report_unknown_outcome(client, "no-room");
-            } else {
-                refuse_overloaded(client, retry_after);
-            }
-        });
+                                        bool may_be_stored) {
+    look_up_job(m_context.store, client.call.pool, client.call.job,
+                [this, client, retry_after, may_be_stored,
+                 alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                    if (alive.expired()) {
+                        return;
+                    }
+                    if (!found.store_reached) {
+                        report_unknown_outcome(client, "store");
+                    } else if (found.has_job_for(client.account)) {
+                        observe(client, "ok");
+                        platform::answer_accepted(*client.request);
+                    } else if (may_be_stored) {
+                        report_unknown_outcome(client, "no-room");
+                    } else {
+                        refuse_overloaded(client, retry_after);
+                    }
+                });
 }
 
 /// Refuses a job that could not be stored, unless it may be stored already: it would then run although its
 /// client was told that it never does.
-void ingress_task::refuse_without_doubt(const client_context& client, submit_doubt doubt) {
-    if (doubt == submit_doubt::none) {
-        refuse(client, "store", retry_after_no_owner);
-    } else {
+void ingress_task::refuse_unless_unsettled(const client_context& client, bool may_be_stored) {
+    if (may_be_stored || is_unsettled(client.call.job)) {
         report_unknown_outcome(client, "store");
+    } else {
+        refuse(client, "store", retry_after_no_owner);
     }
 }
 
 /// Handles a job that the owner has not judged: it is left in the inbox if the pool has room for it.
-void ingress_task::submit_through_store(const client_context& client, submit_doubt doubt) {
+/// `may_be_stored`: the owner may have accepted the job, so a refusal could be wrong.
+void ingress_task::submit_through_store(const client_context& client, bool may_be_stored) {
     if (store_is_failing(m_context.store, event_loop::now())) {
-        refuse_without_doubt(client, doubt);
+        refuse_unless_unsettled(client, may_be_stored);
         return;
     }
     if (const std::optional<milliseconds> delay = refusal_of(client)) {
         m_context.counters.increment("clients_submit_not_left_in_inbox");
-        refuse_unless_stored(client, *delay, doubt_about(client, doubt));
+        refuse_unless_stored(client, *delay, may_be_stored || is_unsettled(client.call.job));
         return;
     }
-    write_to_inbox(client, doubt);
+    write_to_inbox(client, may_be_stored);
 }
 
 /// Stores the job in the inbox, where the pool's next owner finds it.
-void ingress_task::write_to_inbox(const client_context& client, submit_doubt doubt) {
+void ingress_task::write_to_inbox(const client_context& client, bool may_be_stored) {
     m_rooms[client.call.pool].record_left(client.spec);
     const jobs::job_record record{client.spec, wall_clock_ms(), client.account};
     const std::string& id = client.call.job;
@@ -212,7 +196,7 @@
     change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
     const std::uint64_t write_id = m_next_write_id++;
     m_inbox_writes.emplace(write_id, inbox_write{client, event_loop::now()});
-    m_context.store.commit(change, [this, client, doubt, write_id,
+    m_context.store.commit(change, [this, client, may_be_stored, write_id,
                                     alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
         if (alive.expired() || m_inbox_writes.erase(write_id) == 0) {
             return; // The unknown outcome has already been reported.
@@ -222,7 +206,7 @@
             observe(client, "ok_by_store");
             platform::answer_accepted(*client.request);
         } else if (answer.status == platform::store_status::refused) {
-            refuse_without_doubt(client, doubt);
+            refuse_unless_unsettled(client, may_be_stored);
         } else {
             report_unknown_outcome(client, "store");
         }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -73,12 +73,6 @@
         std::uint64_t jobs = 0;
         timestamp counted_at{0};
     };
-    /// Why a job may be stored although this attempt has not been accepted.
-    enum class submit_doubt : std::uint8_t {
-        none,            ///< The owner answered that it knows no such job.
-        earlier_attempt, ///< Nobody has answered whether an earlier attempt is stored.
-        this_attempt     ///< The owner may have accepted the job.
-    };
     struct inbox_write {
         client_context client;
         timestamp sent_at;
@@ -106,14 +100,13 @@
     void send_count(const client_context& client, const cached_count& count, std::string_view from);
     void refuse_for_load(const client_context& client, const peer_answer& answer);
     void refuse_unless_stored(const client_context& client, milliseconds retry_after,
-                              submit_doubt doubt = submit_doubt::earlier_attempt);
+                              bool may_be_stored = false);
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] std::optional<milliseconds> refusal_of(const client_context& client) const;
-    void write_to_inbox(const client_context& client, submit_doubt doubt);
-    [[nodiscard]] submit_doubt doubt_about(const client_context& client, submit_doubt doubt) const;
-    [[nodiscard]] static submit_doubt doubt_after(const peer_answer& answer);
-    void submit_through_store(const client_context& client, submit_doubt doubt);
-    void refuse_without_doubt(const client_context& client, submit_doubt doubt);
+    void write_to_inbox(const client_context& client, bool may_be_stored);
+    [[nodiscard]] bool is_unsettled(const std::string& job) const;
+    void submit_through_store(const client_context& client, bool may_be_stored);
+    void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
     void read_status_from_store(const client_context& client);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -83,7 +83,7 @@
     std::uint8_t outcome = static_cast<std::uint8_t>(peer_outcome::unknown);
     std::uint8_t phase = 0;
     std::uint64_t count = 0;
-    /// With `count` and a refused submit: upper limit of the age of the owner's copy of the inbox.
+    /// With `count` and `overloaded`: upper limit of the age of the owner's copy of the inbox.
     std::int64_t inbox_age_ms = 0;
     std::int64_t retry_after_ms = 0;
     jobs::pool_demand demand;               ///< With `demand_query`.
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -45,7 +45,6 @@
     if (store_is_failing(m_context.store, event_loop::now())) {
         peer_answer answer = make_answer(peer_outcome::unavailable);
         answer.retry_after_ms = retry_after_outage.count();
-        answer.inbox_age_ms = inbox_age().count();
         log_event(event_id::submit_refused, {{"pool", m_pool}, {"job", id}, {"why", "store"}});
         done(answer);
         return true;
@@ -165,12 +164,10 @@
 }
 
 void pool_task::answer_submit(const std::string& job, const reply& done, peer_outcome outcome) {
-    peer_answer answer = make_answer(outcome);
-    answer.inbox_age_ms = inbox_age().count();
-    done(answer);
+    done(make_answer(outcome));
     const auto [first, last] = m_repeated_submits.equal_range(job);
     for (auto item = first; item != last; ++item) {
-        item->second(answer);
+        item->second(make_answer(outcome));
     }
     m_repeated_submits.erase(first, last);
 }
