--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -4,12 +4,12 @@
 #include "node/keys.hpp"
 #include "node/store_health.hpp"
 
-#include <algorithm>
-
 namespace siskinpaddle::node {
 
 namespace {
 
+/// A pool counts as overloaded for this long after a refusal, which is the time to replace a dead owner.
+constexpr milliseconds overload_ttl = 2s;
 /// A write without an answer may be executed for this long: seconds after the store's timeout.
 constexpr milliseconds unsettled_ttl = 5s;
 /// Limits change rarely.
@@ -43,7 +43,7 @@
 /// first: refused submits could fill its link, and the reports of its VMs and the renewals of its claim would
 /// wait behind them. Otherwise the job is sent at once, which takes one round trip less.
 void ingress_task::submit_to_owner(const client_context& client) {
-    const bool asks_first = m_rooms[client.call.pool].has_refused(event_loop::now());
+    const bool asks_first = recent_overload(client.call.pool) != nullptr;
     peer_request message =
         make_request(asks_first ? peer_request_kind::admission_query : peer_request_kind::submit, client);
     message.spec = client.spec;
@@ -59,8 +59,7 @@
     if (outcome_of(answer) == peer_outcome::unanswered) {
         // The query stored nothing, so the job can be refused. Through the inbox it would be accepted without
         // admission, by a pool whose owner refuses jobs and is too busy to answer.
-        refuse_unless_stored(client, refusal_of(client).value_or(retry_after_unavailable),
-                             is_unsettled(client.call.job));
+        refuse_unless_stored(client, m_overloads[client.call.pool].retry_after);
         return;
     }
     if (outcome_of(answer) != peer_outcome::admissible) {
@@ -88,7 +87,7 @@
                                     retry_after_over_limit);
         return;
     case peer_outcome::overloaded:
-        m_rooms[client.call.pool].record_refusal(milliseconds(answer.retry_after_ms), event_loop::now());
+        m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
         refuse_for_load(client, answer);
         return;
     default:
@@ -98,23 +97,14 @@
     }
 }
 
-/// The delay after which the client should return if the job may not be left in the pool's inbox, where it
-/// would be accepted without the owner's admission; nothing if it may.
-std::optional<milliseconds> ingress_task::refusal_of(const client_context& client) const {
-    const auto room = m_rooms.find(client.call.pool);
-    const jobs::queue_settings* queue = m_context.configuration.current().find_queue(client.call.queue);
-    if (room == m_rooms.end() || queue == nullptr) {
-        return std::nullopt;
-    }
-    const std::size_t entries = std::max<std::size_t>(1, m_context.membership.node_count());
-    return room->second.refusal_of(client.spec, *queue, entries, event_loop::now());
-}
-
-/// Whether this node has reported the outcome of an attempt as unknown: a write of the job may be executed
-/// later than a read of the store.
-bool ingress_task::is_unsettled(const std::string& job) const {
-    const auto found = m_unsettled_jobs.find(job);
-    return found != m_unsettled_jobs.end() && event_loop::now() - found->second <= unsettled_ttl;
+/// Returns the pool's overload refusal if it is recent, else null. Guards against an owner that is
+/// unresponsive because it is overloaded: jobs that are then stored in its inbox are accepted without its
+/// admission control, hundreds of jobs a second for which there is no free capacity.
+const ingress_task::overload* ingress_task::recent_overload(const std::string& pool) const {
+    const auto found = m_overloads.find(pool);
+    const bool recent =
+        found != m_overloads.end() && event_loop::now() - found->second.refused_at <= overload_ttl;
+    return recent ? &found->second : nullptr;
 }
 
 void ingress_task::refuse_overloaded(const client_context& client, milliseconds retry_after) {
@@ -138,11 +128,9 @@
 }
 
 /// A previous attempt to submit the same job may have been accepted although its client got no answer.
-void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after,
-                                        bool may_be_stored) {
+void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after) {
     look_up_job(m_context.store, client.call.pool, client.call.job,
-                [this, client, retry_after, may_be_stored,
-                 alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                [this, client, retry_after, alive = m_lifetime.weak_token()](const lookup_answer& found) {
                     if (alive.expired()) {
                         return;
                     }
@@ -151,14 +139,21 @@
                     } else if (found.has_job_for(client.account)) {
                         observe(client, "ok");
                         platform::answer_accepted(*client.request);
-                    } else if (may_be_stored) {
-                        report_unknown_outcome(client, "no-room");
+                    } else if (is_unsettled(client.call.job)) {
+                        report_unknown_outcome(client, "unsettled");
                     } else {
                         refuse_overloaded(client, retry_after);
                     }
                 });
 }
 
+/// Whether this node has reported the outcome of an attempt as unknown: a write of the job may be executed
+/// later than a read of the store.
+bool ingress_task::is_unsettled(const std::string& job) const {
+    const auto found = m_unsettled_jobs.find(job);
+    return found != m_unsettled_jobs.end() && event_loop::now() - found->second <= unsettled_ttl;
+}
+
 /// Refuses a job that could not be stored, unless it may be stored already: it would then run although its
 /// client was told that it never does.
 void ingress_task::refuse_unless_unsettled(const client_context& client, bool may_be_stored) {
@@ -169,24 +164,18 @@
     }
 }
 
-/// Handles a job that the owner has not judged: it is left in the inbox if the pool has room for it.
-/// `may_be_stored`: the owner may have accepted the job, so a refusal could be wrong.
+/// Stores the job in the inbox, where the pool's next owner finds it. `may_be_stored`: the owner may have
+/// accepted the job, so a refusal could be wrong.
 void ingress_task::submit_through_store(const client_context& client, bool may_be_stored) {
     if (store_is_failing(m_context.store, event_loop::now())) {
         refuse_unless_unsettled(client, may_be_stored);
         return;
     }
-    if (const std::optional<milliseconds> delay = refusal_of(client)) {
-        m_context.counters.increment("clients_submit_not_left_in_inbox");
-        refuse_unless_stored(client, *delay, may_be_stored || is_unsettled(client.call.job));
+    const overload* recent = recent_overload(client.call.pool);
+    if (recent != nullptr && !may_be_stored) {
+        refuse_unless_stored(client, recent->retry_after);
         return;
     }
-    write_to_inbox(client, may_be_stored);
-}
-
-/// Stores the job in the inbox, where the pool's next owner finds it.
-void ingress_task::write_to_inbox(const client_context& client, bool may_be_stored) {
-    m_rooms[client.call.pool].record_left(client.spec);
     const jobs::job_record record{client.spec, wall_clock_ms(), client.account};
     const std::string& id = client.call.job;
     platform::store_transaction change;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -206,9 +206,6 @@
             return;
         }
         m_context.configuration.record_peer_version(answer.configuration_version);
-        if (answer.room) {
-            m_rooms[client.call.pool].record(*answer.room, event_loop::now());
-        }
         if (!refuse_unchecked(client, answer)) {
             (this->*next)(client, answer);
         }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace siskinpaddle::node {
@@ -73,6 +72,11 @@
         std::uint64_t jobs = 0;
         timestamp counted_at{0};
     };
+    /// The latest refusal by a pool's owner because of load.
+    struct overload {
+        timestamp refused_at{0};
+        milliseconds retry_after{0};
+    };
     struct inbox_write {
         client_context client;
         timestamp sent_at;
@@ -99,14 +103,12 @@
     void count_answered(const client_context& client, const peer_answer& answer);
     void send_count(const client_context& client, const cached_count& count, std::string_view from);
     void refuse_for_load(const client_context& client, const peer_answer& answer);
-    void refuse_unless_stored(const client_context& client, milliseconds retry_after,
-                              bool may_be_stored = false);
+    void refuse_unless_stored(const client_context& client, milliseconds retry_after);
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
-    [[nodiscard]] std::optional<milliseconds> refusal_of(const client_context& client) const;
-    void write_to_inbox(const client_context& client, bool may_be_stored);
-    [[nodiscard]] bool is_unsettled(const std::string& job) const;
+    [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
     void submit_through_store(const client_context& client, bool may_be_stored);
     void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
+    [[nodiscard]] bool is_unsettled(const std::string& job) const;
     void read_status_from_store(const client_context& client);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
@@ -119,12 +121,13 @@
     timestamp m_peer_reached_store_at{0};
     /// Incarnation of an owner -> until when it gets no requests.
     std::map<std::string, timestamp> m_unresponsive_owners;
-    std::map<std::string, cached_count> m_counts;    ///< By queue.
-    std::map<std::string, jobs::known_room> m_rooms; ///< By pool.
-    /// Job -> when its outcome was last reported as unknown: a write of it may still be in flight.
-    std::map<std::string, timestamp> m_unsettled_jobs;
+    std::map<std::string, cached_count> m_counts; ///< By queue.
+    /// The owner's last refusal for load, by pool; also if it has accepted jobs since.
+    std::map<std::string, overload> m_overloads;
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Writes whose clients have no answer yet.
     std::uint64_t m_next_write_id = 1;
+    /// Job -> when its outcome was last reported as unknown: a write of it may still be in flight.
+    std::map<std::string, timestamp> m_unsettled_jobs;
     lifetime m_lifetime;
 };
 
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -85,8 +85,6 @@
     void leave(std::function<void()> done);
 
     [[nodiscard]] const node_record& self() const noexcept { return m_self; }
-    /// Number of registered nodes.
-    [[nodiscard]] std::size_t node_count() const noexcept { return m_nodes.size(); }
     [[nodiscard]] std::optional<node_record> owner_of(const std::string& duty) const;
     [[nodiscard]] bool owns(const std::string& duty) const { return m_owned.contains(duty); }
     /// Until when, by this node's clock, no other node can have claimed the duty; 0 if this node doesn't own
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -3,7 +3,6 @@
 #include "jobs/jobs.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,32 +87,12 @@
     std::int64_t retry_after_ms = 0;
     jobs::pool_demand demand;               ///< With `demand_query`.
     std::int64_t configuration_version = 0; ///< Configuration version in force at the responding node.
-    std::int64_t store_age_ms = 0;       ///< Time since the store last renewed the responding node's lease.
-    std::optional<jobs::pool_room> room; ///< Of the pool, if the responding node owns it.
+    std::int64_t store_age_ms = 0; ///< Time since the store last renewed the responding node's lease.
 
-    // The room is written last and only if it is known, so that other versions of the program can read the
-    // answer.
     template <typename Archive>
-    void save(Archive& archive) const {
+    void serialize(Archive& archive) {
         archive(outcome, phase, count, inbox_age_ms, retry_after_ms, demand, configuration_version,
                 store_age_ms);
-        if (room) {
-            archive(static_cast<std::int64_t>(room->queue_wait.count()),
-                    static_cast<std::int64_t>(room->refuses_for.count()), room->millicores);
-        }
-    }
-    template <typename Archive>
-    void load(Archive& archive) {
-        archive(outcome, phase, count, inbox_age_ms, retry_after_ms, demand, configuration_version,
-                store_age_ms);
-        if (archive.remaining_bytes() > 0) {
-            std::int64_t queue_wait_ms = 0;
-            std::int64_t refuses_for_ms = 0;
-            room.emplace();
-            archive(queue_wait_ms, refuses_for_ms, room->millicores);
-            room->queue_wait = milliseconds(queue_wait_ms);
-            room->refuses_for = milliseconds(refuses_for_ms);
-        }
     }
 };
 
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -11,19 +11,19 @@
     }
     switch (static_cast<peer_request_kind>(request.kind)) {
     case peer_request_kind::submit:
-        submit(request, with_room(done));
+        submit(request, done);
         return;
     case peer_request_kind::admission_query:
-        query_admission(request, with_room(done));
+        query_admission(request, done);
         return;
     case peer_request_kind::status:
-        status(request, with_room(done));
+        status(request, done);
         return;
     case peer_request_kind::cancel:
         cancel(request, done);
         return;
     case peer_request_kind::count:
-        count(request, with_room(done));
+        count(request, done);
         return;
     case peer_request_kind::demand_query:
         answer_demand_query(request, done);
@@ -34,16 +34,6 @@
     done(make_answer(peer_outcome::unavailable));
 }
 
-pool_task::reply pool_task::with_room(const reply& done) const {
-    return [this, done](const peer_answer& answer) {
-        const jobs::pool_load load = m_scheduler.load();
-        peer_answer complete = answer;
-        complete.room = {load.queue_wait(), std::max(0ms, m_refuses_until - event_loop::now()),
-                         load.usable_millicores - load.long_lived_millicores};
-        done(complete);
-    };
-}
-
 void pool_task::status(const peer_request& request, const reply& done) const {
     if (belongs_to_other_account(request.job, request.account)) {
         done(make_answer(peer_outcome::unknown_job));
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -62,7 +62,6 @@
     const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec, request.account);
     const std::int64_t waiting_ms = verdict.queue_time.count();
     if (!verdict.accepted) {
-        m_refuses_until = event_loop::now() + jobs::refusal_ttl;
         peer_answer answer = make_answer(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
         answer.inbox_age_ms = inbox_age().count();
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -149,8 +149,6 @@
 
     // Requests.
     bool answer_without_accepting(const peer_request& request, const reply& done);
-    /// Adds the pool's room to the answer.
-    [[nodiscard]] reply with_room(const reply& done) const;
     void query_admission(const peer_request& request, const reply& done);
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
@@ -243,7 +241,6 @@
     std::map<std::string, std::string> m_unconfirmed_submits;
     std::multimap<std::string, reply> m_repeated_submits; ///< Repeats of submits that are in progress.
     std::unique_ptr<timer> m_submit_timer;
-    timestamp m_refuses_until{0}; ///< Until when jobs are likely to be refused for load.
     std::vector<waiting_cancel> m_cancels;
     /// Cancellations that found no job yet, or were read while the ownership was lost.
     std::vector<platform::store_item> m_unresolved_inbox_cancels;
