Operators can ask a node who waits and why, what a job does, what accounts use

On the users' platform an operator had logs and metrics, and no way to ask which job waits behind which.

Change: jobs/pool_report and scheduler_reports.cpp (pure: waiting jobs in the order of placement with the reason of the first waiting task, a job with its steps and runs, accounts), node/operator_view (JSON on the metrics address; a node without the pool names its owner), `siskinctl node ...`, OPERATIONS. Read-only, no payloads.

Evidence: jobs/pool_report_test, node/operator_view_test: new, green; the requests were answered with the metrics before.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -19,6 +19,7 @@
 #include "jobs/label_meters.hpp"
 #include "jobs/maintenance.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/pool_report.hpp"
 #include "jobs/queue_count.hpp"
 #include "jobs/run_times.hpp"
 #include "jobs/scheduler.hpp"
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -6,6 +6,7 @@
 #include "jobs/job_admission.hpp"
 #include "jobs/label_meters.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/pool_report.hpp"
 #include "jobs/run_times.hpp"
 #include "jobs/start_window.hpp"
 #include "jobs/suspicion.hpp"
@@ -154,6 +155,16 @@
     /// Number of tasks with crash evidence recorded against them.
     [[nodiscard]] std::size_t suspect_count() const noexcept { return m_suspects.size(); }
 
+    // --- Reports for operators ---
+
+    /// The jobs that wait, at most `max_count`, those that are placed first first.
+    [[nodiscard]] std::vector<waiting_job> waiting_jobs(std::size_t max_count, timestamp now) const;
+    /// Describes a job with its first `max_steps` steps over all occurrences; empty for an unknown job.
+    [[nodiscard]] std::optional<job_report> describe_job(const std::string& id, std::size_t max_steps,
+                                                         timestamp now) const;
+    /// What each account has in the pool, for accounts with jobs that have not ended, by name.
+    [[nodiscard]] std::vector<account_report> describe_accounts() const;
+
     // --- Accounts ---
 
     /// What the accounts' runs use here, and what they may use. Runs are counted by the scheduler; the owner
@@ -247,6 +258,14 @@
     void add_note(std::string what, const std::string& vm, const task_id* task, std::uint32_t attempt);
     void mark_changed(job_state& job, bool urgent);
 
+    // Reports.
+    [[nodiscard]] static const task_state* first_waiting_task(const job_state& job, step_position position);
+    [[nodiscard]] std::optional<wait_reason> wait_reason_of(const job_state& job, step_position position,
+                                                            timestamp now) const;
+    [[nodiscard]] std::optional<waiting_job> describe_waiting(const job_state& job, timestamp now) const;
+    [[nodiscard]] step_report describe_step(const job_state& job, step_position position,
+                                            timestamp now) const;
+
     // Runs.
     run& add_run(job_state& job, const task_id& id, run item, vm_state& vm);
     void process_end(vm_state& vm, const end_report& end, timestamp now);
--- a/main/siskinctl.cpp
+++ b/main/siskinctl.cpp
@@ -156,9 +156,37 @@
     return code;
 }
 
+/// Asks a node of the users' platform, on its metrics address.
+int ask_node(const options& opts) {
+    const std::string what = opts.arguments.size() > 1 ? opts.arguments[1] : "";
+    const std::string name = opts.arguments.size() > 2 ? opts.arguments[2] : "";
+    struct question {
+        const char* rows_key;
+        std::string target;
+        bool needs_name;
+    };
+    const std::map<std::string, question> questions{
+        {"pools", {"pools", "/pools", false}},
+        {"accounts", {"accounts", "/accounts", false}},
+        {"waiting", {"waiting", "/pools/" + name + "/waiting", true}},
+        {"job", {"steps", "/jobs/" + name, true}}};
+    const auto found = questions.find(what);
+    if (found == questions.end() || found->second.needs_name == name.empty()) {
+        std::cerr << "siskinctl: node pools|accounts|waiting POOL|job ID\n";
+        return exit_usage;
+    }
+    const reply result = send_request(opts, "GET", found->second.target, "");
+    const auto* object = result.body.if_object();
+    const bool has_rows = object != nullptr && object->contains(found->second.rows_key);
+    return print_reply(opts, result, has_rows ? found->second.rows_key : nullptr);
+}
+
 int run_command(const options& opts) {
     const std::string command = opts.arguments.empty() ? "" : opts.arguments[0];
     const std::string subcommand = opts.arguments.size() > 1 ? opts.arguments[1] : "";
+    if (command == "node") {
+        return ask_node(opts);
+    }
     if (command == "patch" && (subcommand == "submit" || subcommand == "check")) {
         return submit_patch(opts, subcommand == "check");
     }
@@ -193,14 +221,16 @@
     try {
         TCLAP::CmdLine command_line(
             "Command-line tool for operators of siskinpaddle. Commands: patch submit FILE --against N, patch "
-            "check FILE --against N, config show [N], status, pools, vms [--pool P], waves, jobs. The "
+            "check FILE --against N, config show [N], status, pools, vms [--pool P], waves, jobs. On a node "
+            "of the users' platform, with the port of its metrics: node pools, node accounts, node waiting "
+            "POOL, node job ID. The "
             "credential is read from the environment variable SISKIN_CREDENTIAL. Exit codes: 0 success, 1 "
             "usage error, 3 conflict, 4 refused, 5 unreachable, 6 outcome unknown.",
             ' ', SISKINPADDLE_VERSION);
         TCLAP::ValueArg<std::string> address("a", "address", "IP address of an entry.", false, "127.0.0.1",
                                              "IP", command_line);
-        TCLAP::ValueArg<int> port("p", "port", "Operators' port of the entry.", true, 0, "PORT",
-                                  command_line);
+        TCLAP::ValueArg<int> port("p", "port", "Operators' port of the entry, or metrics port of the node.",
+                                  true, 0, "PORT", command_line);
         TCLAP::ValueArg<std::string> against("", "against",
                                              "Number of the configuration that the patch is based on.", false,
                                              "", "N", command_line);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -67,10 +67,9 @@
                           request->reply(404, {}, "");
                       }
                   }),
+      m_operator_view(m_membership, m_configuration, m_pools),
       m_metrics_server(loop, {},
-                       [this](const std::shared_ptr<server_request>& request) {
-                           request->reply(200, {}, metrics_text());
-                       }),
+                       [this](const std::shared_ptr<server_request>& request) { answer_operator(*request); }),
       m_timer(loop.make_timer([this] { tick(); })) {}
 
 findings node::listen() {
@@ -489,6 +488,18 @@
     }
 }
 
+/// Answers a request on the metrics address: a question of an operator, else the metrics.
+void node::answer_operator(server_request& request) {
+    const auto answer = m_operator_view.answer(path_of_target(request.target()));
+    if (!answer) {
+        request.reply(200, {}, metrics_text());
+        return;
+    }
+    http_headers headers;
+    headers.add("Content-Type", "application/json");
+    request.reply(200, headers, boost::json::serialize(*answer));
+}
+
 std::string node::metrics_text() {
     for (const auto& [kind, calls] : m_store.call_counts()) {
         m_counters.set("store_calls_" + kind, calls);
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -2,6 +2,7 @@
 
 #include "node/fleet_task.hpp"
 #include "node/ingress_task.hpp"
+#include "node/operator_view.hpp"
 #include "node/pool_task.hpp"
 
 #include <array>
@@ -48,6 +49,7 @@
     void log_link_load(timestamp now);
     std::string describe_store_reads(double seconds);
     void finish_stop();
+    void answer_operator(server_request& request);
     [[nodiscard]] std::string metrics_text();
 
     event_loop& m_loop;
@@ -66,6 +68,7 @@
     ingress_task m_ingress;
     peer_server m_peer_server;
     http_server m_readiness;
+    operator_view m_operator_view;
     http_server m_metrics_server;
     std::unique_ptr<timer> m_timer;
     std::function<void()> m_stopped;
