--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -10,16 +10,6 @@
 
 namespace {
 
-/// A dead node's duties have no owner for this long; runs on VMs outlive that time under their own leases of
-/// six seconds. The lease is renewed three times within its term, so that one renewal that is lost, detected
-/// after `renew_timeout` and repeated, has no effect. With a longer lease, a pool whose owner dies during a
-/// demand peak makes no decisions for longer, and no pool gets machines for longer if the fleet's owner dies.
-constexpr milliseconds lease_ttl = 2s;
-constexpr milliseconds renew_interval = 600ms;
-constexpr milliseconds retry_interval = 200ms;
-/// Above the response time of a store that is a hundred times slower than its usual four milliseconds; short,
-/// so that the end of an outage is detected soon.
-constexpr milliseconds renew_timeout = 700ms;
 /// An answer that takes longer is overdue: a slow store answers within 200 ms, and a VM's answers that are
 /// held up alike come within their timeout of 800 ms.
 constexpr milliseconds max_answer_time = 400ms;
@@ -53,7 +43,7 @@
 
 membership_task::membership_task(event_loop& loop, const node_settings& settings,
                                  platform::store_client& store, handlers on_change)
-    : m_loop(loop), m_settings(settings), m_store(store),
+    : m_loop(loop), m_settings(settings), m_timing(lease_timing_for(settings.link_mbps)), m_store(store),
       m_handlers(std::move(on_change)), m_self{settings.id,
                                                generate_incarnation(),
                                                settings.peers.address,
@@ -92,17 +82,17 @@
         return;
     }
     const timestamp asked_at = event_loop::now();
-    m_store.grant_lease(
-        lease_ttl, [this, asked_at, alive = m_lifetime.weak_token()](const platform::lease_answer& answer) {
-            if (!alive.expired()) {
-                handle_grant_answer(answer, asked_at);
-            }
-        });
+    m_store.grant_lease(m_timing.ttl, [this, asked_at, alive = m_lifetime.weak_token()](
+                                          const platform::lease_answer& answer) {
+        if (!alive.expired()) {
+            handle_grant_answer(answer, asked_at);
+        }
+    });
 }
 
 void membership_task::handle_grant_answer(const platform::lease_answer& answer, timestamp asked_at) {
     if (answer.status != platform::store_status::ok || m_leaving) {
-        m_renew_timer->start(retry_interval);
+        m_renew_timer->start(m_timing.retry_interval);
         return;
     }
     if (std::exchange(m_renewal_failed, false)) {
@@ -131,7 +121,7 @@
             register_self();
             return;
         }
-        m_renew_timer->start(m_lease == 0 ? retry_interval : renew_interval);
+        m_renew_timer->start(m_lease == 0 ? m_timing.retry_interval : m_timing.renew_interval);
     });
 }
 
@@ -142,7 +132,7 @@
     const timestamp asked_at = event_loop::now();
     m_renewal_sent_at = asked_at;
     m_store.renew_lease(
-        m_lease, renew_timeout,
+        m_lease, m_timing.renew_timeout,
         [this, asked_at, alive = m_lifetime.weak_token()](const platform::lease_answer& answer) {
             if (!alive.expired()) {
                 handle_renew_answer(answer, asked_at);
@@ -171,7 +161,7 @@
                 held.confirmed_until = m_lease_confirmed_until;
             }
         }
-        m_renew_timer->start(renew_interval);
+        m_renew_timer->start(m_timing.renew_interval);
         if (store_recovered) {
             m_watch.refresh();
             m_handlers.store_recovered();
@@ -184,7 +174,7 @@
         request_lease();
         return;
     }
-    m_renew_timer->start(retry_interval);
+    m_renew_timer->start(m_timing.retry_interval);
 }
 
 void membership_task::set_duties(std::set<std::string> duties) {
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/lease_timing.hpp"
 #include "node/node_settings.hpp"
 #include "node/watch_task.hpp"
 
@@ -133,6 +134,7 @@
 
     event_loop& m_loop;
     const node_settings& m_settings;
+    lease_timing m_timing;
     platform::store_client& m_store;
     handlers m_handlers;
     node_record m_self;
