--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -10,6 +10,8 @@
 
 /// A pool counts as overloaded for this long after a refusal, which is the time to replace a dead owner.
 constexpr milliseconds overload_ttl = 2s;
+/// A write without an answer may be executed for this long: seconds after the store's timeout.
+constexpr milliseconds unsettled_ttl = 5s;
 /// Limits change rarely.
 constexpr milliseconds retry_after_over_limit = 60s;
 
@@ -137,18 +139,36 @@
                     } else if (found.has_job_for(client.account)) {
                         observe(client, "ok");
                         platform::answer_accepted(*client.request);
+                    } else if (is_unsettled(client.call.job)) {
+                        report_unknown_outcome(client, "unsettled");
                     } else {
                         refuse_overloaded(client, retry_after);
                     }
                 });
 }
 
+/// Whether this node has reported the outcome of an attempt as unknown: a write of the job may be executed
+/// later than a read of the store.
+bool ingress_task::is_unsettled(const std::string& job) const {
+    const auto found = m_unsettled_jobs.find(job);
+    return found != m_unsettled_jobs.end() && event_loop::now() - found->second <= unsettled_ttl;
+}
+
+/// Refuses a job that could not be stored, unless it may be stored already: it would then run although its
+/// client was told that it never does.
+void ingress_task::refuse_unless_unsettled(const client_context& client, bool may_be_stored) {
+    if (may_be_stored || is_unsettled(client.call.job)) {
+        report_unknown_outcome(client, "store");
+    } else {
+        refuse(client, "store", retry_after_no_owner);
+    }
+}
+
 /// Stores the job in the inbox, where the pool's next owner finds it. `may_be_stored`: the owner may have
 /// accepted the job, so a refusal could be wrong.
 void ingress_task::submit_through_store(const client_context& client, bool may_be_stored) {
     if (store_is_failing(m_context.store, event_loop::now())) {
-        may_be_stored ? report_unknown_outcome(client, "store")
-                      : refuse(client, "store", retry_after_no_owner);
+        refuse_unless_unsettled(client, may_be_stored);
         return;
     }
     const overload* recent = recent_overload(client.call.pool);
@@ -174,8 +194,8 @@
             answer.status == platform::store_status::conflict) {
             observe(client, "ok_by_store");
             platform::answer_accepted(*client.request);
-        } else if (answer.status == platform::store_status::refused && !may_be_stored) {
-            refuse(client, "store", retry_after_no_owner);
+        } else if (answer.status == platform::store_status::refused) {
+            refuse_unless_unsettled(client, may_be_stored);
         } else {
             report_unknown_outcome(client, "store");
         }
@@ -184,6 +204,7 @@
 
 void ingress_task::answer_stalled_submits() {
     const timestamp now = event_loop::now();
+    std::erase_if(m_unsettled_jobs, [now](const auto& item) { return now - item.second > unsettled_ttl; });
     if (!store_is_unresponsive(m_context.store, now)) {
         return;
     }
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -266,6 +266,9 @@
 
 void ingress_task::report_unknown_outcome(const client_context& client, std::string_view why) {
     observe(client, "unknown");
+    if (client.call.request == platform::client_request::submit) {
+        m_unsettled_jobs[client.call.job] = event_loop::now();
+    }
     log_event(event_id::client_unknown, {{"job", client.call.job},
                                          {"call", name_of(client.call.request)},
                                          {"why", why},
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -107,6 +107,8 @@
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
     void submit_through_store(const client_context& client, bool may_be_stored);
+    void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
+    [[nodiscard]] bool is_unsettled(const std::string& job) const;
     void read_status_from_store(const client_context& client);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
@@ -124,6 +126,8 @@
     std::map<std::string, overload> m_overloads;
     std::map<std::uint64_t, inbox_write> m_inbox_writes; ///< Writes whose clients have no answer yet.
     std::uint64_t m_next_write_id = 1;
+    /// Job -> when its outcome was last reported as unknown: a write of it may still be in flight.
+    std::map<std::string, timestamp> m_unsettled_jobs;
     lifetime m_lifetime;
 };
 
