--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -135,13 +135,13 @@
         int code;
         store_status expected;
     };
-    for (const auto& [code, expected] :
+    for (const answer_case& answer :
          {answer_case{400, store_status::refused}, answer_case{403, store_status::refused},
           answer_case{404, store_status::no_lease}, answer_case{429, store_status::refused},
           answer_case{500, store_status::unknown}, answer_case{502, store_status::unknown},
           answer_case{503, store_status::refused}, answer_case{504, store_status::unknown}}) {
-        INFO("code ", code);
-        CHECK(fixed_store(code, "{}").commit_write().status == expected);
+        INFO("code ", answer.code);
+        CHECK(fixed_store(answer.code, "{}").commit_write().status == answer.expected);
     }
 }
 
