--- a/soak/account_script.cpp
+++ b/soak/account_script.cpp
@@ -31,6 +31,10 @@
     return "account-" + std::to_string(account);
 }
 
+std::size_t account_script::smallest_limit(std::size_t account) {
+    return std::ranges::min(limits_of(account));
+}
+
 std::vector<platform::account_entry> account_script::publish(const jobs::resources& task, timestamp now) {
     std::vector<platform::account_entry> entries;
     const std::size_t version = m_limits.size() / accounts;
@@ -52,6 +56,7 @@
         m_limits.push_back({account, tasks, now});
         platform::account_entry entry;
         entry.account.name = name_of(account);
+        entry.account.weight = weights.at(account);
         entry.account.limit.cpu_millicores = task.cpu_millicores * static_cast<std::int64_t>(tasks);
         for (const issued_key& key : m_keys) {
             if (key.account == account && !key.revoked) {
--- a/soak/account_script.hpp
+++ b/soak/account_script.hpp
@@ -3,6 +3,7 @@
 #include "fakes/task_machine.hpp"
 #include "platform/platform.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -40,6 +41,8 @@
     static constexpr std::size_t accounts = 3;
     /// This account sends far more than the others.
     static constexpr std::size_t hot_account = 0;
+    /// Weights by account. The second one asks for less than its share, unless it is hot.
+    static constexpr std::array<double, accounts> weights{4, 2, 1};
 
     explicit account_script(std::uint64_t seed) : m_random(seed) {}
 
@@ -62,6 +65,8 @@
                                                           timestamp answered,
                                                           const account_bounds& bounds) const;
     [[nodiscard]] const std::vector<issued_limit>& limits() const noexcept { return m_limits; }
+    /// The smallest limit of all versions, in tasks.
+    [[nodiscard]] static std::size_t smallest_limit(std::size_t account);
 
   private:
     std::mt19937_64 m_random;
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -19,7 +19,7 @@
 
 /// Kinds with a periodic schedule and a random sequence of their own, so that they don't change the random
 /// faults of a seed.
-constexpr std::size_t periodic_kinds = 12;
+constexpr std::size_t periodic_kinds = 13;
 constexpr std::size_t random_kinds = enum_names<fault_kind>.size() - periodic_kinds;
 /// Combined with the seed, so that periodic faults use a different random sequence.
 constexpr std::uint64_t inbox_fault_seed = 0x510;
@@ -93,6 +93,8 @@
         std::pair{fault_kind::vm_restarts_late, periodic_schedule{9000, 7000, 400, 1500}},
         std::pair{fault_kind::accounts_change, periodic_schedule{3500, 3000, 1, 2}},
         std::pair{fault_kind::store_connections_silent, periodic_schedule{6000, 5000, 1, 2}},
+        // The interval of the bursts of jobs, which last a second.
+        std::pair{fault_kind::vm_starts_unanswered, periodic_schedule{4800, 500, 1500, 3000}},
     };
     for (const auto& [kind, schedule] : schedules) {
         std::mt19937_64 random(seed ^ (vm_fault_seed << static_cast<std::uint64_t>(kind)));
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -45,7 +45,8 @@
     vm_restarts_late, ///< As vm_restarts, at the end of the fault, while answers of its previous start are
                       ///< late.
     accounts_change,  ///< A new configuration with other API keys and limits.
-    store_connections_silent ///< The node's open connections to the store go silent; new ones work.
+    store_connections_silent, ///< The node's open connections to the store go silent; new ones work.
+    vm_starts_unanswered      ///< All VMs leave a part of their starts unanswered, and execute some late.
 };
 
 /// One fault of a plan.
@@ -104,4 +105,6 @@
     std::pair{siskinpaddle::soak::fault_kind::vm_restarts_late, std::string_view("vm-restarts-late")},
     std::pair{siskinpaddle::soak::fault_kind::accounts_change, std::string_view("accounts-change")},
     std::pair{siskinpaddle::soak::fault_kind::store_connections_silent,
-              std::string_view("store-connections-silent")}};
+              std::string_view("store-connections-silent")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_starts_unanswered,
+              std::string_view("vm-starts-unanswered")}};
--- a/soak/invariant_checks.hpp
+++ b/soak/invariant_checks.hpp
@@ -2,6 +2,7 @@
 
 #include "core/core.hpp"
 #include "fakes/task_machine.hpp"
+#include "soak/load_script.hpp"
 
 #include <functional>
 #include <map>
@@ -16,16 +17,18 @@
 /// What clients observed of one job.
 struct job_history {
     std::uint32_t tasks = 0;
-    std::size_t account = 0;       ///< Index of its account.
-    bool in_bulk_queue = false;    ///< It is in the other queue, of which no counts are checked.
-    bool long_lived = false;       ///< Its tasks run until the job is cancelled.
-    bool faulty = false;           ///< Its first task crashes each VM on which it starts.
-    bool failed = false;           ///< An answer showed the job as failed.
-    bool may_run = false;          ///< A submit succeeded or has an unknown outcome.
-    bool submit_in_flight = false; ///< A submit is in flight; its outcome is open.
-    timestamp submitted{0};        ///< When the first submit was sent.
-    timestamp accepted{0};         ///< When a submit first succeeded; 0: not yet.
-    timestamp cancelled{0};        ///< When the cancellation was confirmed; 0: not yet.
+    std::size_t account = 0;    ///< Index of its account.
+    bool in_bulk_queue = false; ///< It is in the other queue, of which no counts are checked.
+    bool long_lived = false;    ///< Its tasks run until the job is cancelled.
+    bool speculative = false;   ///< Two runs of a task may overlap.
+    std::optional<long_task> tail = std::nullopt; ///< A task that runs far longer than estimated.
+    bool faulty = false;                          ///< Its first task crashes each VM on which it starts.
+    bool failed = false;                          ///< An answer showed the job as failed.
+    bool may_run = false;                         ///< A submit succeeded or has an unknown outcome.
+    bool submit_in_flight = false;                ///< A submit is in flight; its outcome is open.
+    timestamp submitted{0};                       ///< When the first submit was sent.
+    timestamp accepted{0};                        ///< When a submit first succeeded; 0: not yet.
+    timestamp cancelled{0};                       ///< When the cancellation was confirmed; 0: not yet.
     bool cancel_sent = false;
     bool cancel_in_flight = false; ///< A cancellation is in flight.
     bool completed = false;        ///< An answer showed the job as completed.
@@ -61,8 +64,9 @@
 /// Bounds that the checks allow for.
 struct check_bounds {
     std::size_t max_runs_per_vm = 0; ///< Number of tasks that fit on one VM.
-    /// How long after a confirmed cancellation a start sent by a partitioned or paused owner may still
-    /// arrive: the time that a start may be in flight, plus the time that the owner may act beyond its claim.
+    /// How long after a confirmed cancellation, or after the acknowledged end of one of two runs of a
+    /// speculative task, a start sent by a partitioned or paused owner may still arrive: the time that a
+    /// start may be in flight, plus the time that the owner may act beyond its claim.
     milliseconds max_start_after_cancel{0};
     /// Maximum age of a count when a node reports it; the platform's bound.
     milliseconds max_count_age{2000};
@@ -76,7 +80,8 @@
     milliseconds lag{0}; ///< How long after a change starts may still rely on the previous capacity.
 };
 
-/// Returns violations in the records of clients and VMs: duplicate runs of a task, runs of refused, cancelled
+/// Returns violations in the records of clients and VMs: duplicate runs of a task (more than two at a time of
+/// a speculative one), runs of refused, cancelled
 /// or unknown jobs, too many runs on a VM, and jobs shown as completed too early. `now` is the time at which
 /// the records were read. Pure.
 [[nodiscard]] std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -59,17 +59,27 @@
 std::string encode_body(const job_history& job) {
     jobs::job_spec spec;
     spec.payload = job.long_lived ? std::string(fakes::task_vm::long_lived_payload) : std::string("s");
+    if (job.tail) {
+        spec.payload = fakes::task_vm::long_task_payload(job.tail->index, job.tail->run_time);
+    }
     if (job.faulty) {
         spec.payload = fakes::task_vm::crash_payload(0);
     }
     spec.steps.resize(1);
     spec.steps[0].count = job.tasks;
     spec.steps[0].long_lived = job.long_lived;
+    spec.steps[0].speculative = job.speculative;
     spec.steps[0].need = task_need;
     spec.steps[0].estimate_ms = 500;
     return platform::encode_job(spec);
 }
 
+std::string format_id(std::uint64_t number) {
+    std::ostringstream id;
+    id << std::hex << std::setw(16) << std::setfill('0') << number;
+    return id.str();
+}
+
 /// Returns the only number in the answer to a count query.
 std::size_t parse_count(const std::string& body) {
     const boost::json::value document = boost::json::parse(body);
@@ -81,10 +91,11 @@
 load_generator::load_generator(event_loop& loop, test_cluster& cluster, std::uint64_t seed)
     : m_loop(loop), m_cluster(cluster), m_client(loop, {.max_idle_per_endpoint = 4, .max_idle_time = 60s}),
       m_timer(loop.make_timer([this] { run_iteration(); })), m_random(seed),
-      m_faulty_random(seed ^ faulty_seed), m_account_random(seed ^ account_seed),
+      m_faulty_random(seed ^ faulty_seed), m_account_random(seed ^ account_seed), m_script(seed),
       m_observed_configurations(cluster.nodes()) {}
 
 void load_generator::start() {
+    m_started_at = event_loop::now();
     run_iteration();
 }
 
@@ -142,6 +153,10 @@
         for (std::uint64_t i = 1; is_in_burst() && i < jobs_per_burst_iteration; ++i) {
             submit_new_job(false);
         }
+        submit_hot_jobs();
+        for (const std::string& id : m_retries.take_due(event_loop::now())) {
+            submit(id, 1);
+        }
     }
     for (std::uint32_t node = 0; node < m_cluster.nodes(); ++node) {
         if (m_iterations % probe_interval_iterations == 0) {
@@ -176,22 +191,64 @@
 }
 
 void load_generator::submit_new_job(bool long_lived) {
-    std::ostringstream id;
-    id << std::hex << std::setw(16) << std::setfill('0') << m_random();
-    job_history& job = m_jobs[id.str()];
+    const std::string id = format_id(m_random());
+    job_history& job = m_jobs[id];
     job.tasks = 1 + static_cast<std::uint32_t>(m_random() % max_tasks);
     job.long_lived = long_lived;
     job.faulty = !long_lived && m_submitting && m_faulty_random() % faulty_one_in == 0;
     job.account = m_cluster.accounts().random_account();
     job.in_bulk_queue = !long_lived && !job.faulty && m_account_random() % bulk_one_in == 0;
+    submit_job(id, job);
+}
+
+void load_generator::submit_hot_jobs() {
+    const hot_period* period = m_script.hot_at(event_loop::now() - m_started_at);
+    const std::uint32_t count = period == nullptr ? 0 : m_script.draw_additional_jobs(*period);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const std::uint64_t number = m_script.draw_job_id();
+        const std::string id = format_id(number);
+        job_history& job = m_jobs[id];
+        job.tasks = 1 + static_cast<std::uint32_t>(number % max_tasks);
+        job.account = period->account;
+        submit_job(id, job);
+    }
+}
+
+void load_generator::submit_job(const std::string& id, job_history& job) {
+    const job_traits traits = m_script.draw_traits(job.tasks);
+    if (!job.long_lived && !job.faulty) {
+        job.speculative = traits.speculative;
+        job.tail = traits.tail;
+    }
     job.submitted = event_loop::now();
-    submit(id.str(), 1);
+    submit(id, 1);
 }
 
 void load_generator::submit(const std::string& id, std::uint32_t attempt) {
     m_jobs[id].submit_in_flight = true;
     send(random_node(), {"POST", target_of(id), encode_body(m_jobs[id]), key_of(id)},
-         [this, id, attempt](const http_answer& answer) { process_submit_answer(id, attempt, answer); });
+         [this, id, attempt, owner = m_cluster.newest_owner()](const http_answer& answer) {
+             record_judgement(id, owner, answer);
+             process_submit_answer(id, attempt, answer);
+         });
+}
+
+/// `owner`: the pool's owner when the submit was sent.
+void load_generator::record_judgement(const std::string& id, std::int64_t owner, const http_answer& answer) {
+    const job_history& job = m_jobs[id];
+    const bool is_judged =
+        answer.status == exchange_status::answered && (answer.code == ok || answer.code == too_many);
+    if (!is_judged || job.in_bulk_queue || owner != m_cluster.newest_owner() ||
+        !m_cluster.had_contact(owner, event_loop::now(), contact_time)) {
+        return;
+    }
+    std::size_t open_tasks = job.tasks;
+    for (const auto& [other_id, other] : m_jobs) {
+        const bool is_open = other.accepted != timestamp(0) && !other.completed && !other.cancel_sent;
+        open_tasks += is_open && other.account == job.account ? other.tasks : 0;
+    }
+    m_judged.push_back({job.account, owner, event_loop::now(), job.tasks, answer.code == ok,
+                        open_tasks >= account_script::smallest_limit(job.account)});
 }
 
 void load_generator::process_submit_answer(const std::string& id, std::uint32_t attempt,
@@ -211,7 +268,9 @@
         answered && (answer.code == too_many || answer.code == unavailable || answer.code == unauthorized);
     // A connection that fails before a byte is sent can't have delivered the submit.
     job.may_run = job.may_run || (!refused && answer.status != exchange_status::connect_failed);
-    if (!refused && attempt < max_submit_attempts) {
+    if (refused) {
+        m_retries.add(id, answer.headers.get("Retry-After"), event_loop::now());
+    } else if (attempt < max_submit_attempts) {
         submit(id, attempt + 1);
     }
 }
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "soak/load_script.hpp"
+#include "soak/retry_schedule.hpp"
+#include "soak/share_checks.hpp"
 #include "soak/test_cluster.hpp"
 
 #include <random>
@@ -28,6 +31,8 @@
     [[nodiscard]] bool all_submits_resolved() const;
     /// Reported counts of waiting jobs, in the order in which the answers arrived.
     [[nodiscard]] const std::vector<reported_count>& counts() const noexcept { return m_counts; }
+    /// Submits to the first queue that the pool's owner accepted or refused for load.
+    [[nodiscard]] const std::vector<judged_submit>& judged() const noexcept { return m_judged; }
     /// Number of answers by status code; 0 counts calls without an answer.
     [[nodiscard]] const std::map<int, std::size_t>& answers() const noexcept { return m_answers; }
 
@@ -41,6 +46,9 @@
 
     void run_iteration();
     void submit_new_job(bool long_lived);
+    void submit_job(const std::string& id, job_history& job);
+    void submit_hot_jobs();
+    void record_judgement(const std::string& id, std::int64_t owner, const http_answer& answer);
     [[nodiscard]] bool is_in_burst() const;
     void submit(const std::string& id, std::uint32_t attempt);
     void process_submit_answer(const std::string& id, std::uint32_t attempt, const http_answer& answer);
@@ -79,6 +87,10 @@
     std::mt19937_64 m_faulty_random;  ///< Separate, so that a seed's other calls don't change.
     std::mt19937_64 m_account_random; ///< Likewise.
     std::map<std::string, job_history> m_jobs;
+    load_script m_script;
+    retry_schedule m_retries;
+    std::vector<judged_submit> m_judged;
+    timestamp m_started_at{0};
     std::vector<observed_configuration> m_observed_configurations;
     std::vector<reported_count> m_counts;
     std::map<int, std::size_t> m_answers;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -40,10 +40,14 @@
 /// the duration of about ten requests.
 constexpr milliseconds count_timeout = 8s;
 
+/// An owner measures for two seconds what the accounts ask for; seconds at the begin and end are partial.
+constexpr std::int64_t displaced_seconds = 4;
+
 struct soak_options {
     test_cluster_settings cluster;
     std::uint64_t seed = 1;
     milliseconds length{0};
+    bool checks_shares = false;
 };
 
 /// Executes one plan and runs the checks during and after it.
@@ -233,6 +237,12 @@
                                   event_loop::now())) {
             add_problem(item);
         }
+        if (m_options.checks_shares) {
+            for (const std::string& item :
+                 check_shares(m_load_generator.judged(), account_script::weights, displaced_seconds)) {
+                add_problem(item);
+            }
+        }
     }
 
     void check_vms() {
@@ -304,11 +314,13 @@
         TCLAP::ValueArg<std::uint32_t> nodes("", "nodes", "Number of node processes.", false, 3, "N", line);
         TCLAP::ValueArg<std::uint32_t> vms("", "vms", "Number of fake VMs.", false, 4, "N", line);
         TCLAP::SwitchArg plan("", "plan", "Only print the plan.", line);
+        TCLAP::SwitchArg shares("", "shares", "Check that accounts get their shares of a full pool.", line);
         line.parse(argc, argv);
         soak_options options;
         options.cluster = {program.getValue(), folder.getValue(), nodes.getValue(), vms.getValue()};
         options.seed = seed.getValue();
         options.length = std::chrono::seconds(seconds.getValue());
+        options.checks_shares = shares.getValue();
         if (options.cluster.nodes == 0 || options.cluster.vms == 0) {
             std::cerr << "--nodes and --vms must be at least 1\n";
             return exit_usage_error;
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -36,6 +36,7 @@
         timestamp acknowledged{0}; ///< When the end was acknowledged; 0: not yet.
         bool long_lived = false;   ///< Runs until it is stopped.
         std::int64_t token = 0;    ///< Fencing token of its start.
+        milliseconds run_time{0};  ///< How long the run takes if it isn't disturbed.
     };
 
     /// Payload of jobs whose tasks run until they are stopped.
@@ -43,6 +44,8 @@
     /// Payload of jobs whose task with this index crashes its VM `crash_delay` after the task has started.
     [[nodiscard]] static std::string crash_payload(std::uint32_t index);
     static constexpr milliseconds crash_delay{10};
+    /// Payload of jobs whose task with this index runs for at least `run_time`.
+    [[nodiscard]] static std::string long_task_payload(std::uint32_t index, milliseconds run_time);
 
     task_vm(event_loop& loop, std::string incarnation, milliseconds run_time);
 
@@ -83,6 +86,12 @@
         m_late_starts = starts;
         m_start_delay = delay;
     }
+    /// While `one_in` isn't 0, leaves one start in so many unanswered: it executes them at once, after
+    /// `delay` or not at all, by turns.
+    void leave_starts_unanswered(std::uint32_t one_in, milliseconds delay) {
+        m_unanswered_one_in = one_in;
+        m_unanswered_delay = delay;
+    }
     /// Number of delayed starts that are still pending.
     [[nodiscard]] std::size_t pending_late_starts() const noexcept { return m_late_orders.size(); }
     /// Passes the delayed starts on to the next start of the VM, which the platform lets carry them out.
@@ -105,6 +114,7 @@
     void handle_request(const request_handle& request);
     void start(const request_handle& request, const boost::json::object& body);
     std::string_view start_run(const boost::json::object& body);
+    [[nodiscard]] bool leave_start_unanswered(const boost::json::object& body);
     [[nodiscard]] bool withhold_answer(const request_handle& request, const boost::json::object& body);
     void start_late_runs();
     void stop(const request_handle& request, const boost::json::object& body);
@@ -133,6 +143,9 @@
     int m_lost_stops = 0;
     int m_late_starts = 0;
     milliseconds m_start_delay{0};
+    std::uint32_t m_unanswered_one_in = 0;
+    milliseconds m_unanswered_delay{0};
+    std::uint32_t m_received_starts = 0; ///< Starts received while some are left unanswered.
     std::int64_t m_fencing_token = 0;
     std::int64_t m_lease_until = 0;
     std::int64_t m_next_end = 1;
--- a/tests/soak/account_script_test.cpp
+++ b/tests/soak/account_script_test.cpp
@@ -27,6 +27,14 @@
     CHECK(script.limits().size() == 3 * account_script::accounts);
 }
 
+TEST_CASE("each published account has its weight") {
+    account_script script(1);
+    const std::vector<platform::account_entry> entries = script.publish(task, 1000ms);
+    for (std::size_t account = 0; account < account_script::accounts; ++account) {
+        CHECK(entries.at(account).account.weight == account_script::weights.at(account));
+    }
+}
+
 TEST_CASE("raised limits are the largest of each account") {
     account_script script(1);
     for (const milliseconds at : {1000ms, 2000ms, 3000ms, 4000ms}) {
--- a/tests/soak/invariant_checks_test.cpp
+++ b/tests/soak/invariant_checks_test.cpp
@@ -40,6 +40,8 @@
     completed.completed = true;
     job_history cancelled = accepted;
     cancelled.cancelled = timestamp(10'000);
+    job_history speculative = accepted;
+    speculative.speculative = true;
     for (const run_case& item : {
              run_case{"both tasks ran once",
                       completed,
@@ -65,6 +67,28 @@
                       accepted,
                       {run_of("j.0.0.0", "v", 1, 2, "done", 3), run_of("j.0.0.0", "w", 4, 5)},
                       1},
+             run_case{"two overlapping runs of a speculative task",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 5), run_of("j.0.0.0", "w", 4, 6)},
+                      0},
+             run_case{
+                 "three overlapping runs of a speculative task",
+                 speculative,
+                 {run_of("j.0.0.0", "v", 1, 5), run_of("j.0.0.0", "w", 2, 6), run_of("j.0.0.0", "x", 4, 0)},
+                 1},
+             run_case{
+                 "three runs of a speculative task, two at a time",
+                 speculative,
+                 {run_of("j.0.0.0", "v", 1, 4), run_of("j.0.0.0", "w", 2, 6), run_of("j.0.0.0", "x", 4, 0)},
+                 0},
+             run_case{"copy in flight while the end of the other run is acknowledged",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 2, "done", 3), run_of("j.0.0.0", "w", 5003, 5010)},
+                      0},
+             run_case{"copy started long after the end of the other run was acknowledged",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 2, "done", 3), run_of("j.0.0.0", "w", 5004, 5010)},
+                      1},
              run_case{"run of a refused job", {.tasks = 1}, {run_of("j.0.0.0", "v", 1, 2)}, 1},
              run_case{"run of a job whose submit is in flight",
                       {.tasks = 1, .submit_in_flight = true},
