Soak tests: the rate of long tasks has bounds that a tenth of it doesn't meet; the plan's unanswered starts

The first draft compared with an absolute tolerance of 0.2 and passed with long tasks ten times as rare (tried). With the part changed like that, with three copies allowed, shares never reported, retries a second early or weights of 0, one test case each fails (tried together; soak_tests, 23 cases, pass without).

--- a/tests/soak/invariant_checks_test.cpp
+++ b/tests/soak/invariant_checks_test.cpp
@@ -316,6 +316,7 @@
     };
     const auto is_vm_shrink = [](const planned_fault& item) { return item.kind == fault_kind::vm_shrinks; };
     const auto is_vm_fault = [&](const planned_fault& item) { return item.kind >= fault_kind::vm_shrinks; };
+    CHECK(std::ranges::count(plan, fault_kind::vm_starts_unanswered, &planned_fault::kind) == 5);
     CHECK(std::ranges::count_if(plan, is_vm_shrink) == 4);
     CHECK(std::ranges::count_if(plan, is_slow) == 6);
     CHECK(std::ranges::count_if(plan, is_job_hold) == 2);
--- a/tests/soak/load_script_test.cpp
+++ b/tests/soak/load_script_test.cpp
@@ -67,6 +67,8 @@
             CHECK(traits.tail->run_time <= 4s);
         }
     }
-    CHECK(static_cast<double>(tails) / tasks == doctest::Approx(0.03).epsilon(0.2));
-    CHECK(static_cast<double>(speculative) / jobs == doctest::Approx(0.125).epsilon(0.2));
+    CHECK(tails > tasks * 25 / 1000);
+    CHECK(tails < tasks * 36 / 1000);
+    CHECK(speculative > jobs / 10);
+    CHECK(speculative < jobs / 6);
 }
