Expected run times take the bins' edges from a table

The values are the same doubles.

Run: run_times_test (4 cases) in a program of its own. The judgement itself still reads all runs for each job.

--- a/jobs/run_times.cpp
+++ b/jobs/run_times.cpp
@@ -18,8 +18,16 @@
     return std::min(bin_count - 1, static_cast<std::size_t>(bin));
 }
 
+/// From a table, since each decision asks for the edges of all bins for each running task.
 double run_times::ratio_of(std::size_t bin) {
-    return min_ratio * std::pow(bin_growth, static_cast<double>(bin + 1));
+    static const std::array<double, bin_count> ratios = [] {
+        std::array<double, bin_count> result{};
+        for (std::size_t i = 0; i < bin_count; ++i) {
+            result.at(i) = min_ratio * std::pow(bin_growth, static_cast<double>(i + 1));
+        }
+        return result;
+    }();
+    return ratios.at(bin);
 }
 
 const run_times::histogram* run_times::find(const std::string& queue) const {
