--- a/tests/soak/invariant_checks_test.cpp
+++ b/tests/soak/invariant_checks_test.cpp
@@ -26,15 +26,16 @@
     return result;
 }
 
+struct run_case {
+    const char* what = "";
+    job_history job;
+    std::vector<vm_run> runs;
+    std::size_t problems = 0;
+};
+
 } // namespace
 
 TEST_CASE("check_runs reports violations and accepts allowed runs") {
-    struct run_case {
-        const char* what = "";
-        job_history job;
-        std::vector<vm_run> runs;
-        std::size_t problems = 0;
-    };
     const job_history accepted{.tasks = 2, .may_run = true, .accepted = timestamp(1000)};
     job_history completed = accepted;
     completed.completed = true;
@@ -91,6 +92,38 @@
     }
 }
 
+TEST_CASE("check_runs allows two runs of a speculative task at a time, not three") {
+    const job_history speculative{
+        .tasks = 2, .speculative = true, .may_run = true, .accepted = timestamp(1000)};
+    for (const run_case& item : {
+             run_case{"two overlapping runs of a speculative task",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 5), run_of("j.0.0.0", "w", 4, 6)},
+                      0},
+             run_case{
+                 "three overlapping runs of a speculative task",
+                 speculative,
+                 {run_of("j.0.0.0", "v", 1, 5), run_of("j.0.0.0", "w", 2, 6), run_of("j.0.0.0", "x", 4, 0)},
+                 1},
+             run_case{
+                 "three runs of a speculative task, two at a time",
+                 speculative,
+                 {run_of("j.0.0.0", "v", 1, 4), run_of("j.0.0.0", "w", 2, 6), run_of("j.0.0.0", "x", 4, 0)},
+                 0},
+             run_case{"copy in flight while the end of the other run is acknowledged",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 2, "done", 3), run_of("j.0.0.0", "w", 5003, 5010)},
+                      0},
+             run_case{"copy started long after the end of the other run was acknowledged",
+                      speculative,
+                      {run_of("j.0.0.0", "v", 1, 2, "done", 3), run_of("j.0.0.0", "w", 5004, 5010)},
+                      1},
+         }) {
+        INFO(item.what);
+        CHECK(check_runs({{"j", item.job}}, item.runs, bounds, now).size() == item.problems);
+    }
+}
+
 TEST_CASE("jobs are unfinished until they are cancelled or shown as completed") {
     std::map<std::string, job_history> jobs;
     jobs["never accepted"] = {.tasks = 1};
@@ -292,6 +325,7 @@
     };
     const auto is_vm_shrink = [](const planned_fault& item) { return item.kind == fault_kind::vm_shrinks; };
     const auto is_vm_fault = [&](const planned_fault& item) { return item.kind >= fault_kind::vm_shrinks; };
+    CHECK(std::ranges::count(plan, fault_kind::vm_starts_unanswered, &planned_fault::kind) == 5);
     CHECK(std::ranges::count_if(plan, is_vm_shrink) == 4);
     CHECK(std::ranges::count_if(plan, is_slow) == 6);
     CHECK(std::ranges::count_if(plan, is_job_hold) == 2);
