Unanswered starts are settled by a stop before their call times out

Cause: VMs leave a part of their orders unanswered. Such a start waited 0.8 s for its call's timeout, then for its stop's answer and for the next poll without the run. A step has 8 to 16 tasks and ends with the last.

The report that proves that the run can't start any more is requested with the stop's answer, beside the poll that may be waiting for an end; that also shortens the path after a timeout. Reports can overtake each other now: one that is older than the VM's last one is ignored, or it would bring back a run that has ended since. An answer to the start that arrives after the stop was sent counts as before; the run is then stopping. The order stays in the VM's list of late starts, also once its run is settled.

--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -13,7 +13,8 @@
 
 scheduler::scheduler(scheduler_settings settings, std::uint32_t epoch, timestamp now)
     : m_settings(settings), m_first_attempt(epoch * settings.attempts_per_epoch),
-      m_takeover_deadline(now + settings.takeover_timeout), m_start_window(settings.starts) {}
+      m_takeover_deadline(now + settings.takeover_timeout), m_start_window(settings.starts),
+      m_start_settling(settings.settling) {}
 
 const queue_settings* scheduler::queue_of(const job_state& job) const {
     const auto found = std::ranges::find(m_queues, job.spec().queue, &queue_settings::name);
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -8,6 +8,7 @@
 #include "jobs/placement.hpp"
 #include "jobs/pool_report.hpp"
 #include "jobs/run_times.hpp"
+#include "jobs/start_settling.hpp"
 #include "jobs/start_window.hpp"
 #include "jobs/suspicion.hpp"
 #include "jobs/vm_end.hpp"
@@ -38,6 +39,7 @@
     std::uint32_t attempts_per_epoch = 1000;
     placement_settings placement;
     start_window_settings starts;
+    start_settling_settings settling;
 };
 
 /// Order to start a run.
@@ -73,6 +75,16 @@
     std::uint32_t attempt = 0;
 };
 
+/// A start without an answer that is settled before its call times out.
+struct settled_start {
+    std::string vm;
+    task_id task;
+    std::uint32_t attempt = 0;
+    milliseconds waited{0};
+    milliseconds limit{0};       ///< Wait after which a start counted as overdue.
+    milliseconds answer_time{0}; ///< Usual time from a start to its answer.
+};
+
 /// A change of the crash evidence recorded against a task.
 struct suspicion_change {
     task_id task;
@@ -87,6 +99,9 @@
     std::vector<pace_order> paces;
     std::vector<advice_request> advice_requests; ///< Sent to the policy service.
     std::vector<scheduler_note> notes;
+    std::vector<settled_start> settled_starts; ///< For the log; their stops are among `stops`.
+    /// When the next start without an answer is overdue; empty if there is none.
+    std::optional<timestamp> next_overdue_start;
     std::vector<vm_end> ended_vms; ///< VMs that ended while in use; for the log.
     std::vector<suspicion_change> suspicion_changes;
 };
@@ -199,7 +214,8 @@
     void handle_vm_unreachable(const std::string& vm, timestamp now);
     void handle_start_answer(const start_order& order, order_outcome outcome, std::int64_t clock_ms,
                              timestamp now);
-    void handle_stop_answer(const stop_order& order, order_outcome outcome, std::int64_t clock_ms,
+    /// Returns whether a report that is requested later than `now` settles a run that may not have started.
+    bool handle_stop_answer(const stop_order& order, order_outcome outcome, std::int64_t clock_ms,
                             timestamp now);
     void handle_advice_answer(const advice_request& request, const advice_answer& answer, timestamp now);
     void cordon(const std::string& vm, bool on);
@@ -322,7 +338,8 @@
     void drop_expired_vms(timestamp now);
     void complete_takeover(timestamp now, bool hears_answers);
     void settle_inherited_use();
-    void update_runs(timestamp now);
+    void update_runs(timestamp now, bool hears_answers);
+    void settle_start(const task_id& id, run& item, vm_state& vm, timestamp now);
     void stop_orphans(vm_state& vm, timestamp now);
     void evacuate(vm_state& vm, timestamp now);
     [[nodiscard]] std::uint32_t unavailable_tasks(const job_state& job, step_position position,
@@ -385,6 +402,7 @@
     bool m_has_suspect_marks = false;  ///< VMs are marked as running suspected tasks.
     bool m_isolation_lacks_vm = false; ///< A task to be isolated finds no VM without long-lived tasks.
     start_window m_start_window;
+    start_settling m_start_settling;
     /// Set while starts are held back; as of the last decision.
     std::optional<std::int64_t> m_sustained_millicores;
     decisions m_pending_decisions;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -33,7 +33,7 @@
     m_isolation_lacks_vm = false;
     mark_suspect_vms();
     m_wall_offset = milliseconds(owner.wall_ms) - now;
-    update_runs(now);
+    update_runs(now, owner.hears_answers);
     place_waiting_tasks(now);
     measure_waiting_work(now);
     return std::exchange(m_pending_decisions, {});
@@ -103,7 +103,7 @@
     return count;
 }
 
-void scheduler::update_runs(timestamp now) {
+void scheduler::update_runs(timestamp now, bool hears_answers) {
     for (auto& [name, vm] : m_vms) {
         if (vm.cordoned || vm.info().draining) {
             evacuate(vm, now);
@@ -116,6 +116,9 @@
                 if (item.vm != name) {
                     continue;
                 }
+                if (hears_answers && vm.reachable && item.phase == run_phase::starting && !step.long_lived) {
+                    settle_start(id, item, vm, now);
+                }
                 const bool stopping =
                     item.phase == run_phase::stopping ||
                     (item.phase == run_phase::unconfirmed && item.stop_sent_at != timestamp(0));
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -41,6 +41,23 @@
     m_pending_decisions.stops.push_back({item.vm, id, item.attempt});
 }
 
+/// Stops a start that is overdue. Its own answer may still arrive. Until the stop is answered and a newer
+/// report doesn't list the run, the task counts as possibly running there.
+void scheduler::settle_start(const task_id& id, run& item, vm_state& vm, timestamp now) {
+    const milliseconds limit = m_start_settling.wait();
+    if (!m_start_settling.settle(item.started_at, now)) {
+        std::optional<timestamp>& next = m_pending_decisions.next_overdue_start;
+        const timestamp overdue_at = item.started_at + limit;
+        next = overdue_at > now ? std::min(next.value_or(overdue_at), overdue_at) : next;
+        return;
+    }
+    item.phase = run_phase::unconfirmed;
+    vm.record_unanswered_start(id, item.attempt, item.started_at, now);
+    m_pending_decisions.settled_starts.push_back(
+        {item.vm, id, item.attempt, now - item.started_at, limit, m_start_settling.answer_time()});
+    stop_run(id, item, now);
+}
+
 void scheduler::stop_job_runs(job_state& job, timestamp now) {
     if (job.total_runs() == 0) {
         return;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -15,9 +15,6 @@
 /// given a run and ended it in less.
 constexpr milliseconds max_age_to_acknowledge = 250ms;
 
-/// Time within which the platform may carry out a start order that was not answered: 12 s, and its timeout.
-constexpr milliseconds late_start_time = 13s;
-
 } // namespace
 
 void scheduler::add_or_update_vm(const vm_info& info) {
@@ -152,10 +149,10 @@
 /// Stops start orders that the previous incarnation never answered, also where their runs are settled: a stop
 /// keeps an order from being carried out late, and the present incarnation knows nothing of earlier stops.
 void scheduler::stop_late_starts(vm_state& from, vm_state& to, timestamp now) {
-    for (const unanswered_start& item : from.unanswered_starts) {
-        if (now - item.sent_at <= late_start_time && !to.has_run(item.task)) {
+    for (const unanswered_start& item : from.late_starts(now)) {
+        if (!to.has_run(item.task)) {
             m_pending_decisions.stops.push_back({to.info().incarnation, item.task, item.attempt});
-            to.unanswered_starts.push_back(item);
+            to.record_unanswered_start(item.task, item.attempt, item.sent_at, now);
         }
     }
 }
@@ -185,6 +182,11 @@
         return;
     }
     vm_state& vm = found->second;
+    m_start_settling.record_response(now);
+    if (report.clock_ms < vm.last_report_clock) {
+        return; // A report that was requested meanwhile has overtaken it: its runs may have ended since.
+    }
+    vm.last_report_clock = report.clock_ms;
     if (!vm.has_responded()) {
         // A previous owner may have granted a whole lease just before: without this, adopted runs would seem
         // expired until this owner's first renewal is answered, and would be started a second time.
@@ -249,6 +251,12 @@
     if (vm != m_vms.end() && clock_ms > 0) {
         vm->second.record_response(clock_ms, now);
     }
+    const bool answered = outcome != order_outcome::unknown && outcome != order_outcome::not_sent;
+    if (answered && vm != m_vms.end()) {
+        if (const auto sent_at = vm->second.take_unanswered_start(order.task, order.attempt)) {
+            m_start_settling.record_start_answer(*sent_at, now);
+        }
+    }
     if (job == m_jobs.end()) {
         return;
     }
@@ -258,10 +266,15 @@
     if (item == task.runs.end()) {
         return; // The run's end was reported before this answer, or its VM is gone.
     }
+    if (answered && item->phase != run_phase::unconfirmed) {
+        m_start_settling.record_start_answer(item->started_at, now);
+    }
     switch (outcome) {
     case order_outcome::accepted:
         if (item->phase == run_phase::starting) {
             item->phase = run_phase::running;
+        } else if (item->phase == run_phase::unconfirmed && item->stop_sent_at != timestamp(0)) {
+            item->phase = run_phase::stopping; // The run did start, and its stop is in flight.
         }
         item->confirmed_clock = std::max(item->confirmed_clock, clock_ms);
         item->accepted_at = now;
@@ -271,9 +284,7 @@
     case order_outcome::unknown:
         if (vm != m_vms.end()) {
             vm->second.record_missed_response(now);
-            std::vector<unanswered_start>& starts = vm->second.unanswered_starts;
-            std::erase_if(starts, [&](const auto& one) { return now - one.sent_at > late_start_time; });
-            starts.push_back({order.task, order.attempt, item->started_at});
+            vm->second.record_unanswered_start(order.task, order.attempt, item->started_at, now);
         }
         if (item->phase == run_phase::starting) {
             item->phase = run_phase::unconfirmed;
@@ -303,19 +314,23 @@
     }
 }
 
-void scheduler::handle_stop_answer(const stop_order& order, order_outcome outcome, std::int64_t clock_ms,
+bool scheduler::handle_stop_answer(const stop_order& order, order_outcome outcome, std::int64_t clock_ms,
                                    timestamp now) {
     const auto job = m_jobs.find(order.task.job);
     if (job == m_jobs.end() || !job->second.contains(order.task) || outcome != order_outcome::accepted) {
-        return;
+        return false;
     }
+    m_start_settling.record_response(now);
+    bool needs_report = false;
     for (run& item : job->second.task(order.task).runs) {
         if (item.attempt == order.attempt && item.vm == order.vm) {
             // From now on a run that isn't there can't start any more: a newer report resolves it.
             item.stop_acked_at = now;
             item.confirmed_clock = std::max(item.confirmed_clock, clock_ms);
+            needs_report = needs_report || item.phase == run_phase::unconfirmed;
         }
     }
+    return needs_report;
 }
 
 void scheduler::handle_advice_answer(const advice_request& request, const advice_answer& answer,
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace siskinpaddle::jobs {
 
@@ -14,6 +15,8 @@
 constexpr milliseconds max_quarantine = 16s;
 /// Time from the lease's expiry on the VM's clock to the end of the last process there.
 constexpr milliseconds lease_expiry_margin = 150ms;
+/// Time within which the platform may carry out a start order that was not answered: 12 s, and its timeout.
+constexpr milliseconds late_start_time = 13s;
 
 } // namespace
 
@@ -103,6 +106,33 @@
     return left;
 }
 
+void vm_state::record_unanswered_start(const task_id& task, std::uint32_t attempt, timestamp sent_at,
+                                       timestamp now) {
+    std::erase_if(m_unanswered_starts, [&](const unanswered_start& one) {
+        return now - one.sent_at > late_start_time || (one.attempt == attempt && one.task == task);
+    });
+    m_unanswered_starts.push_back({task, attempt, sent_at});
+}
+
+std::optional<timestamp> vm_state::take_unanswered_start(const task_id& task, std::uint32_t attempt) {
+    const auto found = std::ranges::find_if(m_unanswered_starts, [&](const unanswered_start& one) {
+        return one.attempt == attempt && one.task == task;
+    });
+    if (found == m_unanswered_starts.end()) {
+        return std::nullopt;
+    }
+    const timestamp sent_at = found->sent_at;
+    m_unanswered_starts.erase(found);
+    return sent_at;
+}
+
+std::vector<unanswered_start> vm_state::late_starts(timestamp now) const {
+    std::vector<unanswered_start> found;
+    std::ranges::copy_if(m_unanswered_starts, std::back_inserter(found),
+                         [&](const unanswered_start& one) { return now - one.sent_at <= late_start_time; });
+    return found;
+}
+
 void vm_state::record_success() {
     m_consecutive_failures = 0;
 }
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -83,6 +83,14 @@
     /// Resources used by long-lived tasks.
     [[nodiscard]] const resources& long_lived_used() const noexcept { return m_long_lived_used; }
 
+    /// Records a start order without an answer, and forgets those that can't be carried out any more.
+    void record_unanswered_start(const task_id& task, std::uint32_t attempt, timestamp sent_at,
+                                 timestamp now);
+    /// Removes a recorded start that was answered after all; returns when it was sent, empty if not recorded.
+    std::optional<timestamp> take_unanswered_start(const task_id& task, std::uint32_t attempt);
+    /// Start orders without an answer that may still be carried out, also those whose runs are settled.
+    [[nodiscard]] std::vector<unanswered_start> late_starts(timestamp now) const;
+
     /// Records a successful run, which resets the count of consecutive failures.
     void record_success();
     /// Records a failed run. Several consecutive failures quarantine the VM, for longer with each further
@@ -93,14 +101,13 @@
     [[nodiscard]] bool is_quarantined(timestamp now) const noexcept { return now < m_quarantined_until; }
     [[nodiscard]] int consecutive_failures() const noexcept { return m_consecutive_failures; }
 
-    /// Recent start orders without an answer, also those whose runs are settled.
-    std::vector<unanswered_start> unanswered_starts;
     bool listed = true;                 ///< The platform lists it.
     bool reachable = true;              ///< Its last order was answered.
     bool cordoned = false;              ///< No new runs: it is being emptied for maintenance or a move.
     std::set<std::string> suspect_jobs; ///< Jobs whose suspected tasks run there, as of the last decision.
     std::string isolated_for_job;       ///< The only job whose tasks may start there; empty for any job.
     std::int64_t last_received_end = 0; ///< Run ends up to this number were received.
+    std::int64_t last_report_clock = 0; ///< The VM's clock in its last report.
     timestamp last_report_at{0};        ///< When its last report arrived.
     std::int64_t last_stored_end = 0;   ///< Run ends up to this number are stored, so the VM may drop them.
     /// The VM's clock at its last refusal for lack of capacity; empty after a newer response.
@@ -113,6 +120,7 @@
     timestamp m_last_response_at{0};
     timestamp m_unresponsive_since{0};
     std::int64_t m_granted_deadline = 0;
+    std::vector<unanswered_start> m_unanswered_starts;
     std::multiset<task_id> m_tasks;
     std::vector<orphan_run> m_orphans;
     resources m_used;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds frequent_renewal_wait = 400ms;
 constexpr milliseconds renewal_retry = 150ms;
 constexpr milliseconds max_renewal_retry = 600ms;
+/// A report settles a stopped run only if it is requested later than the stop's answer arrived; the clock
+/// counts milliseconds. Stops that are answered together need one report.
+constexpr milliseconds report_delay = 2ms;
 /// Delay until a renewal is tried again while the owner must not act.
 constexpr milliseconds paused_retry = 250ms;
 
@@ -71,6 +74,44 @@
                               });
 }
 
+/// Requests a report beside the renewal that may be waiting for a run to end.
+void pool_task::schedule_report(const std::string& vm) {
+    vm_renewal& renewal = m_renewals[vm];
+    if (renewal.report_timer == nullptr) {
+        renewal.report_timer = m_context.loop.make_timer([this, vm] { request_report(vm); });
+    }
+    if (!renewal.report_scheduled) {
+        renewal.report_scheduled = true;
+        renewal.report_timer->start(report_delay);
+    }
+}
+
+void pool_task::request_report(const std::string& vm) {
+    m_renewals[vm].report_scheduled = false; // Stops that are answered from now on need a later report.
+    const auto known = m_scheduler.vms().find(vm);
+    if (known == m_scheduler.vms().end() || !may_act()) {
+        return;
+    }
+    m_context.vms.renew_lease(known->second.info(), m_ownership.token, 0,
+                              m_scheduler.ends_to_acknowledge(vm, event_loop::now()), 0ms,
+                              [this, vm, token = m_ownership.token,
+                               alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
+                                  if (!alive.expired()) {
+                                      on_report(vm, answer, token);
+                                  }
+                              });
+}
+
+/// Failures are left to the renewals, which are repeated.
+void pool_task::on_report(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token) {
+    m_context.counters.increment("reports_" + std::string(name_of(answer.outcome)));
+    if (answer.outcome == jobs::order_outcome::refused_fenced) {
+        on_ownership_lost("fence", token);
+    } else if (answer.outcome == jobs::order_outcome::accepted && m_scheduler.vms().contains(vm)) {
+        process_report(vm, *answer.report);
+    }
+}
+
 /// Logs the end of the VM's previous incarnations, which its report proves.
 void pool_task::log_restarts(const std::string& vm, const jobs::vm_report& report) const {
     for (const std::string& previous : m_scheduler.previous_incarnations(vm)) {
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -160,6 +160,10 @@
     if (m_scheduler.has_changes()) {
         schedule_store();
     }
+    if (wanted.next_overdue_start && !m_decision_scheduled) {
+        m_decision_timer->start(
+            std::clamp<milliseconds>(*wanted.next_overdue_start - now, 1ms, decide_interval));
+    }
     update_allowances(now);
     review_vm_record();
     run_cleanup();
@@ -216,6 +220,9 @@
                    {"task", note.task ? platform::encode_task(*note.task) : std::string("-")},
                    {"attempt", note.attempt}});
     }
+    for (const jobs::settled_start& item : wanted.settled_starts) {
+        log_settled_start(item);
+    }
     for (const jobs::vm_end& end : wanted.ended_vms) {
         log_vm_end(end);
     }
@@ -224,6 +231,17 @@
     }
 }
 
+void pool_task::log_settled_start(const jobs::settled_start& item) const {
+    m_context.counters.increment("starts_settled_early");
+    log_event(event_id::start_settled, {{"pool", m_pool},
+                                        {"vm", item.vm},
+                                        {"task", platform::encode_task(item.task)},
+                                        {"attempt", item.attempt},
+                                        {"waited_ms", item.waited.count()},
+                                        {"limit_ms", item.limit.count()},
+                                        {"answer_ms", item.answer_time.count()}});
+}
+
 void pool_task::log_suspicion(const jobs::suspicion_change& change) const {
     m_context.counters.increment("suspicions_" + std::string(name_of(change.level)));
     std::string evidence;
@@ -307,15 +325,18 @@
     if (vm == m_scheduler.vms().end()) {
         return;
     }
-    m_context.vms.stop_run(
-        vm->second.info(), m_ownership.token, order,
-        [this, order, token = m_ownership.token,
-         alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
-            if (!alive.expired()) {
-                m_scheduler.handle_stop_answer(order, answer.outcome, answer.clock_ms, event_loop::now());
-                check_order_answer(order.vm, answer.outcome, "stop", order.task, order.attempt, token);
-            }
-        });
+    m_context.vms.stop_run(vm->second.info(), m_ownership.token, order,
+                           [this, order, token = m_ownership.token,
+                            alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
+                               if (!alive.expired()) {
+                                   if (m_scheduler.handle_stop_answer(order, answer.outcome, answer.clock_ms,
+                                                                      event_loop::now())) {
+                                       schedule_report(order.vm);
+                                   }
+                                   check_order_answer(order.vm, answer.outcome, "stop", order.task,
+                                                      order.attempt, token);
+                               }
+                           });
 }
 
 void pool_task::send_pace(const jobs::pace_order& order) {
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -72,6 +72,8 @@
         bool waits_for_store = false; ///< Ends must be stored before the next renewal acknowledges them.
         int failures = 0;
         std::unique_ptr<timer> delay_timer;
+        bool report_scheduled = false; ///< A report beside the renewal is to be requested.
+        std::unique_ptr<timer> report_timer;
     };
     struct waiting_submit {
         jobs::job_record record;
@@ -128,6 +130,9 @@
     void on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
     void log_restarts(const std::string& vm, const jobs::vm_report& report) const;
     void process_report(const std::string& vm, const jobs::vm_report& report);
+    void schedule_report(const std::string& vm);
+    void request_report(const std::string& vm);
+    void on_report(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
     void on_renewal_failed(const std::string& vm, vm_renewal& renewal,
                            const platform::renewal_answer& answer);
     void schedule_renewal(const std::string& vm, milliseconds pause);
@@ -144,6 +149,7 @@
                             const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
     void log_decisions(const jobs::decisions& wanted) const;
     void log_vm_end(const jobs::vm_end& end) const;
+    void log_settled_start(const jobs::settled_start& item) const;
     void log_suspicion(const jobs::suspicion_change& change) const;
     void log_load(timestamp now);
 
