--- a/tests/jobs/start_replay.cpp
+++ b/tests/jobs/start_replay.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-start_replay::start_replay(start_replay_settings settings, unsigned seed)
-    : m_settings(std::move(settings)), m_random(seed), m_scheduler(m_settings.scheduler, 0, m_now) {
+start_replay::start_replay(const start_replay_settings& settings, unsigned seed)
+    : m_settings(settings), m_random(seed), m_scheduler(m_settings.scheduler, 0, m_now) {
     queue_settings queue;
     queue.name = "q";
     queue.pool = "p";
--- a/tests/jobs/start_replay.hpp
+++ b/tests/jobs/start_replay.hpp
@@ -31,7 +31,7 @@
 /// answered at the end of a run or after its wait.
 class start_replay {
   public:
-    explicit start_replay(start_replay_settings settings, unsigned seed = 1);
+    explicit start_replay(const start_replay_settings& settings, unsigned seed = 1);
     start_replay_result play();
 
   private:
