A full fleet's machines go to accepted work first

Cause: a pool asked for what runs and what could start now, not for the later steps of the jobs that it had accepted.

Change: a pool's owner also reports the capacity that does all accepted work in time that still can be (committed_millicores). Work due before a machine could come asks for no more than the pool has. The shares of a full fleet serve this first, then need beyond it in proportion; a pool keeps and asks for at least that much. Peer messages: written last, and only to a fleet's owner whose query carries its token; versions without the field send none and get none.

No existing test was changed.

--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -23,6 +23,7 @@
     std::map<std::string, label_account> labels;
     std::size_t held = 0;                     ///< VMs that serve it, or will once their move is done.
     std::size_t min_vms = 0;                  ///< It keeps these whatever other pools need.
+    std::size_t committed = 0;                ///< For its minimum and its accepted work.
     std::size_t wanted = 0;                   ///< Its share of the available machines, by its present need.
     std::size_t retained = 0;                 ///< Machines above this number may be released.
     std::size_t wanted_for_late = 0;          ///< Further machines it can use for late work.
@@ -125,29 +126,54 @@
     const auto hosts = static_cast<std::size_t>(std::ranges::count_if(
         demand.vms, [](const vm_load& vm) { return vm.is_usable && vm.hosts_long_lived; }));
     account.min_vms = std::max({settings.min_vms, hosts, static_cast<std::size_t>(demand.min_vms)});
-    account.wanted = std::max(account.min_vms, vms_needed(demand.need_millicores, each, settings));
+    account.committed = std::max(account.min_vms, vms_needed(demand.committed_millicores, each, settings));
+    account.wanted = std::max(account.committed, vms_needed(demand.need_millicores, each, settings));
     account.retained = std::max(account.wanted, vms_needed(demand.retained_millicores, each, settings));
     account.wanted_for_late = vms_needed(demand.late_millicores, each, settings);
     return account;
 }
 
-/// If there are fewer machines than all pools request, gives each pool the same share of its request beyond
-/// its minimum. Returns the number of machines that no pool needs.
+/// Shares `machines` so that each pool has its `floor` and the same share of its `request` beyond that.
+void share_beyond(std::vector<pool_account>& pools, std::size_t machines, std::size_t pool_account::*floor,
+                  std::size_t pool_account::*request) {
+    std::size_t floors = 0;
+    std::size_t requests = 0;
+    for (const pool_account& pool : pools) {
+        floors += pool.*floor;
+        requests += pool.*request;
+    }
+    if (requests == floors) {
+        return;
+    }
+    const double beyond = machines > floors ? static_cast<double>(machines - floors) : 0;
+    const double share = std::min(1.0, beyond / static_cast<double>(requests - floors));
+    for (pool_account& pool : pools) {
+        const double part = share * static_cast<double>(pool.*request - pool.*floor);
+        pool.wanted = pool.*floor + static_cast<std::size_t>(part);
+    }
+}
+
+/// If there are fewer machines than all pools request, serves their accepted work first: a pool whose demand
+/// is only expected doesn't take machines from work that was promised. Each pool gets the same share of what
+/// it requests beyond that, or of its accepted work if not even that fits. Returns the number of machines
+/// that no pool needs.
 std::size_t distribute_shares(std::vector<pool_account>& pools, std::size_t machines) {
-    std::size_t min_vms = 0;
+    std::size_t committed = 0;
     std::size_t wanted = 0;
     for (const pool_account& pool : pools) {
-        min_vms += pool.min_vms;
+        committed += pool.committed;
         wanted += pool.wanted;
     }
-    if (wanted <= machines || wanted == min_vms) {
-        return machines - std::min(machines, wanted);
+    if (wanted <= machines) {
+        return machines - wanted;
     }
-    const double beyond = machines > min_vms ? static_cast<double>(machines - min_vms) : 0;
-    const double share = beyond / static_cast<double>(wanted - min_vms);
-    for (pool_account& pool : pools) {
-        const double part = share * static_cast<double>(pool.wanted - pool.min_vms);
-        pool.wanted = pool.min_vms + static_cast<std::size_t>(part);
+    if (committed <= machines) {
+        share_beyond(pools, machines, &pool_account::committed, &pool_account::wanted);
+    } else {
+        for (pool_account& pool : pools) {
+            pool.wanted = pool.committed;
+        }
+        share_beyond(pools, machines, &pool_account::min_vms, &pool_account::committed);
     }
     return 0;
 }
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -54,6 +54,9 @@
     /// however small the tasks are.
     std::uint64_t min_vms = 0;
     std::vector<label_demand> labels; ///< Included in the totals above.
+    /// Capacity needed to finish all accepted work that can still be in time, later steps included. Not part
+    /// of the archive below, which older versions read; `peer_answer` carries it.
+    std::int64_t committed_millicores = 0;
     std::vector<vm_load> vms;
 
     template <typename Archive>
--- a/jobs/commitments.cpp
+++ b/jobs/commitments.cpp
@@ -42,12 +42,12 @@
     return work;
 }
 
-std::int64_t commitments::needed_millicores(timestamp now) const {
+std::int64_t commitments::needed_millicores(timestamp now, milliseconds soonest) const {
     std::int64_t needed = 0;
     std::int64_t work = 0;
     for (const auto& [due, part] : m_work) {
         work += part;
-        needed = std::max(needed, work / std::max(min_time, due - now).count());
+        needed = std::max(needed, work / std::max(soonest, due - now).count());
     }
     return needed;
 }
--- a/jobs/commitments.hpp
+++ b/jobs/commitments.hpp
@@ -38,7 +38,12 @@
     [[nodiscard]] std::int64_t work_due_by(timestamp at) const;
     /// Smallest constant capacity that does all work in time. Work that is due within min_time, or overdue,
     /// counts as due then: no capacity could do overdue work in time.
-    [[nodiscard]] std::int64_t needed_millicores(timestamp now) const;
+    [[nodiscard]] std::int64_t needed_millicores(timestamp now) const {
+        return needed_millicores(now, min_time);
+    }
+    /// The same with all work that is due within `soonest` counted as due then, as capacity that comes only
+    /// after that time can do it. Precondition: `soonest` > 0.
+    [[nodiscard]] std::int64_t needed_millicores(timestamp now, milliseconds soonest) const;
     /// When `work` that is due at `due` would be done, behind all work that is due no later.
     [[nodiscard]] timestamp done_at(timestamp due, std::int64_t work, const capacity_forecast& capacity,
                                     timestamp now) const;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -336,6 +336,7 @@
     void add_waiting_work(const job_state& job, std::uint32_t occurrence);
     void add_commitments(const job_state& job, std::uint32_t occurrence, timestamp objective_at,
                          timestamp now);
+    [[nodiscard]] std::int64_t committed_millicores(const pool_load& present, timestamp now) const;
     [[nodiscard]] std::uint64_t vms_for_long_lived(std::size_t usable_vms) const;
     [[nodiscard]] std::map<std::string, std::int64_t> wanted_by_label(timestamp now) const;
     void place_step(job_state& job, step_position position, timestamp now);
--- a/jobs/scheduler_demand.cpp
+++ b/jobs/scheduler_demand.cpp
@@ -53,6 +53,8 @@
     result.retained_millicores =
         scale_to_full_capacity(present.limit_to_sustained(m_demand_meter.smoothed_need()));
     result.late_millicores = scale_to_full_capacity(std::max<std::int64_t>(0, with_late - need));
+    result.committed_millicores =
+        scale_to_full_capacity(present.limit_to_sustained(committed_millicores(present, now)));
     result.min_vms = vms_for_long_lived(present.usable_vms);
     if (m_isolation_lacks_vm) {
         result.min_vms = std::max<std::uint64_t>(result.min_vms, present.usable_vms + 1);
@@ -71,6 +73,18 @@
     return result;
 }
 
+/// Answers the load of a pool whose turn ends while it has accepted jobs with steps to come: the steps that
+/// could start now need almost nothing. Capacity that the pool doesn't have comes after the lead time of a
+/// machine at the earliest, so work that is due before doesn't ask for more than the pool has.
+std::int64_t scheduler::committed_millicores(const pool_load& present, timestamp now) const {
+    const std::int64_t usable =
+        std::max<std::int64_t>(0, present.usable_millicores - present.long_lived_millicores);
+    const std::int64_t held = std::min(usable, m_commitments.needed_millicores(now));
+    const std::int64_t asked = m_commitments.needed_millicores(now, machine_lead_time);
+    const std::int64_t work = std::max(held, asked);
+    return work == 0 ? 0 : work + present.long_lived_millicores;
+}
+
 /// Ratio of the largest capacity that the pool's VMs have had to their present capacity. Machines are counted
 /// by their largest capacity: without this factor, a pool whose VMs have shrunk would request as many as
 /// before, and its queue would not drain.
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -95,6 +95,7 @@
         request.kind = static_cast<std::uint8_t>(peer_request_kind::demand_query);
         request.pool = pool;
         request.configuration_version = m_context.configuration.current().version;
+        request.token = m_ownership.token;
         request.arriving_vms = count_arriving(pool);
         request.unneeded_machines = m_unneeded_machines;
         const std::set<std::string> kept_empty = m_vms_to_evacuate.vms_of_pool(pool);
--- a/node/peer_protocol.hpp
+++ b/node/peer_protocol.hpp
@@ -56,7 +56,9 @@
     /// The sender's configuration doesn't contain the key: the receiver may refuse the request, but not serve
     /// it.
     bool key_unknown = false;
-    std::int64_t token = 0; ///< With `handover`: the owner's fencing token.
+    /// With `handover`: the owner's fencing token. With `demand_query`: the token of the fleet's owner; 0
+    /// from versions that can't read the committed capacity in the answer.
+    std::int64_t token = 0;
 
     // The account and the key are written last and only if there are any, so that requests without them can
     // be read by versions of the program without accounts.
@@ -89,10 +91,23 @@
     std::int64_t configuration_version = 0; ///< Configuration version in force at the responding node.
     std::int64_t store_age_ms = 0; ///< Time since the store last renewed the responding node's lease.
 
+    // What was added to the demand is written last and only if there is any, so that answers without it can
+    // be read by versions of the program that don't know it.
     template <typename Archive>
-    void serialize(Archive& archive) {
+    void save(Archive& archive) const {
         archive(outcome, phase, count, inbox_age_ms, retry_after_ms, demand, configuration_version,
                 store_age_ms);
+        if (demand.committed_millicores != 0) {
+            archive(demand.committed_millicores);
+        }
+    }
+    template <typename Archive>
+    void load(Archive& archive) {
+        archive(outcome, phase, count, inbox_age_ms, retry_after_ms, demand, configuration_version,
+                store_age_ms);
+        if (archive.remaining_bytes() > 0) {
+            archive(demand.committed_millicores);
+        }
     }
 };
 
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -172,6 +172,9 @@
     m_directory.expect_changes(request.arriving_vms > 0);
     peer_answer answer = make_answer(peer_outcome::ok);
     answer.demand = m_scheduler.demand(event_loop::now());
+    if (request.token == 0) {
+        answer.demand.committed_millicores = 0;
+    }
     for (jobs::vm_load& vm : answer.demand.vms) {
         vm.released = is_evacuated(vm.vm) && !m_vm_record.may_contain(vm.vm);
     }
--- a/tests/jobs/balance_test.cpp
+++ b/tests/jobs/balance_test.cpp
@@ -124,6 +124,35 @@
     CHECK(plan.vms_to_evacuate.size() <= 5);
 }
 
+TEST_CASE("accepted work is served before demand that is only expected") {
+    struct share_case {
+        const char* what = "";
+        std::int64_t need_a = 0; ///< Cores, as the others.
+        std::int64_t committed_a = 0;
+        std::int64_t need_b = 0;
+        std::int64_t committed_b = 0;
+        std::size_t kept_a = 0; ///< VMs that stay with a.
+    };
+    // 24 machines of 32 cores, 20 of them with a.
+    for (const share_case& item :
+         {share_case{"no accepted work", 64, 0, 3200, 0, 3}, share_case{"below its need", 64, 32, 3200, 0, 3},
+          share_case{"accepted work beyond its need", 64, 320, 3200, 0, 12},
+          share_case{"the other pool has more", 64, 320, 3200, 320, 12},
+          share_case{"not all of it fits", 64, 480, 3200, 960, 9},
+          share_case{"all fits", 64, 320, 320, 320, 12}}) {
+        INFO(item.what);
+        simulated_fleet b;
+        b.add_pool("a", 20);
+        b.add_pool("b", 4);
+        b.set_need("a", item.need_a);
+        b.set_need("b", item.need_b);
+        b.demands["a"].committed_millicores = item.committed_a * 1000;
+        b.demands["b"].committed_millicores = item.committed_b * 1000;
+        b.plan();
+        CHECK(b.count("a") == item.kept_a);
+    }
+}
+
 TEST_CASE("a plan reports how many machines no pool needs") {
     struct demand_case {
         std::int64_t cores_a = 0;
