1945 pool-load says how many cores accepted work needs

Cause: a pool that holds machines for the later steps of accepted jobs looked as if it held them for nothing: used and wanted cores are small then.

Not built with g++ and no test run since this change.

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -223,6 +223,9 @@
     /// each answer, so that the next decision follows at once.
     [[nodiscard]] bool can_start_more() const noexcept { return m_start_window.can_resume(); }
     [[nodiscard]] pool_load load() const;
+    /// Capacity that finishes all accepted work in time, as of the last decision, and what long-lived tasks
+    /// use. `present`: the result of load().
+    [[nodiscard]] std::int64_t committed_millicores(const pool_load& present, timestamp now) const;
     /// Returns the capacity that the pool needs, and the load of its VMs.
     [[nodiscard]] pool_demand demand(timestamp now);
     /// Starts nothing while `held`, because the free capacity of the VMs isn't known.
@@ -336,7 +339,6 @@
     void add_waiting_work(const job_state& job, std::uint32_t occurrence);
     void add_commitments(const job_state& job, std::uint32_t occurrence, timestamp objective_at,
                          timestamp now);
-    [[nodiscard]] std::int64_t committed_millicores(const pool_load& present, timestamp now) const;
     [[nodiscard]] std::uint64_t vms_for_long_lived(std::size_t usable_vms) const;
     [[nodiscard]] std::map<std::string, std::int64_t> wanted_by_label(timestamp now) const;
     void place_step(job_state& job, step_position position, timestamp now);
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -172,11 +172,13 @@
         return;
     }
     m_load_logged_at = now;
+    const std::int64_t committed = m_scheduler.committed_millicores(load, now);
     log_event(event_id::pool_load, {{"pool", m_pool},
                                     {"vms", load.usable_vms},
                                     {"usable_cores", load.usable_millicores / 1000},
                                     {"used_cores", load.used_millicores / 1000},
                                     {"wanted_cores", load.wanted_millicores() / 1000},
+                                    {"committed_cores", committed / 1000},
                                     {"late_cores", load.late_millicores() / 1000},
                                     {"sustained_cores", load.sustained_millicores.value_or(0) / 1000},
                                     {"limited", m_scheduler.accounts().limited().size()},
