--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -239,6 +239,9 @@
     /// each answer, so that the next decision follows at once.
     [[nodiscard]] bool can_start_more() const noexcept { return m_start_window.can_resume(); }
     [[nodiscard]] pool_load load() const;
+    /// Capacity that finishes all accepted work in time, as of the last decision, and what long-lived tasks
+    /// use. `present`: the result of load().
+    [[nodiscard]] std::int64_t committed_millicores(const pool_load& present, timestamp now) const;
     /// Returns the capacity that the pool needs, and the load of its VMs.
     [[nodiscard]] pool_demand demand(timestamp now);
     /// Starts nothing while `held`, because the free capacity of the VMs isn't known.
