Shares: an account's weight decides what it gets of a full pool

Cause: while accounts ask for more than a pool can do, jobs were accepted in the order of arrival: an account that sends six times its usual took most of the pool, and the others were refused. `client_account::weight` was read and used nowhere.

Change: `jobs/fair_shares` measures over two seconds what each account asks for and finds the level at which the accounts fill the pool (max-min, by weight). A job is within its account's share if a pool of the share's size with only the account's work that could run now would do it in half of the time that the objective allows. Others are surplus: they rank after work that can be in time, count as late work does, and are accepted only into room that nobody wants. Without accounts nothing changes.

--- a/jobs/job_admission.cpp
+++ b/jobs/job_admission.cpp
@@ -68,6 +68,8 @@
         rank.group = 3;
     } else if (now >= rank.objective_at) {
         rank.group = 2;
+    } else {
+        rank.is_surplus = job.is_surplus;
     }
     return rank;
 }
@@ -89,6 +91,11 @@
     return std::max<std::int64_t>(1, available - std::min(max_late, late_millicores()));
 }
 
+std::int64_t pool_load::divisible_millicores() const noexcept {
+    const std::int64_t capacity = usable_millicores - long_lived_millicores + arriving_millicores;
+    return std::max<std::int64_t>(0, std::min(capacity, sustained_millicores.value_or(capacity)));
+}
+
 milliseconds pool_load::queue_wait() const noexcept {
     return milliseconds(waiting_work / millicores_for_waiting_work(arriving_millicores));
 }
@@ -165,4 +172,17 @@
     return {false, std::clamp(expected - allowed, min_retry_after, max_retry_after), queue_time};
 }
 
+admission_verdict admit_surplus(const job_spec& spec, const queue_settings& queue,
+                                std::int64_t critical_path_ms, const pool_load& load) {
+    pool_load behind_all = load;
+    behind_all.waiting_work += load.surplus_work;
+    admission_verdict verdict = admit(spec, queue, critical_path_ms, behind_all);
+    verdict.is_surplus = true;
+    if (verdict.accepted && !load.has_unwanted_capacity() && load.obtainable_millicores <= 0) {
+        verdict.accepted = false;
+        verdict.retry_after = min_retry_after;
+    }
+    return verdict;
+}
+
 } // namespace siskinpaddle::jobs
--- a/jobs/job_admission.hpp
+++ b/jobs/job_admission.hpp
@@ -14,6 +14,7 @@
     /// meet their objective. 2: jobs that have missed their objective. 3: jobs too late to be useful, which
     /// only fill idle capacity.
     int group = 1;
+    bool is_surplus = false; ///< Accepted beyond its account's share; set only in group 1.
     int priority = 0;
     timestamp objective_at{0};
 
@@ -43,6 +44,10 @@
     std::int64_t upcoming_work = 0; ///< Work of occurrences that become due within machine_lead_time.
     /// Work of accepted jobs that are late; it ranks after a new job, but is done.
     std::int64_t late_work = 0;
+    /// Work beyond the shares of its accounts that can still be in time; it ranks after a new job within its
+    /// account's share. Not part of `waiting_work`.
+    std::int64_t surplus_work = 0;
+    std::int64_t runnable_surplus_work = 0; ///< The part of `surplus_work` that could run now.
     std::int64_t usable_millicores = 0;     ///< Capacity of the VMs that accept work.
     std::int64_t used_millicores = 0;       ///< Capacity of these VMs that runs use.
     std::int64_t long_lived_millicores = 0; ///< The part of `used_millicores` that long-lived tasks use.
@@ -61,6 +66,16 @@
     }
     /// Capacity that late work would use if it were done within its drain time.
     [[nodiscard]] std::int64_t late_millicores() const noexcept { return late_work / late_drain_time_ms; }
+    /// The same for surplus work.
+    [[nodiscard]] std::int64_t surplus_millicores() const noexcept {
+        return surplus_work / late_drain_time_ms;
+    }
+    /// Capacity that the accounts can divide among them, with the VMs that are being moved to the pool.
+    [[nodiscard]] std::int64_t divisible_millicores() const noexcept;
+    /// Whether capacity is left when all work that could run now is done within the drain time.
+    [[nodiscard]] bool has_unwanted_capacity() const noexcept {
+        return wanted_millicores() + runnable_surplus_work / drain_time_ms < usable_millicores;
+    }
     /// Limits a need to the capacity that the owner can keep busy.
     [[nodiscard]] std::int64_t limit_to_sustained(std::int64_t need_millicores) const noexcept;
     /// Time that the pool needs for the waiting work, with the VMs that are being moved to it.
@@ -116,6 +131,7 @@
     bool accepted = true;
     milliseconds retry_after{0};
     milliseconds queue_time{0}; ///< Estimated time for the waiting work; the basis of the decision.
+    bool is_surplus = false;    ///< The job is beyond its account's share of the pool.
 };
 
 /// Accepts a job if it can meet its objective behind the waiting work, so that accepted work finishes in time
@@ -129,4 +145,9 @@
 [[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
                                       std::int64_t critical_path_ms, const pool_load& load);
 
+/// Judges a job beyond its account's share: it is accepted behind all waiting work, and only into capacity
+/// that nobody else wants, in the pool or on machines that no pool wants.
+[[nodiscard]] admission_verdict admit_surplus(const job_spec& spec, const queue_settings& queue,
+                                              std::int64_t critical_path_ms, const pool_load& load);
+
 } // namespace siskinpaddle::jobs
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -205,6 +205,9 @@
         }
     }
 
+    /// Accepted beyond its account's share. Not stored: after a change of owner the job counts as within it.
+    bool is_surplus = false;
+
     // Storage state, maintained by the owner.
     std::uint64_t change_count = 0;        ///< Number of changes that must be stored.
     std::uint64_t stored_change_count = 0; ///< The value of `change_count` that the store holds.
--- a/jobs/pool_report.hpp
+++ b/jobs/pool_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/fair_shares.hpp"
 #include "jobs/job_admission.hpp"
 #include "jobs/job_state.hpp"
 
@@ -74,6 +75,7 @@
     bool is_limited = false;
     std::size_t jobs = 0;
     std::size_t waiting_jobs = 0;
+    account_share share;
 };
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -9,11 +9,14 @@
 /// Jobs of queues that the configuration no longer names are kept, with the most lenient settings.
 const queue_settings unknown_queue{};
 
+/// The waiting work within an account's share counts this many times against the time that objectives allow.
+constexpr std::int64_t share_queue_factor = 2;
+
 } // namespace
 
 scheduler::scheduler(scheduler_settings settings, std::uint32_t epoch, timestamp now)
     : m_settings(settings), m_first_attempt(epoch * settings.attempts_per_epoch),
-      m_takeover_deadline(now + settings.takeover_timeout), m_start_window(settings.starts) {}
+      m_takeover_deadline(now + settings.takeover_timeout), m_start_window(settings.starts), m_shares(now) {}
 
 const queue_settings* scheduler::queue_of(const job_state& job) const {
     const auto found = std::ranges::find(m_queues, job.spec().queue, &queue_settings::name);
@@ -51,7 +54,45 @@
     }
     // The pool may get more machines for the work that waits, but the account never gets beyond its limit.
     const admission_verdict by_limit = admit_at(load_within(account, m_accounts.limit(account)));
-    return by_limit.accepted ? admit_at(load()) : by_limit;
+    if (!by_limit.accepted) {
+        return by_limit;
+    }
+    const account_share share = m_shares.share_of(account);
+    if (!share.share_millicores) {
+        return admit_at(load());
+    }
+    const admission_verdict by_share = admit_at(load_of_share(spec, account, *share.share_millicores));
+    if (by_share.accepted) {
+        return admit_at(load());
+    }
+    admission_verdict verdict = admit_surplus(spec, *found, probe.critical_path_ms(), load());
+    verdict.retry_after = std::max(verdict.retry_after, by_share.retry_after);
+    return verdict;
+}
+
+/// The load that a job would meet in a pool of the size of its account's share, with nobody else in it. What
+/// that pool would do in time is within the share, so each account gets its part of the queue that the
+/// objectives allow, and with it its part of the throughput. Accounts that use up their parts leave half of
+/// that time to those that don't, whose jobs would be late behind a queue as long as the objective. The job
+/// counts itself behind others of its account; else small shares would gain a job each.
+pool_load scheduler::load_of_share(const job_spec& spec, const std::string& account,
+                                   std::int64_t share_millicores) const {
+    pool_load load;
+    load.usable_millicores = share_millicores;
+    if (const auto waiting = m_account_runnable_work.find(account);
+        waiting != m_account_runnable_work.end() && waiting->second > 0) {
+        load.waiting_work = (waiting->second + estimate_job_work(spec, m_work_gauge)) * share_queue_factor;
+    }
+    return load;
+}
+
+void scheduler::record_verdict(const job_spec& spec, const std::string& account,
+                               const admission_verdict& verdict) {
+    if (verdict.accepted) {
+        m_shares.record_accepted(spec.id, verdict.is_surplus);
+    } else if (verdict.is_surplus) {
+        m_shares.record_refused_surplus(account);
+    }
 }
 
 /// The load that a job meets if only its account's work is ahead of it, and at most `available` serves it.
@@ -63,17 +104,22 @@
     return load;
 }
 
-void scheduler::record_job_arrival(const job_spec& spec, timestamp now) {
+void scheduler::record_job_arrival(const job_spec& spec, timestamp now, const std::string& account) {
     if (spec.is_long_lived() || spec.has_due_times) {
         return;
     }
-    m_demand_meter.record_arrival(spec.id, estimate_job_work(spec, m_work_gauge), now);
+    const std::int64_t work = estimate_job_work(spec, m_work_gauge);
+    m_demand_meter.record_arrival(spec.id, work, now);
+    m_shares.record_arrival(spec.id, account, work, now);
     m_label_meters.record_arrival(spec, m_work_gauge, now);
 }
 
 void scheduler::add_job(const job_record& record, timestamp accepted_at) {
     const auto [entry, added] =
         m_jobs.emplace(record.spec.id, job_state(record.spec, accepted_at, record.account));
+    if (added) {
+        entry->second.is_surplus = m_shares.is_surplus(record.spec.id);
+    }
     if (added && !record.spec.has_due_times) {
         add_waiting_work(entry->second, 0);
     }
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -3,6 +3,7 @@
 #include "jobs/account_ledger.hpp"
 #include "jobs/balance.hpp"
 #include "jobs/commitments.hpp"
+#include "jobs/fair_shares.hpp"
 #include "jobs/job_admission.hpp"
 #include "jobs/label_meters.hpp"
 #include "jobs/placement.hpp"
@@ -140,6 +141,9 @@
     /// `account`: the account of the job; empty if it has none.
     [[nodiscard]] admission_verdict check_admission(const job_spec& spec,
                                                     const std::string& account = {}) const;
+    /// Records the outcome of check_admission() for a job that a client submits. Precondition: its arrival is
+    /// recorded.
+    void record_verdict(const job_spec& spec, const std::string& account, const admission_verdict& verdict);
     void add_job(const job_record& record, timestamp accepted_at);
     /// Adds a job that a previous owner stored. Its tasks start once every VM that may run them has reported
     /// or ended, or after takeover_timeout.
@@ -171,6 +175,9 @@
     /// sets the ceilings and what a previous owner was allowed to start.
     [[nodiscard]] account_ledger& accounts() noexcept { return m_accounts; }
     [[nodiscard]] const account_ledger& accounts() const noexcept { return m_accounts; }
+    /// How the accounts share the pool while it is short of room. The owner sets the weights.
+    [[nodiscard]] fair_shares& shares() noexcept { return m_shares; }
+    [[nodiscard]] const fair_shares& shares() const noexcept { return m_shares; }
 
     // --- VMs ---
 
@@ -227,8 +234,9 @@
     [[nodiscard]] pool_demand demand(timestamp now);
     /// Starts nothing while `held`, because the free capacity of the VMs isn't known.
     void hold_starts(bool held) noexcept { m_starts_held = held; }
-    /// Records a submitted job, accepted or refused; it counts as demand for a while.
-    void record_job_arrival(const job_spec& spec, timestamp now);
+    /// Records a submitted job, accepted or refused; it counts as demand for a while. `account`: empty if the
+    /// job has none.
+    void record_job_arrival(const job_spec& spec, timestamp now, const std::string& account = {});
     /// Sets the number of VMs that are being moved to the pool, and of machines that no pool wants. Valid
     /// until the next call, which comes with each round of the fleet's owner; when that owner dies, with its
     /// successor's first round, 2.2 s later.
@@ -309,6 +317,8 @@
     void mark_suspect_vms();
     [[nodiscard]] std::size_t usable_vm_count() const;
     [[nodiscard]] double shrink_factor() const;
+    [[nodiscard]] pool_load load_of_share(const job_spec& spec, const std::string& account,
+                                          std::int64_t share_millicores) const;
     [[nodiscard]] pool_load load_within(const std::string& account, const resources& available) const;
     [[nodiscard]] vm_state* choose_vm_for_task(const job_state& job, const task_id& id,
                                                const step_advice* advice, const std::string& preferred_rack,
@@ -361,8 +371,12 @@
     std::int64_t m_runnable_work = 0;
     std::int64_t m_upcoming_work = 0;
     std::int64_t m_late_work = 0;
+    std::int64_t m_surplus_work = 0;
+    std::int64_t m_runnable_surplus_work = 0;
     /// Waiting work of each account that is not late, or that waits for the account's limit.
     std::map<std::string, std::int64_t> m_account_work;
+    /// The part of each account's waiting work that is within its share and could run now.
+    std::map<std::string, std::int64_t> m_account_runnable_work;
     milliseconds m_wall_offset{0}; ///< Time of day minus the owner's clock, as of the last decision.
     work_gauge m_work_gauge;
     run_times m_run_times;
@@ -389,6 +403,7 @@
     std::optional<std::int64_t> m_sustained_millicores;
     decisions m_pending_decisions;
     account_ledger m_accounts;
+    fair_shares m_shares;
 };
 
 } // namespace siskinpaddle::jobs
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -36,6 +36,7 @@
     update_runs(now);
     place_waiting_tasks(now);
     measure_waiting_work(now);
+    m_shares.update(load().divisible_millicores(), m_accounts, now);
     return std::exchange(m_pending_decisions, {});
 }
 
--- a/jobs/scheduler_demand.cpp
+++ b/jobs/scheduler_demand.cpp
@@ -25,6 +25,8 @@
     load.runnable_work = m_runnable_work;
     load.upcoming_work = m_upcoming_work;
     load.late_work = m_late_work;
+    load.surplus_work = m_surplus_work;
+    load.runnable_surplus_work = m_runnable_surplus_work;
     for (const auto& [name, vm] : m_vms) {
         if (vm.listed && vm.reachable && !vm.cordoned && !vm.info().draining) {
             load.usable_millicores += vm.info().capacity.cpu_millicores;
@@ -45,7 +47,8 @@
     const pool_load present = load();
     m_demand_meter.update(present.wanted_millicores(), present.long_lived_millicores, now);
     const std::int64_t need = present.limit_to_sustained(m_demand_meter.current_need());
-    const std::int64_t with_late = present.limit_to_sustained(need + present.late_millicores());
+    const std::int64_t with_late =
+        present.limit_to_sustained(need + present.late_millicores() + present.surplus_millicores());
     const auto scale_to_full_capacity = [factor = shrink_factor()](std::int64_t millicores) {
         return static_cast<std::int64_t>(static_cast<double>(millicores) * factor);
     };
@@ -149,13 +152,17 @@
 /// jobs and is counted separately. Occurrences that aren't due yet don't count as waiting either: if they
 /// did, a job of six occurrences in half a minute would keep every other job out of its pool while the pool
 /// is idle. Machines are requested ahead of due times. Work that waits for its account's limit needs no
-/// machines and delays no job of another account.
+/// machines and delays no job of another account. Surplus work, too, delays no job within a share, and is
+/// counted separately.
 void scheduler::measure_waiting_work(timestamp now) {
     m_waiting_work = 0;
     m_runnable_work = 0;
     m_upcoming_work = 0;
     m_late_work = 0;
+    m_surplus_work = 0;
+    m_runnable_surplus_work = 0;
     m_account_work.clear();
+    m_account_runnable_work.clear();
     m_commitments.clear();
     for (const auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.all_done()) {
@@ -172,7 +179,9 @@
                 m_upcoming_work += estimate_waiting_work(job, occurrence, m_work_gauge).runnable;
             } else if (const job_rank rank = rank_of(job, *queue_of(job), begins_at, now); rank.group <= 1) {
                 add_waiting_work(job, occurrence);
-                add_commitments(job, occurrence, rank.objective_at, now);
+                if (!job.is_surplus) {
+                    add_commitments(job, occurrence, rank.objective_at, now);
+                }
             } else {
                 m_late_work += estimate_waiting_work(job, occurrence, m_work_gauge).all;
             }
@@ -182,9 +191,15 @@
 
 void scheduler::add_waiting_work(const job_state& job, std::uint32_t occurrence) {
     const waiting_work waiting = estimate_waiting_work(job, occurrence, m_work_gauge);
+    m_account_work[job.account()] += waiting.all;
+    if (job.is_surplus) {
+        m_surplus_work += waiting.all;
+        m_runnable_surplus_work += waiting.runnable;
+        return;
+    }
     m_waiting_work += waiting.all;
     m_runnable_work += waiting.runnable;
-    m_account_work[job.account()] += waiting.all;
+    m_account_runnable_work[job.account()] += waiting.runnable;
 }
 
 /// Adds the work of one occurrence that can still meet its objective: each step is due early enough for the
--- a/jobs/scheduler_reports.cpp
+++ b/jobs/scheduler_reports.cpp
@@ -131,12 +131,16 @@
         ++report.jobs;
         report.waiting_jobs += job.total_idle_tasks() > 0 ? 1 : 0;
     }
+    for (const std::string& account : m_shares.asking_accounts()) {
+        by_account.try_emplace(account);
+    }
     std::vector<account_report> reports;
     for (auto& [account, report] : by_account) {
         report.account = account;
         report.used = m_accounts.used(account);
         report.ceiling = m_accounts.ceiling(account);
         report.is_limited = m_accounts.is_limited(account);
+        report.share = m_shares.share_of(account);
         reports.push_back(std::move(report));
     }
     return reports;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -465,7 +465,8 @@
     });
 }
 
-/// Sets what each account with a limit uses and may use in a pool that this node owns, and its limit.
+/// Sets what each account with a limit uses and may use in a pool that this node owns, its limit, and what
+/// each account asks of the pool and is entitled to.
 void node::set_account_metrics(const pool_task& task) {
     const auto set = [&](const std::string& name, const std::string& account, const jobs::resources& amount) {
         const std::string label = "{account=\"" + account + "\",pool=\"" + task.pool() + "\"}";
@@ -485,6 +486,15 @@
         if (account.has_limit()) {
             set("limit", account.name, account.limit);
         }
+        const jobs::account_share share = task.scheduler().shares().share_of(account.name);
+        const std::string label = "{account=\"" + account.name + "\",pool=\"" + task.pool() + "\"}";
+        m_counters.set("account_asked_millicores" + label,
+                       static_cast<std::uint64_t>(share.asked_millicores));
+        // While all fits, an account may use what it asks for.
+        m_counters.set("account_share_millicores" + label,
+                       static_cast<std::uint64_t>(share.share_millicores.value_or(share.asked_millicores)));
+        m_counters.set("account_refused_as_surplus" + label,
+                       static_cast<std::uint64_t>(share.refused_as_surplus));
     }
 }
 
--- a/node/operator_view.cpp
+++ b/node/operator_view.cpp
@@ -17,11 +17,16 @@
     return text.empty() ? boost::json::value(nullptr) : boost::json::value(text);
 }
 
+boost::json::value to_json_or_null(const std::optional<std::int64_t>& amount) {
+    return amount ? boost::json::value(*amount) : boost::json::value(nullptr);
+}
+
 boost::json::object to_json(const jobs::waiting_job& row) {
     return {{"job", row.job},
             {"account", text_or_null(row.account)},
             {"queue", row.queue},
             {"group", row.rank.group},
+            {"surplus", row.rank.is_surplus},
             {"priority", row.rank.priority},
             {"waiting_ms", row.waiting.count()},
             {"until_objective_ms", row.until_objective.count()},
@@ -160,6 +165,9 @@
             rows.push_back({{"account", report.account},
                             {"pool", task->pool()},
                             {"weight", account == nullptr ? 0 : account->weight},
+                            {"share_millicores", to_json_or_null(report.share.share_millicores)},
+                            {"asked_millicores", report.share.asked_millicores},
+                            {"refused_as_surplus", report.share.refused_as_surplus},
                             {"jobs", report.jobs},
                             {"waiting_jobs", report.waiting_jobs},
                             {"used_millicores", report.used.cpu_millicores},
--- a/node/pool_accounts.cpp
+++ b/node/pool_accounts.cpp
@@ -29,6 +29,14 @@
     return account == nullptr ? findings{} : jobs::check_limit(request.spec, account->limit);
 }
 
+void pool_task::set_account_weights(const jobs::client_accounts& accounts) {
+    std::map<std::string, double> weights;
+    for (const jobs::client_account& account : accounts.all()) {
+        weights.emplace(account.name, account.weight);
+    }
+    m_scheduler.shares().set_weights(std::move(weights));
+}
+
 /// Sets what the accounts may use. If the configuration may be outdated, accounts with a limit start nothing:
 /// a limit that was lowered meanwhile would be exceeded by a node that can't hear of it.
 void pool_task::apply_ceilings(timestamp now) {
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -58,20 +58,27 @@
         done(make_answer(peer_outcome::over_limit));
         return true;
     }
-    m_scheduler.record_job_arrival(request.spec, event_loop::now());
+    const timestamp now = event_loop::now();
+    m_scheduler.record_job_arrival(request.spec, now, request.account);
     const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec, request.account);
+    m_scheduler.record_verdict(request.spec, request.account, verdict);
     const std::int64_t waiting_ms = verdict.queue_time.count();
     if (!verdict.accepted) {
         peer_answer answer = make_answer(peer_outcome::overloaded);
         answer.retry_after_ms = verdict.retry_after.count();
         answer.inbox_age_ms = inbox_age().count();
-        log_event(event_id::submit_refused, {{"pool", m_pool},
-                                             {"job", id},
-                                             {"why", "load"},
-                                             {"account", request.account.empty() ? "-" : request.account},
-                                             {"inbox_age_ms", answer.inbox_age_ms},
-                                             {"waiting_ms", waiting_ms},
-                                             {"retry_after_ms", verdict.retry_after.count()}});
+        const jobs::account_share share = m_scheduler.shares().share_of(request.account);
+        log_event(
+            event_id::submit_refused,
+            {{"pool", m_pool},
+             {"job", id},
+             {"why", verdict.is_surplus ? "surplus" : "load"},
+             {"account", request.account.empty() ? "-" : request.account},
+             {"share_millicores", share.share_millicores ? std::to_string(*share.share_millicores) : "-"},
+             {"asked_millicores", share.asked_millicores},
+             {"inbox_age_ms", answer.inbox_age_ms},
+             {"waiting_ms", waiting_ms},
+             {"retry_after_ms", verdict.retry_after.count()}});
         done(answer);
         return true;
     }
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -101,6 +101,7 @@
     const jobs::pool_settings* pool = configuration.find_pool(m_pool);
     m_vms_check_capacity = pool == nullptr || pool->vms_check_capacity;
     m_allowances.configure(configuration);
+    set_account_weights(configuration.accounts);
     schedule_decision();
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -99,6 +99,7 @@
     [[nodiscard]] std::optional<std::string> account_of_job(const std::string& job) const;
     [[nodiscard]] bool belongs_to_other_account(const std::string& job, const std::string& account) const;
     [[nodiscard]] findings check_account_limit(const peer_request& request) const;
+    void set_account_weights(const jobs::client_accounts& accounts);
     void apply_ceilings(timestamp now);
     void update_allowances(timestamp now);
 
