Shares: what waits within a share counts as admission counts it

Jobs have steps that wait for earlier ones; admission's queue counts them, the share counted only what could run now, so admission refused everybody before a share was used up. Change: the share counts all waiting work, as admission does.

--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -79,8 +79,8 @@
                                    std::int64_t share_millicores) const {
     pool_load load;
     load.usable_millicores = share_millicores;
-    if (const auto waiting = m_account_runnable_work.find(account);
-        waiting != m_account_runnable_work.end() && waiting->second > 0) {
+    if (const auto waiting = m_account_share_work.find(account);
+        waiting != m_account_share_work.end() && waiting->second > 0) {
         load.waiting_work = (waiting->second + estimate_job_work(spec, m_work_gauge)) * share_queue_factor;
     }
     return load;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -375,8 +375,8 @@
     std::int64_t m_runnable_surplus_work = 0;
     /// Waiting work of each account that is not late, or that waits for the account's limit.
     std::map<std::string, std::int64_t> m_account_work;
-    /// The part of each account's waiting work that is within its share and could run now.
-    std::map<std::string, std::int64_t> m_account_runnable_work;
+    /// The part of each account's waiting work that is within its share.
+    std::map<std::string, std::int64_t> m_account_share_work;
     milliseconds m_wall_offset{0}; ///< Time of day minus the owner's clock, as of the last decision.
     work_gauge m_work_gauge;
     run_times m_run_times;
--- a/jobs/scheduler_demand.cpp
+++ b/jobs/scheduler_demand.cpp
@@ -162,7 +162,7 @@
     m_surplus_work = 0;
     m_runnable_surplus_work = 0;
     m_account_work.clear();
-    m_account_runnable_work.clear();
+    m_account_share_work.clear();
     m_commitments.clear();
     for (const auto& [id, job] : m_jobs) {
         if (is_final(job.phase()) || job.all_done()) {
@@ -199,7 +199,7 @@
     }
     m_waiting_work += waiting.all;
     m_runnable_work += waiting.runnable;
-    m_account_runnable_work[job.account()] += waiting.runnable;
+    m_account_share_work[job.account()] += waiting.all;
 }
 
 /// Adds the work of one occurrence that can still meet its objective: each step is due early enough for the
