--- a/jobs/job_admission.cpp
+++ b/jobs/job_admission.cpp
@@ -79,12 +79,16 @@
     return std::min(need_millicores, long_lived_millicores + *sustained_millicores);
 }
 
+std::int64_t pool_load::available_millicores(std::int64_t extra_millicores) const noexcept {
+    const std::int64_t capacity = usable_millicores - long_lived_millicores + extra_millicores;
+    return std::min(capacity, sustained_millicores.value_or(capacity));
+}
+
 /// Capacity for waiting work, with `extra_millicores` in addition to the VMs that accept work now. Late work
 /// keeps its share: if all capacity were promised to new jobs, accepted jobs that have become late would
 /// never be done.
 std::int64_t pool_load::millicores_for_waiting_work(std::int64_t extra_millicores) const noexcept {
-    const std::int64_t capacity = usable_millicores - long_lived_millicores + extra_millicores;
-    const std::int64_t available = std::min(capacity, sustained_millicores.value_or(capacity));
+    const std::int64_t available = available_millicores(extra_millicores);
     const auto max_late = static_cast<std::int64_t>(static_cast<double>(available) * late_work_share);
     return std::max<std::int64_t>(1, available - std::min(max_late, late_millicores()));
 }
@@ -104,6 +108,17 @@
            milliseconds(left / millicores_for_waiting_work(arriving_millicores + obtainable_millicores));
 }
 
+capacity_forecast pool_load::forecast() const noexcept {
+    const std::int64_t present = std::max<std::int64_t>(0, available_millicores(arriving_millicores));
+    const std::int64_t later =
+        std::max(present, available_millicores(arriving_millicores + obtainable_millicores));
+    return {present, later - present, machine_lead_time};
+}
+
+milliseconds pool_load::late_queue_wait() const noexcept {
+    return forecast().time_for(waiting_work + late_work);
+}
+
 void demand_meter::record_arrival(const std::string& job, std::int64_t work, timestamp now) {
     m_arrivals[job] = {work, now};
 }
@@ -142,27 +157,38 @@
     m_updated_at = now;
 }
 
+milliseconds useful_time(milliseconds objective) noexcept {
+    return objective * useful_lateness_factor;
+}
+
 admission_verdict admit(const job_spec& spec, const queue_settings& queue, std::int64_t critical_path_ms,
-                        const pool_load& load) {
+                        const pool_load& load, milliseconds waited) {
     const milliseconds queue_time = load.queue_wait();
+    const milliseconds allowed = allowed_time(critical_path_ms, queue);
+    const admission_verdict accepted{true, 0ms, queue_time, allowed};
     if (spec.is_long_lived() || spec.has_due_times) {
-        return {true, 0ms, queue_time};
+        return accepted;
     }
     if (load.usable_millicores <= 0) {
-        return {false, max_retry_after, queue_time};
+        return {false, max_retry_after, queue_time, allowed};
     }
-    const milliseconds allowed = allowed_time(critical_path_ms, queue);
-    const milliseconds expected = queue_time + milliseconds(critical_path_ms);
-    if (queue_time.count() == 0 ||
+    const bool is_first_attempt = waited <= 0ms;
+    const milliseconds expected = waited + queue_time + milliseconds(critical_path_ms);
+    if ((is_first_attempt && queue_time.count() == 0) ||
         static_cast<double>(expected.count()) <= admission_slack * static_cast<double>(allowed.count())) {
-        return {true, 0ms, queue_time};
+        return accepted;
     }
-    const milliseconds at_best = load.shortest_queue_wait() + milliseconds(critical_path_ms);
-    if (load.obtainable_millicores > 0 && static_cast<double>(at_best.count()) <=
-                                              late_admission_factor * static_cast<double>(allowed.count())) {
-        return {true, 0ms, queue_time};
+    const milliseconds late_wait = load.late_queue_wait();
+    // Further late work would wait behind every new job, and end when it is of no use.
+    const bool is_idle = late_wait.count() == 0 && load.used_millicores < load.usable_millicores;
+    const bool has_room = load.obtainable_millicores > 0 || (!is_first_attempt && is_idle);
+    const milliseconds wait = is_first_attempt ? load.shortest_queue_wait() : waited + late_wait;
+    const milliseconds at_best = wait + milliseconds(critical_path_ms);
+    if (has_room && static_cast<double>(at_best.count()) <=
+                        late_admission_factor * static_cast<double>(allowed.count())) {
+        return accepted;
     }
-    return {false, std::clamp(expected - allowed, min_retry_after, max_retry_after), queue_time};
+    return {false, std::clamp(expected - allowed, min_retry_after, max_retry_after), queue_time, allowed};
 }
 
 } // namespace siskinpaddle::jobs
--- a/jobs/job_admission.hpp
+++ b/jobs/job_admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/commitments.hpp"
 #include "jobs/job_state.hpp"
 
 #include <algorithm>
@@ -35,6 +36,10 @@
 /// Target time for draining late work, ms: clients wait for this work, but its objective is already missed.
 inline constexpr std::int64_t late_drain_time_ms = 4000;
 
+/// Time from the need for a machine to its first task: a round of the fleet's owner, and 1.8 s from the
+/// order to the first task.
+inline constexpr milliseconds machine_lead_time = 2s;
+
 /// Load of a pool, as used by admission.
 struct pool_load {
     std::int64_t waiting_work = 0; ///< Millicore-milliseconds that are placed before a new job.
@@ -67,15 +72,17 @@
     [[nodiscard]] milliseconds queue_wait() const noexcept;
     /// The same as queue_wait(), with the obtainable machines added after machine_lead_time.
     [[nodiscard]] milliseconds shortest_queue_wait() const noexcept;
+    /// Capacity for work that isn't running yet: the VMs that are there or being moved, and the obtainable
+    /// machines after machine_lead_time.
+    [[nodiscard]] capacity_forecast forecast() const noexcept;
+    /// Time until a job that has missed its objective could begin: behind the waiting and the late work.
+    [[nodiscard]] milliseconds late_queue_wait() const noexcept;
 
   private:
+    [[nodiscard]] std::int64_t available_millicores(std::int64_t extra_millicores) const noexcept;
     [[nodiscard]] std::int64_t millicores_for_waiting_work(std::int64_t extra_millicores) const noexcept;
 };
 
-/// Time from the need for a machine to its first task: a round of the fleet's owner, and 1.8 s from the
-/// order to the first task.
-inline constexpr milliseconds machine_lead_time = 2s;
-
 /// Tracks the capacity that a pool needs. The need rises at once and falls slowly, so that machines aren't
 /// released in the gap between two bursts and needed again a second later. A rise is derived from the rate at
 /// which work arrives: machines take two seconds to arrive, and by the time the queue shows a rise in demand,
@@ -116,8 +123,12 @@
     bool accepted = true;
     milliseconds retry_after{0};
     milliseconds queue_time{0}; ///< Estimated time for the waiting work; the basis of the decision.
+    milliseconds objective{0};  ///< Time from the client's first attempt until the job must be done.
 };
 
+/// Time since its client's first attempt after which a job is of no use.
+[[nodiscard]] milliseconds useful_time(milliseconds objective) noexcept;
+
 /// Accepts a job if it can meet its objective behind the waiting work, so that accepted work finishes in time
 /// and other jobs are refused at once with a retry delay. If everything were accepted while demand exceeds
 /// the pool's capacity, all jobs would end late. Long-lived jobs are always accepted; they need capacity,
@@ -126,7 +137,12 @@
 /// While there are machines that no pool wants, a job that will be late is accepted as well if it will still
 /// be of some use: it takes capacity from no other job, and a client that is refused seldom has time for a
 /// second attempt. Without such machines, accepting late jobs would let fewer jobs finish in time.
+///
+/// `waited`: time since the client's first attempt, for a job that was refused before. Its objective counts
+/// from then. If it will be late, it is accepted only if it will still be of some use behind all other work,
+/// and the pool is idle or there are such machines.
 [[nodiscard]] admission_verdict admit(const job_spec& spec, const queue_settings& queue,
-                                      std::int64_t critical_path_ms, const pool_load& load);
+                                      std::int64_t critical_path_ms, const pool_load& load,
+                                      milliseconds waited = milliseconds(0));
 
 } // namespace siskinpaddle::jobs
--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -93,8 +93,10 @@
 /// A job as its owner stores it on acceptance.
 struct job_record {
     job_spec spec;
-    std::int64_t accepted_ms = 0; ///< Time of day, ms since 1970.
-    std::string account;          ///< The account of the job; empty if it has none.
+    /// When its objective begins: on acceptance or, if it was refused before, on the client's first attempt.
+    /// Time of day, ms since 1970.
+    std::int64_t accepted_ms = 0;
+    std::string account; ///< The account of the job; empty if it has none.
 
     // The account is written only if there is one: records without keep the format of versions of the program
     // without accounts.
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -37,14 +37,15 @@
 
 // --- Jobs ---
 
-admission_verdict scheduler::check_admission(const job_spec& spec, const std::string& account) const {
+admission_verdict scheduler::check_admission(const job_spec& spec, const std::string& account,
+                                             milliseconds waited) const {
     const auto found = std::ranges::find(m_queues, spec.queue, &queue_settings::name);
     if (found == m_queues.end()) {
         return {true, 0ms, load().queue_wait()};
     }
     const job_state probe(spec, timestamp(0));
     const auto admit_at = [&](const pool_load& present) {
-        return admit(spec, *found, probe.critical_path_ms(), present);
+        return admit(spec, *found, probe.critical_path_ms(), present, waited);
     };
     if (m_accounts.is_limited(account)) {
         return admit_at(load_within(account, m_accounts.ceiling(account)));
@@ -54,6 +55,18 @@
     return by_limit.accepted ? admit_at(load()) : by_limit;
 }
 
+refused_job scheduler::describe_refused(const job_spec& spec, milliseconds objective,
+                                        milliseconds waited) const {
+    const job_state probe(spec, timestamp(0));
+    return {spec.id, estimate_job_work(spec, m_work_gauge), waited,
+            objective - milliseconds(probe.critical_path_ms())};
+}
+
+room_forecast scheduler::expected_room() const {
+    const pool_load present = load();
+    return {present.forecast(), present.waiting_work, present.late_work};
+}
+
 /// The load that a job meets if only its account's work is ahead of it, and at most `available` serves it.
 pool_load scheduler::load_within(const std::string& account, const resources& available) const {
     pool_load load;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "jobs/label_meters.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/pool_report.hpp"
+#include "jobs/return_schedule.hpp"
 #include "jobs/run_times.hpp"
 #include "jobs/start_window.hpp"
 #include "jobs/suspicion.hpp"
@@ -137,9 +138,16 @@
     // --- Jobs ---
 
     [[nodiscard]] bool has_job(const std::string& job) const { return m_jobs.contains(job); }
-    /// `account`: the account of the job; empty if it has none.
-    [[nodiscard]] admission_verdict check_admission(const job_spec& spec,
-                                                    const std::string& account = {}) const;
+    /// `account`: the account of the job; empty if it has none. `waited`: time since the client's first
+    /// attempt; 0 if the job was not refused before.
+    [[nodiscard]] admission_verdict check_admission(const job_spec& spec, const std::string& account = {},
+                                                    milliseconds waited = milliseconds(0)) const;
+    /// What a refused job asks for, and what the pool expects; for the job's return.
+    [[nodiscard]] refused_job describe_refused(const job_spec& spec, milliseconds objective,
+                                               milliseconds waited) const;
+    [[nodiscard]] room_forecast expected_room() const;
+    /// `accepted_at`: when its objective begins: on acceptance or, if it was refused before, on the client's
+    /// first attempt.
     void add_job(const job_record& record, timestamp accepted_at);
     /// Adds a job that a previous owner stored. Its tasks start once every VM that may run them has reported
     /// or ended, or after takeover_timeout.
--- a/node/pool_inbox.cpp
+++ b/node/pool_inbox.cpp
@@ -43,7 +43,7 @@
         return;
     }
     const std::string job = item.key.substr(submit_key(m_pool, "").size());
-    const auto record = decode_archive<jobs::job_record>(item.value);
+    auto record = decode_archive<jobs::job_record>(item.value);
     if (!record) {
         log_event(event_id::run_noted, {{"what", "inbox-damaged"}, {"key", item.key}});
         remove_from_inbox(item.key);
@@ -51,6 +51,9 @@
     }
     // The acceptance was already reported to the client, so the job is taken regardless of the load.
     log_event(event_id::submit_accepted, {{"pool", m_pool}, {"job", job}, {"by", "inbox"}});
+    if (const milliseconds waited = m_first_attempts.waited(job, event_loop::now()); waited > 0ms) {
+        record.value().accepted_ms = std::min(record.value().accepted_ms, wall_clock_ms() - waited.count());
+    }
     // An item whose transfer is in flight stays unchanged: its transaction is conditional on the revision
     // that was read.
     m_inbox_jobs.try_emplace(job, inbox_job{record.value(), item.key, item.revision, false});
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -58,24 +58,40 @@
         done(make_answer(peer_outcome::over_limit));
         return true;
     }
-    m_scheduler.record_job_arrival(request.spec, event_loop::now());
-    const jobs::admission_verdict verdict = m_scheduler.check_admission(request.spec, request.account);
-    const std::int64_t waiting_ms = verdict.queue_time.count();
+    const timestamp now = event_loop::now();
+    m_scheduler.record_job_arrival(request.spec, now);
+    m_returns.drop(id);
+    const jobs::admission_verdict verdict =
+        m_scheduler.check_admission(request.spec, request.account, m_first_attempts.waited(id, now));
     if (!verdict.accepted) {
-        peer_answer answer = make_answer(peer_outcome::overloaded);
-        answer.retry_after_ms = verdict.retry_after.count();
-        answer.inbox_age_ms = inbox_age().count();
-        log_event(event_id::submit_refused, {{"pool", m_pool},
-                                             {"job", id},
-                                             {"why", "load"},
-                                             {"account", request.account.empty() ? "-" : request.account},
-                                             {"inbox_age_ms", answer.inbox_age_ms},
-                                             {"waiting_ms", waiting_ms},
-                                             {"retry_after_ms", verdict.retry_after.count()}});
-        done(answer);
-        return true;
+        refuse_for_load(request, verdict, done);
     }
-    return false;
+    return !verdict.accepted;
+}
+
+void pool_task::refuse_for_load(const peer_request& request, const jobs::admission_verdict& verdict,
+                                const reply& done) {
+    const timestamp now = event_loop::now();
+    const std::string& id = request.spec.id;
+    const milliseconds waited = m_first_attempts.waited(id, now);
+    const jobs::return_time back =
+        m_returns.schedule(m_scheduler.describe_refused(request.spec, verdict.objective, waited),
+                           m_scheduler.expected_room(), now);
+    m_first_attempts.record_refusal(id, now + jobs::useful_time(verdict.objective), now);
+    peer_answer answer = make_answer(peer_outcome::overloaded);
+    answer.retry_after_ms = back.retry_after.count();
+    answer.inbox_age_ms = inbox_age().count();
+    m_context.counters.increment(waited > 0ms ? "submits_returned_refused" : "submits_refused");
+    log_event(event_id::submit_refused, {{"pool", m_pool},
+                                         {"job", id},
+                                         {"why", "load"},
+                                         {"account", request.account.empty() ? "-" : request.account},
+                                         {"inbox_age_ms", answer.inbox_age_ms},
+                                         {"waiting_ms", verdict.queue_time.count()},
+                                         {"waited_ms", waited.count()},
+                                         {"retry_after_ms", answer.retry_after_ms},
+                                         {"has_room", back.has_room ? 1 : 0}});
+    done(answer);
 }
 
 void pool_task::query_admission(const peer_request& request, const reply& done) {
@@ -89,13 +105,20 @@
         return;
     }
     const std::string& id = request.spec.id;
-    const std::int64_t waiting_ms = m_scheduler.load().queue_wait().count();
+    const timestamp now = event_loop::now();
+    const std::optional<timestamp> first_attempt = m_first_attempts.find(id, now);
+    const milliseconds waited = m_first_attempts.waited(id, now);
     log_event(event_id::submit_accepted, {{"pool", m_pool},
                                           {"job", id},
                                           {"account", request.account.empty() ? "-" : request.account},
-                                          {"waiting_ms", waiting_ms}});
+                                          {"waiting_ms", m_scheduler.load().queue_wait().count()},
+                                          {"waited_ms", waited.count()}});
+    if (first_attempt) {
+        m_context.counters.increment("submits_returned_accepted");
+    }
     m_submitting.emplace(id, request.account);
-    m_submits.push_back({{request.spec, wall_clock_ms(), request.account}, done});
+    m_submits.push_back(
+        {{request.spec, wall_clock_ms() - waited.count(), request.account}, done, first_attempt});
     if (!m_writing_submits) {
         write_submits();
     }
@@ -216,7 +239,7 @@
 }
 
 void pool_task::on_submit_stored(const waiting_submit& item) {
-    add_job(item.record, event_loop::now());
+    add_job(item.record, item.first_attempt.value_or(event_loop::now()));
     finish_submit(item.record.spec.id, item.done, peer_outcome::ok);
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -76,6 +76,7 @@
     struct waiting_submit {
         jobs::job_record record;
         reply done;
+        std::optional<timestamp> first_attempt; ///< Of a job that was refused before.
     };
     /// A job that an entry accepted and stored in the inbox.
     struct inbox_job {
@@ -149,6 +150,8 @@
 
     // Requests.
     bool answer_without_accepting(const peer_request& request, const reply& done);
+    void refuse_for_load(const peer_request& request, const jobs::admission_verdict& verdict,
+                         const reply& done);
     void query_admission(const peer_request& request, const reply& done);
     void submit(const peer_request& request, const reply& done);
     void cancel(const peer_request& request, const reply& done);
@@ -241,6 +244,8 @@
     std::map<std::string, std::string> m_unconfirmed_submits;
     std::multimap<std::string, reply> m_repeated_submits; ///< Repeats of submits that are in progress.
     std::unique_ptr<timer> m_submit_timer;
+    jobs::first_attempts m_first_attempts; ///< Of jobs that were refused for load.
+    jobs::return_schedule m_returns;       ///< When refused clients were told to return.
     std::vector<waiting_cancel> m_cancels;
     /// Cancellations that found no job yet, or were read while the ownership was lost.
     std::vector<platform::store_item> m_unresolved_inbox_cancels;
--- a/tests/jobs/demand_peak_replay.hpp
+++ b/tests/jobs/demand_peak_replay.hpp
@@ -9,7 +9,8 @@
 namespace siskinpaddle::tests {
 
 /// Replays a demand peak on a pool's scheduler in steps of 100 ms: clients submit jobs of eight tasks of one
-/// second, the scheduler accepts or refuses each, and VMs of 32 cores run the started tasks.
+/// second, the scheduler accepts or refuses each, and VMs of 32 cores run the started tasks. Results count
+/// from a client's first attempt.
 class demand_peak_replay {
   public:
     /// Counts of submitted jobs by result.
@@ -35,6 +36,7 @@
     /// Advances by one step in which `jobs` jobs are submitted.
     void advance(int jobs) {
         m_fixture.advance_clock(100ms);
+        submit_again();
         for (int i = 0; i < jobs; ++i) {
             submit("j" + std::to_string(m_result.submitted++));
         }
@@ -56,17 +58,55 @@
     }
     [[nodiscard]] int refused() const { return m_refused; }
 
+    /// Lets refused clients return when they are told to, `attempts` attempts each in all.
+    void let_clients_return(int attempts) { m_max_attempts = attempts; }
+    /// Second -> jobs that were promised room and returned in it.
+    [[nodiscard]] const std::map<std::int64_t, int>& promised_returns() const { return m_promised_returns; }
+
   private:
+    struct returning_client {
+        std::string job;
+        timestamp at{0};
+        bool has_room = false;
+    };
+
     static constexpr milliseconds objective = 2200ms;
 
+    void submit_again() {
+        std::vector<returning_client> due;
+        std::erase_if(m_returning, [&](const returning_client& client) {
+            if (client.at > m_fixture.now()) {
+                return false;
+            }
+            due.push_back(client);
+            return true;
+        });
+        for (const returning_client& client : due) {
+            m_promised_returns[client.at / 1s] += client.has_room ? 1 : 0;
+            submit(client.job);
+        }
+    }
+
     void submit(const std::string& id) {
+        const timestamp now = m_fixture.now();
+        const timestamp first = m_first_sends.try_emplace(id, now).first->second;
         const job_record record = scheduler_fixture::record(id, {scheduler_fixture::step(8)});
-        if (!m_fixture.pool().check_admission(record.spec).accepted) {
-            ++m_refused;
+        const milliseconds waited = m_first_attempts.waited(id, now);
+        m_returns.drop(id);
+        const admission_verdict verdict = m_fixture.pool().check_admission(record.spec, {}, waited);
+        if (verdict.accepted) {
+            m_fixture.pool().add_job(record, now - waited);
+            m_accepted[id] = first;
             return;
         }
-        m_fixture.add_job(id, record.spec.steps);
-        m_accepted[id] = m_fixture.now();
+        ++m_refused;
+        m_first_attempts.record_refusal(id, now + useful_time(verdict.objective), now);
+        const return_time back =
+            m_returns.schedule(m_fixture.pool().describe_refused(record.spec, verdict.objective, waited),
+                               m_fixture.pool().expected_room(), now);
+        if (++m_attempts[id] < m_max_attempts) {
+            m_returning.push_back({id, now + back.retry_after, back.has_room});
+        }
     }
 
     void report(const std::string& vm) {
@@ -102,11 +142,18 @@
 
     scheduler_fixture m_fixture;
     std::vector<std::string> m_vms;
-    std::map<std::string, timestamp> m_accepted; ///< Jobs not done yet -> when accepted.
+    std::map<std::string, timestamp> m_accepted; ///< Jobs not done yet -> when first sent.
     std::vector<std::pair<timestamp, start_order>> m_running;
     std::map<std::string, std::int64_t> m_sequences; ///< VM -> sequence number of its latest run end.
     result m_result;
     int m_refused = 0;
+    int m_max_attempts = 1;
+    first_attempts m_first_attempts;
+    return_schedule m_returns;
+    std::vector<returning_client> m_returning;
+    std::map<std::string, timestamp> m_first_sends; ///< By job.
+    std::map<std::string, int> m_attempts;          ///< Refused attempts by job.
+    std::map<std::int64_t, int> m_promised_returns; ///< By second.
 };
 
 } // namespace siskinpaddle::tests
