--- a/soak/invariant_checks.hpp
+++ b/soak/invariant_checks.hpp
@@ -81,9 +81,8 @@
 };
 
 /// Returns violations in the records of clients and VMs: duplicate runs of a task (more than two at a time of
-/// a speculative one), runs of refused, cancelled
-/// or unknown jobs, too many runs on a VM, and jobs shown as completed too early. `now` is the time at which
-/// the records were read. Pure.
+/// a speculative one), runs of refused, cancelled or unknown jobs, too many runs on a VM, and jobs shown as
+/// completed too early. `now` is the time at which the records were read. Pure.
 [[nodiscard]] std::vector<std::string> check_runs(const std::map<std::string, job_history>& jobs,
                                                   const std::vector<vm_run>& runs, const check_bounds& bounds,
                                                   timestamp now);
