A quarantined VM is not kept reserved for an isolated job

Cause: few VMs may be isolated at a time, in a pool of four one.

Change: the reservation ends with the quarantine. tests/jobs/isolation_test is red without it.

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -325,7 +325,7 @@
     void confirm_superseded_vms(const vm_info& alive, timestamp now);
     [[nodiscard]] std::vector<task_id> suspects_on(const std::string& vm) const;
     void infer_crash_evidence(timestamp now);
-    void mark_suspect_vms();
+    void mark_suspect_vms(timestamp now);
     [[nodiscard]] std::size_t usable_vm_count() const;
     [[nodiscard]] double shrink_factor() const;
     [[nodiscard]] pool_load load_within(const std::string& account, const resources& available) const;
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -31,7 +31,7 @@
     settle_inherited_use();
     record_unresponsive_vms(now);
     m_isolation_lacks_vm = false;
-    mark_suspect_vms();
+    mark_suspect_vms(now);
     m_wall_offset = milliseconds(owner.wall_ms) - now;
     update_runs(now, owner.hears_answers);
     place_waiting_tasks(now);
--- a/jobs/scheduler_suspects.cpp
+++ b/jobs/scheduler_suspects.cpp
@@ -268,8 +268,10 @@
         std::ranges::count_if(m_vms, [](const auto& item) { return accepts_work(item.second); }));
 }
 
-/// Marks the VMs where suspected tasks run, and ends the isolation of VMs that no task needs any more.
-void scheduler::mark_suspect_vms() {
+/// Marks the VMs where suspected tasks run, and ends the isolation of VMs that no task needs any more. A VM
+/// that takes no work is not kept either: few VMs may be isolated at a time, and a quarantine lasts longer
+/// than the runs that the other jobs wait for.
+void scheduler::mark_suspect_vms(timestamp now) {
     if (m_suspects.empty() && !m_has_suspect_marks) {
         return;
     }
@@ -294,8 +296,9 @@
         }
     }
     for (auto& [name, vm] : m_vms) {
+        const bool usable = accepts_work(vm) && !vm.is_quarantined(now);
         const bool needed = isolated.contains(vm.isolated_for_job) &&
-                            (accepts_work(vm) || vm.suspect_jobs.contains(vm.isolated_for_job));
+                            (usable || vm.suspect_jobs.contains(vm.isolated_for_job));
         if (!needed) {
             vm.isolated_for_job.clear();
         }
