Tasks of a step are kept in as few availability zones as possible

Load: a zone is cut off while jobs run. Their tasks there start again only when the lease of their VM has run out, 6 s later, and a job is as late as its last task. With 8 to 32 tasks a step over six zones nearly every job had one in the lost zone.

Change: jobs/zone_ranking. A step goes where its job runs already, else to a zone that can host all of it; VMs in use before empty ones, then the zone with the least short work. Long-running tasks are spread as before.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -30,3 +30,4 @@
 #include "jobs/vm_record.hpp"
 #include "jobs/vm_state.hpp"
 #include "jobs/work_gauge.hpp"
+#include "jobs/zone_ranking.hpp"
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -13,6 +13,12 @@
     return static_cast<std::size_t>(std::distance(first, last));
 }
 
+std::size_t count_runs_of_job(const vm_state& vm, const std::string& job) {
+    const auto first = vm.tasks().lower_bound({job, 0, 0, 0});
+    const auto last = std::find_if(first, vm.tasks().end(), [&](const task_id& id) { return id.job != job; });
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
 /// Whether the VM accepts tasks of the step, regardless of its free capacity.
 bool accepts_step(const vm_state& vm, const step_spec& step, const task_id& task,
                   const placement_settings& settings, timestamp now) {
@@ -85,24 +91,51 @@
     return need;
 }
 
+std::vector<zone_capacity> zone_capacities(const vm_table& vms, const job_state& job, const task_id& task,
+                                           const placement_settings& settings, const step_advice* advice,
+                                           timestamp now) {
+    const step_spec& step = job.spec().steps[task.step];
+    const resources need = reserved_resources(step);
+    std::map<std::string, zone_capacity> zones;
+    for (const auto& [incarnation, vm] : vms) {
+        zone_capacity& zone = zones[vm.info().availability_zone];
+        zone.short_run_millicores += vm.used().cpu_millicores - vm.long_lived_used().cpu_millicores;
+        zone.running_tasks += static_cast<std::uint32_t>(count_runs_of_job(vm, task.job));
+        if (!can_host(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now)) {
+            continue;
+        }
+        const std::uint32_t fitting = count_fitting_tasks(vm, step, task);
+        zone.fitting_tasks += fitting;
+        zone.fitting_beside += vm.has_no_runs() ? 0 : fitting;
+        zone.holds_data = zone.holds_data || (!step.data_rack.empty() && step.data_rack == vm.info().rack);
+    }
+    std::vector<zone_capacity> result;
+    for (auto& [name, zone] : zones) {
+        zone.zone = name;
+        result.push_back(std::move(zone));
+    }
+    return result;
+}
+
 vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
                     const placement_settings& settings, const step_advice* advice,
-                    const std::string& preferred_rack, timestamp now) {
+                    const placement_preference& preferred, timestamp now) {
     const step_spec& step = job.spec().steps[task.step];
     const resources need = reserved_resources(step);
     const std::vector<std::string>& failed_on = job.task(task).failed_on;
     vm_state* best = nullptr;
-    std::tuple<bool, bool, bool, int, bool, double> best_cost;
+    std::tuple<bool, bool, bool, int, std::size_t, bool, double> best_cost;
     for (auto& [incarnation, vm] : vms) {
         if (!can_host(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now)) {
             continue;
         }
         const bool failed_here = std::ranges::find(failed_on, incarnation) != failed_on.end();
-        const bool far = !preferred_rack.empty() && preferred_rack != vm.info().rack;
+        const bool far = !preferred.rack.empty() && preferred.rack != vm.info().rack;
         const std::tuple cost{failed_here,
                               far,
                               vm.has_other_suspects(task.job),
                               vm.consecutive_failures(),
+                              preferred.zones.position_of(vm.info().availability_zone),
                               !vm.hosts_long_lived(),
                               -utilization(vm, need)};
         if (best == nullptr || cost < best_cost) {
--- a/jobs/placement.hpp
+++ b/jobs/placement.hpp
@@ -3,6 +3,7 @@
 #include "jobs/advice.hpp"
 #include "jobs/job_state.hpp"
 #include "jobs/vm_state.hpp"
+#include "jobs/zone_ranking.hpp"
 
 #include <functional>
 #include <map>
@@ -20,15 +21,27 @@
     milliseconds max_response_age = 2600ms;
 };
 
+/// Where the tasks of a step are placed if there is a choice.
+struct placement_preference {
+    std::string rack; ///< The rack where they would run faster; empty for any.
+    zone_ranking zones;
+};
+
+/// Returns what each zone has for the waiting tasks of the task's step. `advice`: as for `choose_vm`. `task`:
+/// any task of the step.
+[[nodiscard]] std::vector<zone_capacity> zone_capacities(const vm_table& vms, const job_state& job,
+                                                         const task_id& task,
+                                                         const placement_settings& settings,
+                                                         const step_advice* advice, timestamp now);
+
 /// Chooses the VM for one task among those that can host it; VMs on which the task has failed are the last
-/// resort. VMs that host long-lived tasks are filled first, then the VM with the highest utilization that
-/// has enough free capacity. Packing runs this way leaves whole VMs idle, so that they can be moved to other
-/// pools, and the loss of a VM affects fewer jobs. Returns null if no VM can host the task.
-/// `advice`: the policy service's answers if the queue's policy allows only some VMs, else null.
-/// `preferred_rack`: the rack where the task would run faster; empty for any.
+/// resort. In the preferred zone, VMs that host long-lived tasks are filled first, then the VM with the
+/// highest utilization that has enough free capacity. Packing runs this way leaves whole VMs idle, so that
+/// they can be moved to other pools, and the loss of a VM affects fewer jobs. Returns null if no VM can host
+/// the task. `advice`: the policy service's answers if the queue's policy allows only some VMs, else null.
 [[nodiscard]] vm_state* choose_vm(vm_table& vms, const job_state& job, const task_id& task,
                                   const placement_settings& settings, const step_advice* advice,
-                                  const std::string& preferred_rack, timestamp now);
+                                  const placement_preference& preferred, timestamp now);
 
 /// Chooses the VM for a suspected task: prefers VMs without suspected tasks of other jobs, then the VM whose
 /// loss would cause the least damage. `allow_new_vm`: whether VMs without suspected tasks are eligible. Other
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -330,8 +330,8 @@
     [[nodiscard]] double shrink_factor() const;
     [[nodiscard]] pool_load load_within(const std::string& account, const resources& available) const;
     [[nodiscard]] vm_state* choose_vm_for_task(const job_state& job, const task_id& id,
-                                               const step_advice* advice, const std::string& preferred_rack,
-                                               timestamp now);
+                                               const step_advice* advice,
+                                               const placement_preference& preferred, timestamp now);
     [[nodiscard]] vm_state* choose_isolated_vm(const job_state& job, const task_id& id,
                                                const step_advice* advice, timestamp now);
     [[nodiscard]] std::size_t unproven_runs_of_other_jobs(const vm_state& vm, const std::string& job,
@@ -359,8 +359,10 @@
     [[nodiscard]] std::uint64_t vms_for_long_lived(std::size_t usable_vms) const;
     [[nodiscard]] std::map<std::string, std::int64_t> wanted_by_label(timestamp now) const;
     void place_step(job_state& job, step_position position, timestamp now);
+    [[nodiscard]] placement_preference preference_for(const job_state& job, step_position position,
+                                                      std::string rack, timestamp now);
     bool place_task(job_state& job, const task_id& id, std::uint32_t attempt,
-                    const std::string& preferred_rack, timestamp now);
+                    const placement_preference& preferred, timestamp now);
     [[nodiscard]] step_advice* advice_for(const job_state& job, step_position position);
     void request_advice(const job_state& job, step_position position, step_advice& advice, timestamp now);
     void place_gang(job_state& job, step_position position, timestamp now);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -277,6 +277,7 @@
         place_gang(job, position, now);
         return;
     }
+    const placement_preference preferred = preference_for(job, position, step.data_rack, now);
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const task_id id = job.id_of(position, index);
         const task_state& task = job.task(id);
@@ -286,8 +287,7 @@
         if (!m_start_window.can_send(now) || is_blocked_by_limit(job, position)) {
             return;
         }
-        const bool placed =
-            place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, step.data_rack, now);
+        const bool placed = place_task(job, id, std::max(task.attempts, m_first_attempt) + 1, preferred, now);
         if (!placed && task.crashes.empty()) {
             return; // All tasks of a step are alike: if one finds no capacity, none does.
         }
@@ -310,13 +310,26 @@
     return true;
 }
 
+/// Long-lived tasks have no preferred zone: they serve their users together, and a zone that is lost must not
+/// take all of them.
+placement_preference scheduler::preference_for(const job_state& job, step_position position, std::string rack,
+                                               timestamp now) {
+    placement_preference preferred{std::move(rack), {}};
+    if (!job.spec().steps[position.step].long_lived) {
+        preferred.zones = rank_zones(zone_capacities(m_vms, job, job.id_of(position, 0), m_settings.placement,
+                                                     advice_for(job, position), now),
+                                     job.idle_tasks(position));
+    }
+    return preferred;
+}
+
 bool scheduler::place_task(job_state& job, const task_id& id, std::uint32_t attempt,
-                           const std::string& preferred_rack, timestamp now) {
+                           const placement_preference& preferred, timestamp now) {
     if (!job.crashes_stored(id)) {
         return false;
     }
     const step_advice* advice = advice_for(job, {id.occurrence, id.step});
-    vm_state* vm = choose_vm_for_task(job, id, advice, preferred_rack, now);
+    vm_state* vm = choose_vm_for_task(job, id, advice, preferred, now);
     if (vm == nullptr) {
         return false;
     }
@@ -390,11 +403,12 @@
                                  ? rack_for_gang(m_vms, job, job.id_of(position, 0), m_settings.placement,
                                                  advice_for(job, position), now)
                                  : step.data_rack;
+    const placement_preference preferred = preference_for(job, position, rack, now);
     const std::size_t before = m_pending_decisions.starts.size();
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const task_id id = job.id_of(position, index);
         job.task(id).checkpoint = checkpoint;
-        if (place_task(job, id, attempt + 1, rack, now)) {
+        if (place_task(job, id, attempt + 1, preferred, now)) {
             continue;
         }
         while (m_pending_decisions.starts.size() > before) {
--- a/jobs/scheduler_suspects.cpp
+++ b/jobs/scheduler_suspects.cpp
@@ -306,11 +306,11 @@
 }
 
 vm_state* scheduler::choose_vm_for_task(const job_state& job, const task_id& id, const step_advice* advice,
-                                        const std::string& preferred_rack, timestamp now) {
+                                        const placement_preference& preferred, timestamp now) {
     const task_state& task = job.task(id);
     const suspicion level = suspicion_of(task.crashes);
     if (level < suspicion::suspected) {
-        return choose_vm(m_vms, job, id, m_settings.placement, advice, preferred_rack, now);
+        return choose_vm(m_vms, job, id, m_settings.placement, advice, preferred, now);
     }
     std::erase_if(m_suspect_starts,
                   [&](const auto& item) { return now - item.second >= suspect_start_interval; });
@@ -327,7 +327,7 @@
         std::ranges::count_if(m_vms, [](const auto& item) { return !item.second.suspect_jobs.empty(); }));
     const bool allow_new_vm =
         gang || at_risk < max_vms_at_risk(usable_vm_count()) || now - task.idle_since >= spread_delay;
-    return choose_vm_for_suspect(m_vms, job, id, m_settings.placement, advice, preferred_rack, allow_new_vm,
+    return choose_vm_for_suspect(m_vms, job, id, m_settings.placement, advice, preferred.rack, allow_new_vm,
                                  now);
 }
 
