--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -197,6 +197,23 @@
     return unneeded;
 }
 
+/// Raises the number of machines above which a pool releases some by its reserve. Returns what each pool
+/// keeps.
+std::map<std::string, std::size_t> keep_reserves(std::vector<pool_account>& pools, std::size_t machines,
+                                                 const balance_settings& settings, balance_state& state,
+                                                 timestamp now) {
+    std::vector<pool_level> levels;
+    levels.reserve(pools.size());
+    for (const pool_account& pool : pools) {
+        levels.push_back({pool.name, pool.held, pool.wanted});
+    }
+    std::map<std::string, std::size_t> kept = state.reserves.update(levels, machines, settings.reserves, now);
+    for (pool_account& pool : pools) {
+        pool.retained = std::max(pool.retained, kept[pool.name]);
+    }
+    return kept;
+}
+
 class planner {
   public:
     planner(std::vector<pool_account> pools, std::vector<const balance_machine*> spares, balance_state& state)
@@ -354,9 +371,11 @@
     for (const pool_account& pool : pools) {
         available += pool.held;
     }
+    std::map<std::string, std::size_t> kept = keep_reserves(pools, available, settings, state, now);
     const std::size_t unneeded = assign_unneeded(pools, distribute_shares(pools, available));
     planner plan_builder(std::move(pools), std::move(spares), state);
     plan_builder.plan().unneeded_machines = unneeded;
+    plan_builder.plan().kept = std::move(kept);
     plan_builder.fill_labels();
     plan_builder.fill_pools();
     for (pool_account& pool : plan_builder.pools()) {
--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/core.hpp"
+#include "jobs/pool_reserves.hpp"
 
 #include <cstdint>
 #include <map>
@@ -94,8 +94,9 @@
 
 struct balance_plan {
     std::vector<machine_move> moves;
-    std::set<std::string> vms_to_evacuate; ///< VMs to evacuate so that their machines can be moved next.
-    std::size_t unneeded_machines = 0;     ///< Machines beyond the demand of all pools together.
+    std::set<std::string> vms_to_evacuate;   ///< VMs to evacuate so that their machines can be moved next.
+    std::size_t unneeded_machines = 0;       ///< Machines beyond the demand of all pools together.
+    std::map<std::string, std::size_t> kept; ///< Pool -> VMs that it keeps, as of pool_reserves.
 };
 
 /// State carried over from one plan to the next.
@@ -103,6 +104,7 @@
     std::map<std::string, timestamp> surplus_since; ///< Pool -> when its surplus began.
     /// Pairs of machine kind and pool for which a move was refused.
     std::set<std::pair<std::string, std::string>> refused_kinds;
+    pool_reserves reserves;
 };
 
 struct balance_settings {
@@ -113,11 +115,14 @@
     milliseconds release_delay = 500ms;
     /// Factor on the demand, since tasks don't fill a VM to the last core.
     double headroom = 1.15;
+    reserve_settings reserves;
 };
 
 /// Plans which machines move to which pool. Demand peaks move from pool to pool and reach several times the
 /// capacity of one pool while other pools idle: unused machines are moved to the pools that need them, and to
-/// the spare pool, where they cost nothing, while no pool needs them. If the pools together need more than
+/// the spare pool, where they cost nothing, while no pool needs them; of the idle ones each pool keeps its
+/// reserve
+/// (`pool_reserves`), which yields to the need of other pools. If the pools together need more than
 /// there is, each gets the same share of its need, so that a pool whose peak ends gives up machines to the
 /// one whose peak begins. Machines with labels that a pool's tasks require are assigned first and released
 /// last: counted by cores alone, a pool whose tasks require one kind of machine could be filled with another
--- a/node/fleet_moves.cpp
+++ b/node/fleet_moves.cpp
@@ -75,8 +75,10 @@
 
 void fleet_task::plan_moves() {
     const std::string spare = spare_pool();
-    const jobs::balance_plan balance =
-        jobs::plan_balance(balance_view(), recent_demands(), spare, {}, m_balance_state, event_loop::now());
+    jobs::balance_settings settings;
+    settings.reserves = m_context.settings.reserves;
+    const jobs::balance_plan balance = jobs::plan_balance(balance_view(), recent_demands(), spare, settings,
+                                                          m_balance_state, event_loop::now());
     m_unneeded_machines = balance.unneeded_machines;
     refill_order_budget();
     for (const jobs::machine_move& move : balance.moves) {
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -45,6 +45,23 @@
 }
 
 constexpr double one_hour_ms = 3'600'000;
+
+/// Reads what operators may set of the pools' reserves; absent keys leave the defaults.
+void read_reserves(json_object& root, jobs::reserve_settings& reserves, findings& out) {
+    if (const boost::json::value* share = root.child("reserve_share")) {
+        reserves.max_share = share->is_number() ? share->to_number<double>() : -1;
+        if (reserves.max_share < 0 || reserves.max_share > 1) {
+            out.add("/reserve_share", "must be a number from 0 to 1");
+        }
+    }
+    if (root.child("reserve_half_life_s") != nullptr) {
+        reserves.half_life = read_duration(root, "reserve_half_life_s", 1000, 24 * one_hour_ms, out);
+        if (reserves.half_life < 1s) {
+            out.add("/reserve_half_life_s", "must be at least 1");
+        }
+    }
+}
+
 /// Covers drift between this node's clock and the store's.
 constexpr milliseconds configuration_age_margin = 400ms;
 
@@ -130,6 +147,7 @@
     if (settings.machine_orders_per_s <= 0) {
         out.add("/machine_orders_per_s", "must be a number above 0");
     }
+    read_reserves(root, settings.reserves, out);
     const boost::json::value* share = root.child("processor_share");
     settings.processor_share = share != nullptr && share->is_number() ? share->to_number<double>() : 1;
     if (settings.processor_share <= 0) {
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -20,6 +20,10 @@
 /// Default for the maximum age of the capacities that VMs report.
 inline constexpr milliseconds default_max_capacity_age = 3s;
 
+/// Default for the share of the machines without use that pools may keep. The others stay in the spare pool,
+/// where they cost nothing and are free for maintenance and for a pool whose demand is new.
+inline constexpr double default_reserve_share = 0.25;
+
 /// Default for the time within which a new configuration must be in force.
 inline constexpr milliseconds default_configuration_time = 2s;
 
@@ -46,6 +50,8 @@
     milliseconds maintenance_time{0};
     milliseconds move_time{0};
     double machine_orders_per_s = 1;
+    /// How many machines pools keep between their demand peaks.
+    jobs::reserve_settings reserves{.max_share = default_reserve_share};
     double link_mbps = default_link_mbps; ///< Speed of the node's network link, in each direction.
     /// Time within which a revoked API key must be refused by all nodes; 0: there are no client accounts.
     milliseconds key_revocation_time{0};
