The operator's entries are watched as rarely as the bounds allow

Change: the wait is as long as the copy stays recent enough for a refusal: 2 s with a bound of five, one with two as before; with client accounts as before.

Test: node/configuration_watch_test counts calls a minute for five bounds. node/configuration_age_test waited 1.1 s for the end of the watch that was open, with a bound of a minute; it waits for as long as the watch takes now, with a bound of 8 s. The age still does not matter there, and what it checks is unchanged.

--- a/node/configuration_task.cpp
+++ b/node/configuration_task.cpp
@@ -10,11 +10,16 @@
 
 namespace {
 
-/// A version must be in force within two seconds; an unresponsive connection of the watch must be detected
-/// well within that time.
-constexpr milliseconds max_watch_wait = 1s;
+/// A wait that detects an unresponsive connection of the watch well within the shortest time in which a
+/// version must be in force, two seconds.
+constexpr milliseconds shortest_bound_wait = 1s;
+/// The platform's maximum.
+constexpr milliseconds longest_wait = 30s;
 /// The configuration's age reaches two waits of the watch while the store responds at once.
+constexpr int waits_per_cycle = 2;
 constexpr int watch_waits_per_age = 4;
+/// The answers of a slow store to two watches, and the delays of a busy node.
+constexpr milliseconds age_margin = 600ms;
 /// Delay for the node's own watch to deliver a version that a peer has already named. Nodes on fast links
 /// have a new configuration, and name its version in each answer, before the transfer to a node on a slow
 /// link is complete; without the delay, repeated reads of the same configuration would fill the slow link.
@@ -31,12 +36,14 @@
 /// Most problems of one configuration that are logged.
 constexpr std::size_t max_logged_problems = 8;
 
-milliseconds watch_wait(milliseconds max_age) {
-    return max_age == 0ms ? max_watch_wait : std::min(max_watch_wait, max_age / watch_waits_per_age);
-}
-
 } // namespace
 
+milliseconds configuration_watch_wait(const configuration_ages& ages) noexcept {
+    const milliseconds longest =
+        std::clamp((ages.max_refusal_age - age_margin) / waits_per_cycle, shortest_bound_wait, longest_wait);
+    return ages.max_age == 0ms ? longest : std::min(longest, ages.max_age / watch_waits_per_age);
+}
+
 configuration_task::configuration_task(event_loop& loop, platform::store_client& store,
                                        std::function<void()> on_change, const configuration_ages& ages)
     : m_store(store), m_on_change(std::move(on_change)), m_ages(ages),
@@ -44,7 +51,7 @@
           std::max(catch_up_delay, transfer_time_factor * store.transfer_time(platform::large_value_bytes))),
       m_catch_up_timer(loop.make_timer([this] { refresh_if_behind(); })),
       m_confirm_timer(loop.make_timer([this] { release_waiting(); })),
-      m_watch(loop, store, std::string(platform::operator_prefix), watch_wait(ages.max_age),
+      m_watch(loop, store, std::string(platform::operator_prefix), configuration_watch_wait(ages),
               [this](const platform::store_item& item) { apply_item(item); }) {
     m_watch.set_large_item(std::string(platform::configuration_key));
 }
--- a/node/configuration_task.hpp
+++ b/node/configuration_task.hpp
@@ -10,6 +10,10 @@
 
 namespace siskinpaddle::node {
 
+/// How long a watch of the operator's entries waits for a change: as long as the copy stays recent enough for
+/// a refusal, since every node watches and the platform counts each call. Pure; thread-safe.
+[[nodiscard]] milliseconds configuration_watch_wait(const configuration_ages& ages) noexcept;
+
 /// Follows the operator's entries in the store: the configuration, which never reverts to an older version
 /// within one process, and the maintenance waves. Not thread-safe.
 class configuration_task {
