--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -371,7 +371,11 @@
     for (const pool_account& pool : pools) {
         available += pool.held;
     }
-    std::map<std::string, std::size_t> kept = keep_reserves(pools, available, settings, state, now);
+    // Those that are being moved count as well: while thousands of machines leave their pools at the start of
+    // a fleet, what is up is a part of it.
+    const auto usable = static_cast<std::size_t>(std::ranges::count_if(
+        machines, [](const balance_machine& machine) { return machine.is_up || machine.is_moving; }));
+    std::map<std::string, std::size_t> kept = keep_reserves(pools, usable, settings, state, now);
     const std::size_t unneeded = assign_unneeded(pools, distribute_shares(pools, available));
     planner plan_builder(std::move(pools), std::move(spares), state);
     plan_builder.plan().unneeded_machines = unneeded;
--- a/tests/jobs/pool_reserves_test.cpp
+++ b/tests/jobs/pool_reserves_test.cpp
@@ -179,3 +179,27 @@
         }
     }
 }
+
+// Guards against reserves that shrink to nothing while a fleet starts, when most of its machines are on the
+// move.
+TEST_CASE("machines that are being moved count for the reserves") {
+    std::map<std::string, std::size_t> kept;
+    for (const bool moving : {false, true}) {
+        std::vector<balance_machine> machines(1000);
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            machines[i].machine = "m-" + std::to_string(i);
+            machines[i].vm = "vm-" + std::to_string(i);
+            machines[i].pool = i < 400 ? "a" : "spare";
+            machines[i].is_moving = moving && i >= 400;
+            machines[i].is_up = !machines[i].is_moving;
+            machines[i].millicores = 32'000;
+        }
+        balance_settings settings;
+        settings.reserves.max_share = 0.25;
+        balance_state state;
+        const auto plan = plan_balance(machines, {{"a", {}}}, "spare", settings, state, timestamp(1000));
+        CHECK((kept.empty() || kept == plan.kept));
+        kept = plan.kept;
+    }
+    CHECK(kept.at("a") > 200);
+}
