--- a/jobs/balance.cpp
+++ b/jobs/balance.cpp
@@ -21,6 +21,7 @@
 struct pool_account {
     std::string name;
     std::map<std::string, label_account> labels;
+    std::size_t listed = 0;                   ///< Machines in the pool, whether or not their VMs serve it.
     std::size_t held = 0;                     ///< VMs that serve it, or will once their move is done.
     std::size_t min_vms = 0;                  ///< It keeps these whatever other pools need.
     std::size_t committed = 0;                ///< For its minimum and its accepted work.
@@ -72,7 +73,11 @@
                        const std::vector<balance_machine>& machines) {
     std::vector<std::pair<std::int64_t, const balance_machine*>> evacuation_candidates;
     for (const balance_machine& machine : machines) {
-        if (machine.pool != account.name || machine.is_reserved) {
+        if (machine.pool != account.name) {
+            continue;
+        }
+        ++account.listed;
+        if (machine.is_reserved) {
             continue;
         }
         const vm_load* load = find_load(demand, machine.vm);
@@ -205,7 +210,7 @@
     std::vector<pool_level> levels;
     levels.reserve(pools.size());
     for (const pool_account& pool : pools) {
-        levels.push_back({pool.name, pool.held, pool.wanted});
+        levels.push_back({pool.name, pool.listed, pool.wanted});
     }
     std::map<std::string, std::size_t> kept = state.reserves.update(levels, machines, settings.reserves, now);
     for (pool_account& pool : pools) {
--- a/jobs/pool_reserves.cpp
+++ b/jobs/pool_reserves.cpp
@@ -23,7 +23,7 @@
     for (const pool_level& item : pools) {
         const auto wanted = static_cast<double>(item.wanted);
         total += wanted;
-        const auto [peak, is_new] = m_peaks.try_emplace(item.pool, static_cast<double>(item.held));
+        const auto [peak, is_new] = m_peaks.try_emplace(item.pool, static_cast<double>(item.listed));
         peak->second = std::max(wanted, is_new ? peak->second : peak->second * fading);
     }
     m_total_peak = std::max(total, m_total_peak * fading);
--- a/jobs/pool_reserves.hpp
+++ b/jobs/pool_reserves.hpp
@@ -20,7 +20,7 @@
 /// What is to be known about a pool to decide its reserve; counts of VMs.
 struct pool_level {
     std::string pool;
-    std::size_t held = 0;
+    std::size_t listed = 0; ///< Machines in the pool, whether or not their VMs serve it yet.
     std::size_t wanted = 0; ///< For its present demand, whether or not there are as many machines.
 };
 
--- a/tests/jobs/pool_reserves_test.cpp
+++ b/tests/jobs/pool_reserves_test.cpp
@@ -203,3 +203,25 @@
     }
     CHECK(kept.at("a") > 200);
 }
+
+// Guards against a pool that gives up its reserve for good in the first round, when its owner has heard of
+// few VMs.
+TEST_CASE("a pool keeps its reserve while its VMs don't serve it yet") {
+    std::vector<balance_machine> machines(1000);
+    std::map<std::string, pool_demand> demands;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        machines[i].machine = "m-" + std::to_string(i);
+        machines[i].vm = "vm-" + std::to_string(i);
+        machines[i].pool = i < 400 ? "a" : "spare";
+        machines[i].is_up = true;
+        machines[i].millicores = 32'000;
+        if (i < 400) {
+            demands["a"].vms.push_back({machines[i].vm, i < 10, false, false, false, 0});
+        }
+    }
+    balance_settings settings;
+    settings.reserves.max_share = 0.25;
+    balance_state state;
+    const auto plan = plan_balance(machines, demands, "spare", settings, state, timestamp(1000));
+    CHECK(plan.kept.at("a") > 200);
+}
