Zones are ranked only in pools with many VMs in use

Cause: each zone keeps partly filled VMs of its own. In a pool with a dozen VMs in use these are a large part of its capacity, in a pool with a thousand they are nothing.

Change: no preference while fewer than eight VMs a zone are in use on average.

--- a/jobs/balance.hpp
+++ b/jobs/balance.hpp
@@ -120,9 +120,8 @@
 
 /// Plans which machines move to which pool. Demand peaks move from pool to pool and reach several times the
 /// capacity of one pool while other pools idle: unused machines are moved to the pools that need them, and to
-/// the spare pool, where they cost nothing, while no pool needs them; of the idle ones each pool keeps its
-/// reserve
-/// (`pool_reserves`), which yields to the need of other pools. If the pools together need more than
+/// the spare pool, where they cost nothing, while no pool needs them. Of the idle ones each pool keeps its
+/// reserve (`pool_reserves`), which yields to the need of other pools. If the pools together need more than
 /// there is, each gets the same share of its need, so that a pool whose peak ends gives up machines to the
 /// one whose peak begins. Machines with labels that a pool's tasks require are assigned first and released
 /// last: counted by cores alone, a pool whose tasks require one kind of machine could be filled with another
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -100,6 +100,7 @@
     for (const auto& [incarnation, vm] : vms) {
         zone_capacity& zone = zones[vm.info().availability_zone];
         zone.short_run_millicores += vm.used().cpu_millicores - vm.long_lived_used().cpu_millicores;
+        zone.vms_in_use += vm.has_no_runs() ? 0 : 1;
         zone.running_tasks += static_cast<std::uint32_t>(count_runs_of_job(vm, task.job));
         if (!can_host(vm, step, need, task, settings, now) || !is_allowed(advice, incarnation, now)) {
             continue;
--- a/jobs/zone_ranking.cpp
+++ b/jobs/zone_ranking.cpp
@@ -5,11 +5,26 @@
 
 namespace siskinpaddle::jobs {
 
+namespace {
+
+bool are_used_enough(const std::vector<zone_capacity>& zones) {
+    std::size_t vms_in_use = 0;
+    for (const zone_capacity& item : zones) {
+        vms_in_use += item.vms_in_use;
+    }
+    return vms_in_use >= min_used_vms_per_zone * zones.size();
+}
+
+} // namespace
+
 std::size_t zone_ranking::position_of(const std::string& zone) const {
     return static_cast<std::size_t>(std::ranges::find(m_zones, zone) - m_zones.begin());
 }
 
 zone_ranking rank_zones(std::vector<zone_capacity> zones, std::uint32_t tasks) {
+    if (!are_used_enough(zones)) {
+        return {};
+    }
     const auto cost_of = [tasks](const zone_capacity& item) {
         const bool fits = item.fitting_tasks >= tasks;
         const std::int64_t missing = fits ? 0 : tasks - item.fitting_tasks;
--- a/jobs/zone_ranking.hpp
+++ b/jobs/zone_ranking.hpp
@@ -14,8 +14,13 @@
     std::uint32_t fitting_tasks = 0;       ///< Tasks of the step that its VMs can host.
     std::uint32_t fitting_beside = 0;      ///< The part of these on VMs that run something already.
     std::int64_t short_run_millicores = 0; ///< Capacity that short runs of all jobs use.
+    std::uint32_t vms_in_use = 0;          ///< Number of VMs that run something.
 };
 
+/// Least number of VMs in use per zone from which zones are ranked. Each zone keeps VMs that are partly
+/// filled; with fewer VMs in use these cost a pool more capacity than a lost zone costs its jobs.
+constexpr std::size_t min_used_vms_per_zone = 8;
+
 /// Availability zones in the order in which the tasks of one step fill them.
 class zone_ranking {
   public:
@@ -38,6 +43,7 @@
 /// where their job runs already, else to a zone that can host all of them. Among such zones VMs that are in
 /// use anyway come first, so that whole VMs stay free for other pools, then the zone with the least short
 /// work, so that the jobs are spread evenly. A step that no zone can host alone takes as few zones as it can.
+/// Returns no zones, and so no preference, if fewer than `min_used_vms_per_zone` VMs are in use on average.
 [[nodiscard]] zone_ranking rank_zones(std::vector<zone_capacity> zones, std::uint32_t tasks);
 
 } // namespace siskinpaddle::jobs
