--- a/node/node.cpp
+++ b/node/node.cpp
@@ -492,7 +492,8 @@
 /// Sets how often this node has called one kind of server for what, and the bytes of these calls.
 void node::set_call_metrics(const std::string& server, const std::map<std::string, call_counts>& calls) {
     for (const auto& [purpose, counts] : calls) {
-        const std::string label = "{to=\"" + server + "\",purpose=\"" + purpose + "\"}";
+        const std::string label =
+            std::string("{to=\"").append(server).append("\",purpose=\"").append(purpose).append("\"}");
         m_counters.set("calls" + label, counts.calls);
         m_counters.set("call_sent_bytes" + label, counts.bytes.sent);
         m_counters.set("call_received_bytes" + label, counts.bytes.received);
