The fleet's owner lists the machines at a constant rate, and its rounds grow rarer with the fleet

Cause: each round read the whole list of machines, 30 pages at 6,000 machines, and each answer of a pool's owner names its VMs.

Change: a list is begun 80 ms a page after the one before, in the background, and rounds plan by the latest list; only a wave's rounds wait for one of their own. A list that was begun before an order tells nothing about it; a machine whose move was refused is left alone until a later list shows it, and its kind counts as refused only if it is still there. Machines count as arriving for the duration of a move and a second, since the list that shows them may be old. A pool's owner doesn't release a VM whose machine runs another one already. Beyond 2,500 machines the rounds' interval grows with the fleet: 390 ms at 6,000, which is what waiting for the list had made it.

--- a/node/fleet_moves.cpp
+++ b/node/fleet_moves.cpp
@@ -39,6 +39,7 @@
         item.millicores = info.capacity.cpu_millicores;
         item.kept_empty = m_empty_vms.contains(info.incarnation);
         item.is_reserved = in_maintenance.contains(name) || m_recently_ordered.contains(name) ||
+                           m_refused_moves.contains(name) ||
                            m_vms_to_evacuate.contains(info.pool, info.incarnation);
         if (const auto move = m_moves.find(name); move != m_moves.end()) {
             item.pool = move->second.pool;
@@ -124,11 +125,13 @@
                                           {"pool", move.pool},
                                           {"outcome", name_of(outcome)},
                                           {"token", m_ownership.token}});
-    if (outcome == platform::machine_outcome::invalid) {
-        m_balance_state.refused_kinds.emplace(kind, move.pool);
+    if (outcome == platform::machine_outcome::done || outcome == platform::machine_outcome::unknown) {
+        return;
     }
-    if (outcome != platform::machine_outcome::done && outcome != platform::machine_outcome::unknown) {
-        m_moves.erase(move.machine);
+    m_moves.erase(move.machine);
+    if (outcome == platform::machine_outcome::invalid || outcome == platform::machine_outcome::busy) {
+        m_refused_moves[move.machine] = {kind, move.pool, outcome == platform::machine_outcome::invalid,
+                                         event_loop::now()};
     }
 }
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -1,5 +1,6 @@
 #include "node/fleet_task.hpp"
 
+#include "node/fleet_timing.hpp"
 #include "node/keys.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -9,27 +10,30 @@
 
 namespace {
 
-/// Interval between rounds. Demand rises to several times a pool's capacity within a second and stays there
-/// for several seconds; each round costs one call to the platform and one to each pool's owner.
-constexpr milliseconds round_interval = 160ms;
 /// A round continues without the pool owners that have not answered within this time.
 constexpr milliseconds answers_timeout = 150ms;
-/// Longest time that a round waits for the list of machines. A list takes some milliseconds, fifty times as
-/// long when the platform is slow, and several calls in a large fleet.
+/// Longest time that a round waits for the list of machines if it can't plan without. A list takes some
+/// milliseconds, fifty times as long when the platform is slow, and several calls in a large fleet.
 constexpr milliseconds list_timeout = 1s;
+/// The same if it can plan by the list before.
+constexpr milliseconds short_list_timeout = 50ms;
 /// Delay before the extra round that orders away VMs which their owners were just asked to empty. It lets the
 /// owner remove the VM from its record first: one write to the store, 6 ms.
 constexpr milliseconds immediate_round_delay = 15ms;
 /// An order without a visible effect is dropped this long after the duration of a move; the list of machines
 /// then shows where the machine is.
 constexpr milliseconds move_margin = 2500ms;
+/// A moved machine usually serves its pool within this time after the duration of a move: the platform lists
+/// its VM a little later.
+constexpr milliseconds arrival_margin = 1s;
 
 } // namespace
 
 fleet_task::fleet_task(context parts, const ownership& held)
     : m_context(std::move(parts)), m_ownership(held),
       m_timer(m_context.loop.make_timer([this] { run_round(); })),
-      m_answers_timer(m_context.loop.make_timer([this] { list_machines(); })),
+      m_answers_timer(m_context.loop.make_timer([this] { finish_queries(); })),
+      m_list_timer(m_context.loop.make_timer([this] { plan_round(); })),
       m_recently_ordered_known(held.epoch == 0 || held.was_previous_owner) {}
 
 void fleet_task::start() {
@@ -58,7 +62,7 @@
     if (m_stopped) {
         return;
     }
-    m_timer->start(round_interval);
+    m_timer->start(round_interval(m_machines.size()));
     if (!m_recently_ordered_known || !m_recently_ordered.empty()) {
         read_announcements();
     }
@@ -77,9 +81,14 @@
     query_demands();
 }
 
+/// Machines that should have arrived don't count: their VMs serve the pool, or never will, and the list that
+/// shows it may be one interval old.
 std::size_t fleet_task::count_arriving(const std::string& pool) const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_moves, [&](const auto& item) { return item.second.pool == pool; }));
+    const timestamp now = event_loop::now();
+    return static_cast<std::size_t>(std::ranges::count_if(m_moves, [&](const auto& item) {
+        return item.second.pool == pool &&
+               now - item.second.ordered_at <= m_context.settings.move_time + arrival_margin;
+    }));
 }
 
 void fleet_task::query_demands() {
@@ -126,29 +135,69 @@
     }
     if (m_unanswered.erase(pool) > 0 && m_unanswered.empty()) {
         m_answers_timer->cancel();
-        list_machines();
+        finish_queries();
+    }
+}
+
+bool fleet_task::is_wave_running() const {
+    return std::ranges::any_of(m_waves, [](const auto& item) { return !item.second.completed; });
+}
+
+/// A move that was called invalid is explained by the next list; until then the next machine would be tried.
+bool fleet_task::is_list_due() const {
+    const bool is_one_invalid =
+        std::ranges::any_of(m_refused_moves, [](const auto& item) { return item.second.is_invalid; });
+    return !m_has_list || is_wave_running() || is_one_invalid ||
+           event_loop::now() - m_listing_began_at >= list_interval(m_machines.size());
+}
+
+/// Lists the machines if it is time; the round and the next one wait for the list, or for a timeout. Without
+/// that wait rounds overtake each other: while the owner of one pool is dead, a round waits for its answer
+/// for almost the whole interval, and the list arrives after the next round has begun.
+void fleet_task::finish_queries() {
+    if (m_is_listing || !is_list_due()) {
+        plan_round();
+        return;
     }
+    m_round_waits_for_list = true;
+    m_timer->start(2 * list_timeout);
+    m_list_timer->start(m_has_list && !is_wave_running() ? short_list_timeout : list_timeout);
+    list_machines();
 }
 
-/// Lists the machines; the next round waits for the list. Without that wait rounds overtake each other: while
-/// the owner of one pool is dead, a round waits for its answer for almost the whole interval, the list
-/// arrives after the next round has begun and is dropped, and no pool gets a machine until that owner is
-/// replaced, 2.2 s later.
 void fleet_task::list_machines() {
-    m_timer->start(list_timeout);
-    m_context.machines.list(
-        [this, round = m_round, alive = m_lifetime.weak_token()](const platform::machine_list& list) {
-            if (alive.expired() || round != m_round || m_stopped) {
-                return;
-            }
-            m_timer->start(std::max(0ms, m_round_started_at + round_interval - event_loop::now()));
-            if (!list.is_complete) {
-                log_event(event_id::machines_unknown, {{"round", round}});
-                return;
-            }
-            update_machines(list);
-            plan();
-        });
+    m_is_listing = true;
+    m_listing_began_at = event_loop::now();
+    m_context.machines.list([this, alive = m_lifetime.weak_token()](const platform::machine_list& list) {
+        if (!alive.expired() && !m_stopped) {
+            on_machines_listed(list);
+        }
+    });
+}
+
+void fleet_task::on_machines_listed(const platform::machine_list& list) {
+    m_is_listing = false;
+    if (list.is_complete) {
+        m_has_list = true;
+        m_listed_at = m_listing_began_at;
+        update_machines(list);
+    } else {
+        log_event(event_id::machines_unknown, {{"round", m_round}});
+    }
+    if (m_round_waits_for_list) {
+        plan_round();
+    }
+}
+
+/// Plans if the list of machines is recent enough, and starts the timer of the next round.
+void fleet_task::plan_round() {
+    m_round_waits_for_list = false;
+    m_list_timer->cancel();
+    m_timer->start(std::max(0ms, m_round_started_at + round_interval(m_machines.size()) - event_loop::now()));
+    const milliseconds age = event_loop::now() - m_listed_at;
+    if (m_has_list && age <= max_list_age(m_machines.size(), is_wave_running())) {
+        plan();
+    }
 }
 
 void fleet_task::update_machines(const platform::machine_list& list) {
@@ -157,19 +206,39 @@
         m_machines[info.machine] = info;
     }
     remove_finished_moves();
+    record_refused_kinds();
 }
 
+/// A list that was begun before an order shows nothing about it.
 void fleet_task::remove_finished_moves() {
-    const timestamp now = event_loop::now();
     std::erase_if(m_moves, [&](const auto& item) {
+        const pending_move& move = item.second;
+        if (m_listed_at < move.ordered_at) {
+            return false;
+        }
         const auto found = m_machines.find(item.first);
         if (found == m_machines.end()) {
             return true;
         }
         const platform::machine_info& info = found->second;
-        const bool arrived = info.pool == item.second.pool && info.phase == platform::machine_phase::up &&
-                             (info.incarnation != item.second.previous_vm || info.incarnation.empty());
-        return arrived || now - item.second.ordered_at > m_context.settings.move_time + move_margin;
+        const bool arrived = info.pool == move.pool && info.phase == platform::machine_phase::up &&
+                             (info.incarnation != move.previous_vm || info.incarnation.empty());
+        return arrived || m_listed_at - move.ordered_at > m_context.settings.move_time + move_margin;
+    });
+}
+
+/// A move that the platform calls invalid tells that the pool is not for the machine's kind only if the
+/// machine still exists.
+void fleet_task::record_refused_kinds() {
+    std::erase_if(m_refused_moves, [&](const auto& item) {
+        const refused_move& refused = item.second;
+        if (m_listed_at < refused.refused_at) {
+            return false;
+        }
+        if (refused.is_invalid && m_machines.contains(item.first)) {
+            m_balance_state.refused_kinds.emplace(refused.kind, refused.pool);
+        }
+        return true;
     });
 }
 
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -17,9 +17,10 @@
 /// not receive orders from two owners alternately. Lives from gaining the duty until losing it. Not
 /// thread-safe.
 ///
-/// A round queries every pool's owner for its demand and sends it the VMs to keep empty, lists the machines,
-/// and plans. A VM is ordered away only after its pool's owner has answered that it keeps the VM empty and
-/// that nothing runs there.
+/// A round queries every pool's owner for its demand and sends it the VMs to keep empty, and plans by the
+/// latest list of machines, which is renewed in the background (`list_interval`); a wave's rounds wait for a
+/// list of their own. A VM is ordered away only after its pool's owner has answered that it keeps the VM
+/// empty and that nothing runs there.
 class fleet_task {
   public:
     /// Dependencies; all outlive the task.
@@ -54,14 +55,27 @@
         std::string previous_vm;
         timestamp ordered_at{0};
     };
+    /// A machine that the platform did not move. It is not ordered again before a later list shows it.
+    struct refused_move {
+        std::string kind;
+        std::string pool;
+        bool is_invalid = false; ///< The pool is for other kinds of machines, or the machine is gone.
+        timestamp refused_at{0};
+    };
 
     void run_round();
     void query_demands();
     void on_demand_answered(const std::string& pool, const std::set<std::string>& kept_empty,
                             std::uint64_t round, const peer_answer& answer);
+    void finish_queries();
+    [[nodiscard]] bool is_wave_running() const;
+    [[nodiscard]] bool is_list_due() const;
     void list_machines();
+    void on_machines_listed(const platform::machine_list& list);
     void update_machines(const platform::machine_list& list);
     void remove_finished_moves();
+    void record_refused_kinds();
+    void plan_round();
     void plan();
     void plan_waves();
     void plan_moves();
@@ -95,6 +109,7 @@
     ownership m_ownership;
     std::unique_ptr<timer> m_timer;
     std::unique_ptr<timer> m_answers_timer;
+    std::unique_ptr<timer> m_list_timer;
 
     std::uint64_t m_round = 0;
     timestamp m_round_started_at{0};
@@ -108,6 +123,11 @@
     /// VMs on which nothing runs and which their pools' owners keep empty, as answered in this round.
     std::set<std::string> m_empty_vms;
     std::map<std::string, platform::machine_info> m_machines;
+    timestamp m_listed_at{0}; ///< When the list that `m_machines` holds was begun.
+    timestamp m_listing_began_at{0};
+    bool m_is_listing = false;
+    bool m_has_list = false;
+    bool m_round_waits_for_list = false;
     /// An evacuation request is new: the next round can order its VM away.
     bool m_has_new_evacuation_request = false;
 
@@ -130,8 +150,9 @@
     std::map<std::int64_t, wave> m_waves;
     /// VMs that their pools' owners were asked to empty in the last round.
     std::set<std::string> m_vms_asked_to_evacuate;
-    jobs::evacuation_list m_vms_to_evacuate;     ///< VMs that their pools' owners are to keep empty.
-    std::map<std::string, pending_move> m_moves; ///< By machine.
+    jobs::evacuation_list m_vms_to_evacuate;             ///< VMs that their pools' owners are to keep empty.
+    std::map<std::string, pending_move> m_moves;         ///< By machine.
+    std::map<std::string, refused_move> m_refused_moves; ///< By machine; since the latest list.
     jobs::balance_state m_balance_state;
     std::size_t m_unneeded_machines = 0; ///< Number of machines that no pool wanted in the last plan.
     bool m_stopped = false;
--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -157,6 +157,26 @@
     }
 }
 
+/// A VM is not released if its machine runs another one already: the fleet's owner may not have listed that
+/// one yet, and its order would end what runs there.
+void pool_task::keep_succeeded_vms(std::vector<jobs::vm_load>& loads) const {
+    if (std::ranges::none_of(loads, &jobs::vm_load::released)) {
+        return;
+    }
+    std::map<std::string, std::size_t> vms_of_machine;
+    for (const auto& [vm, info] : m_directory.vms()) {
+        ++vms_of_machine[info.machine];
+    }
+    for (jobs::vm_load& load : loads) {
+        const auto known = m_scheduler.vms().find(load.vm);
+        if (!load.released || known == m_scheduler.vms().end()) {
+            continue; // A VM that the scheduler doesn't know is released because it is listed.
+        }
+        const std::size_t listed = vms_of_machine[known->second.info().machine];
+        load.released = listed == (m_directory.vms().contains(load.vm) ? 1U : 0U);
+    }
+}
+
 void pool_task::answer_demand_query(const peer_request& request, const reply& done) {
     const std::set<std::string> wanted(request.vms_to_empty.begin(), request.vms_to_empty.end());
     const bool changed = wanted != m_evacuated_vms;
@@ -179,6 +199,7 @@
         vm.released = is_evacuated(vm.vm) && !m_vm_record.may_contain(vm.vm);
     }
     add_unused_vms(answer.demand.vms);
+    keep_succeeded_vms(answer.demand.vms);
     answer.demand.vms = jobs::merge_by_id(answer.demand.vms);
     if (changed) {
         schedule_decision();
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -163,6 +163,7 @@
     void count(const peer_request& request, const reply& done) const;
     void answer_demand_query(const peer_request& request, const reply& done);
     void add_unused_vms(std::vector<jobs::vm_load>& loads) const;
+    void keep_succeeded_vms(std::vector<jobs::vm_load>& loads) const;
     void uncordon_vms(const std::set<std::string>& ids);
     void answer_stored_cancels();
     void finish_submit(const std::string& job, const reply& done, peer_outcome outcome);
