--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -7,7 +7,7 @@
 
 /// Keys that nodes use in the platform's store.
 ///
-/// - `sp/node/NODE`: address of a node; written by that node, expires with its lease.
+/// - `sp/ctl/node/NODE`: address of a node; written by that node, expires with its lease.
 /// - `sp/ctl/own/DUTY`: owner and epoch, its revision is the fencing token; written by the node that claims
 /// the duty, kept permanently.
 /// - `sp/ctl/live/DUTY`: name of the owner; written by the owner, expires with its lease.
@@ -22,8 +22,8 @@
 /// each for its own pool, kept permanently.
 /// - `sp/vms/POOL`: VMs that may hold runs; written by the pool's owner, kept permanently.
 
-inline const std::string node_prefix = "sp/node/";
 inline const std::string control_prefix = "sp/ctl/";
+inline const std::string node_prefix = "sp/ctl/node/";
 inline const std::string owner_prefix = "sp/ctl/own/";
 inline const std::string liveness_prefix = "sp/ctl/live/";
 
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -30,14 +30,7 @@
 /// duty without a takeover.
 constexpr milliseconds previous_owner_head_start = 500ms;
 
-constexpr milliseconds duty_watch_wait = 5s;
-/// The platform's maximum. Registrations matter only while a duty is vacant, when they are watched anew.
-constexpr milliseconds node_watch_wait = 30s;
-/// Pause between two watches of the registrations. Each change of one node would otherwise cost a call of
-/// every node: a restart of the fleet, as many calls as the square of its nodes.
-constexpr milliseconds node_watch_pause = 3s;
-/// The same while a duty is vacant: the order of claims goes by who is registered now.
-constexpr milliseconds vacancy_watch_pause = 100ms;
+constexpr milliseconds watch_wait = 5s;
 /// A node that has had no answer of the store for this long claims no duty that is handed over to it.
 constexpr milliseconds max_silence_to_claim = 200ms;
 
@@ -57,19 +50,15 @@
                                                settings.peers.port,
                                                settings.availability_zone,
                                                settings.processor_share},
-      m_duty_watch(loop, store, control_prefix, duty_watch_wait,
-                   [this](const platform::store_item& item) { apply_duty_change(item); }),
-      m_node_watch(
-          loop, store, node_prefix, node_watch_wait,
-          [this](const platform::store_item& item) { apply_registration(item); }, vacancy_watch_pause),
+      m_watch(loop, store, control_prefix, watch_wait,
+              [this](const platform::store_item& item) { apply_change(item); }),
       m_renew_timer(loop.make_timer([this] { m_lease == 0 ? request_lease() : renew_lease(); })),
       m_claim_timer(loop.make_timer([this] { claim_vacant_duties(); })) {}
 
 void membership_task::start() {
     m_started_at = event_loop::now();
     request_lease();
-    m_duty_watch.start([this] { m_duties_listed = true; });
-    m_node_watch.start([this] { m_nodes_listed = true; });
+    m_watch.start([this] { m_listed = true; });
     m_claim_timer->start(claim_interval);
 }
 
@@ -107,7 +96,7 @@
         return;
     }
     if (std::exchange(m_renewal_failed, false)) {
-        refresh_watches();
+        m_watch.refresh();
         m_handlers.store_recovered();
     }
     m_lease = answer.lease;
@@ -174,7 +163,7 @@
         }
         m_renew_timer->start(m_timing.renew_interval);
         if (store_recovered) {
-            refresh_watches();
+            m_watch.refresh();
             m_handlers.store_recovered();
         }
         return;
@@ -190,7 +179,6 @@
 
 void membership_task::set_duties(std::set<std::string> duties) {
     m_duties = std::move(duties);
-    follow_registrations();
 }
 
 std::optional<node_record> membership_task::owner_of(const std::string& duty) const {
@@ -198,34 +186,16 @@
     return found == m_owners.end() ? std::nullopt : std::optional(found->second.owner);
 }
 
-void membership_task::refresh_watches() {
-    m_duty_watch.refresh();
-    m_node_watch.refresh();
-}
-
-void membership_task::apply_registration(const platform::store_item& item) {
-    const std::string id = item.key.substr(node_prefix.size());
-    const auto record = decode_archive<node_record>(item.value);
-    if (item.deleted || !record) {
-        m_nodes.erase(id);
-    } else {
-        m_nodes[id] = record.value();
-    }
-}
-
-/// Sets how closely the registrations are followed; reads what has changed meanwhile if a duty has become
-/// vacant.
-void membership_task::follow_registrations() {
-    const bool is_vacant = std::ranges::any_of(
-        m_duties, [this](const std::string& duty) { return !m_liveness_keys.contains(duty); });
-    m_node_watch.set_pause(is_vacant ? vacancy_watch_pause : node_watch_pause);
-    if (is_vacant) {
-        m_node_watch.end_pause();
-    }
-}
-
-void membership_task::apply_duty_change(const platform::store_item& item) {
-    if (item.key.starts_with(owner_prefix)) {
+void membership_task::apply_change(const platform::store_item& item) {
+    if (item.key.starts_with(node_prefix)) {
+        const std::string id = item.key.substr(node_prefix.size());
+        const auto record = decode_archive<node_record>(item.value);
+        if (item.deleted || !record) {
+            m_nodes.erase(id);
+        } else {
+            m_nodes[id] = record.value();
+        }
+    } else if (item.key.starts_with(owner_prefix)) {
         apply_owner(item.key.substr(owner_prefix.size()), item);
     } else if (item.key.starts_with(liveness_prefix)) {
         const std::string duty = item.key.substr(liveness_prefix.size());
@@ -234,7 +204,6 @@
         } else {
             m_liveness_keys[duty] = item;
         }
-        follow_registrations();
     }
 }
 
@@ -347,8 +316,7 @@
 }
 
 bool membership_task::can_claim() const {
-    return m_claiming_enabled && m_duties_listed && m_nodes_listed && m_lease != 0 &&
-           m_registered_at != timestamp(0);
+    return m_claiming_enabled && m_listed && m_lease != 0 && m_registered_at != timestamp(0);
 }
 
 void membership_task::accept_handover(const std::string& duty, std::int64_t token,
@@ -454,7 +422,7 @@
         return;
     }
     if (answer.status == platform::store_status::conflict) {
-        refresh_watches(); // The local copy is outdated: the watch may hang on an unresponsive connection.
+        m_watch.refresh(); // The local copy is outdated: the watch may hang on an unresponsive connection.
     }
     if (answer.status == platform::store_status::refused) {
         // The store counts refused calls as well. Without the pause every node claims each vacant duty ten
@@ -492,8 +460,7 @@
     m_leaving = true;
     m_claiming_enabled = false;
     m_owned.clear();
-    m_duty_watch.stop();
-    m_node_watch.stop();
+    m_watch.stop();
     if (m_lease == 0) {
         done();
         return;
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -117,10 +117,7 @@
     void register_self();
     void renew_lease();
     void handle_renew_answer(const platform::lease_answer& answer, timestamp asked_at);
-    void apply_duty_change(const platform::store_item& item);
-    void apply_registration(const platform::store_item& item);
-    void follow_registrations();
-    void refresh_watches();
+    void apply_change(const platform::store_item& item);
     void apply_owner(const std::string& duty, const platform::store_item& item);
     void claim_vacant_duties();
     [[nodiscard]] bool can_claim() const;
@@ -141,8 +138,7 @@
     platform::store_client& m_store;
     handlers m_handlers;
     node_record m_self;
-    watch_task m_duty_watch; ///< Owners of duties and whether they are alive.
-    watch_task m_node_watch; ///< Registrations.
+    watch_task m_watch;
     std::unique_ptr<timer> m_renew_timer;
     std::unique_ptr<timer> m_claim_timer;
     std::int64_t m_lease = 0;
@@ -165,8 +161,7 @@
         m_handovers; ///< Duty -> who waits for this node's claim.
     bool m_claiming_enabled = true;
     bool m_renewal_failed = false;
-    bool m_duties_listed = false;
-    bool m_nodes_listed = false;
+    bool m_listed = false;
     bool m_leaving = false;
     lifetime m_lifetime;
 };
--- a/node/watch_task.cpp
+++ b/node/watch_task.cpp
@@ -27,7 +27,6 @@
                        change_handler on_change, milliseconds pause)
     : m_loop(loop), m_store(store), m_prefix(std::move(prefix)), m_wait(wait), m_pause(pause),
       m_on_change(std::move(on_change)), m_retry_timer(loop.make_timer([this] {
-          m_pausing = false;
           if (m_running && m_retry_action) {
               std::exchange(m_retry_action, {})();
           }
@@ -111,7 +110,6 @@
 }
 
 void watch_task::schedule(milliseconds pause, std::function<void()> action) {
-    m_pausing = false;
     m_retry_action = std::move(action);
     m_retry_timer->start(pause);
 }
@@ -284,18 +282,11 @@
     }
     if (m_pause.count() > 0 && !answer.items.empty()) {
         schedule(m_pause, [this, round] { watch(round); });
-        m_pausing = true;
     } else {
         continue_watching(round);
     }
 }
 
-void watch_task::end_pause() {
-    if (m_pausing) {
-        m_retry_timer->start(0ms);
-    }
-}
-
 void watch_task::continue_watching(std::uint64_t round) {
     if (m_last_transfer.receive_time >= slow_transfer && m_items.contains(m_large_item)) {
         begin_partial_listing();
--- a/node/watch_task.hpp
+++ b/node/watch_task.hpp
@@ -34,8 +34,6 @@
     void set_large_item(std::string key) { m_large_item = std::move(key); }
     /// Takes effect from the next watch on.
     void set_pause(milliseconds pause) noexcept { m_pause = pause; }
-    /// Watches at once if the pause between two watches is running.
-    void end_pause();
 
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
     /// The copy holds every change up to this time, by this node's clock; 0 before the first listing. Derived
@@ -100,7 +98,6 @@
     std::int64_t m_revision = 0;
     std::uint64_t m_round = 0; ///< Answers to calls of a previous round are ignored.
     bool m_running = false;
-    bool m_pausing = false; ///< The pause between two watches is running.
     int m_failures = 0;
     timestamp m_failing_since{0};
     std::string m_large_item; ///< Empty: there is none.
