A VM is released although an ended VM of its machine is still registered

Cause: since the machine list is read at a constant rate, a pool's owner did not release a VM if its machine had another one listed. An ended VM stays registered for seconds and so kept its machine.

Change: only a reachable VM of the machine that runs something holds the release back.

Test: red for a running VM without the check, red for an idle one with the check of before.

--- a/node/pool_requests.cpp
+++ b/node/pool_requests.cpp
@@ -157,23 +157,27 @@
     }
 }
 
-/// A VM is not released if its machine runs another one already: the fleet's owner may not have listed that
-/// one yet, and its order would end what runs there.
+/// A VM is not released while another VM of its machine runs something: the fleet's owner may not have listed
+/// that one yet, and its order would end what runs there. An ended VM that is still registered keeps no
+/// machine.
 void pool_task::keep_succeeded_vms(std::vector<jobs::vm_load>& loads) const {
     if (std::ranges::none_of(loads, &jobs::vm_load::released)) {
         return;
     }
-    std::map<std::string, std::size_t> vms_of_machine;
-    for (const auto& [vm, info] : m_directory.vms()) {
-        ++vms_of_machine[info.machine];
+    std::set<std::string> machines_in_use;
+    for (const auto& [vm, state] : m_scheduler.vms()) {
+        if (state.reachable && !state.has_no_runs()) {
+            machines_in_use.insert(state.info().machine);
+        }
     }
     for (jobs::vm_load& load : loads) {
+        const auto listed = m_directory.vms().find(load.vm);
         const auto known = m_scheduler.vms().find(load.vm);
-        if (!load.released || known == m_scheduler.vms().end()) {
-            continue; // A VM that the scheduler doesn't know is released because it is listed.
+        if (listed != m_directory.vms().end()) {
+            load.released = load.released && !machines_in_use.contains(listed->second.machine);
+        } else if (known != m_scheduler.vms().end()) {
+            load.released = load.released && !machines_in_use.contains(known->second.info().machine);
         }
-        const std::size_t listed = vms_of_machine[known->second.info().machine];
-        load.released = listed == (m_directory.vms().contains(load.vm) ? 1U : 0U);
     }
 }
 
