--- a/tests/fakes/task_machine.cpp
+++ b/tests/fakes/task_machine.cpp
@@ -10,6 +10,8 @@
 
 /// The platform removes an unresponsive VM from its list after three heartbeats.
 constexpr milliseconds delist_delay = 4500ms;
+/// A VM whose port another process has taken meanwhile starts again this much later.
+constexpr milliseconds port_retry_delay = 50ms;
 
 } // namespace
 
@@ -27,10 +29,18 @@
     if (m_vm != nullptr || m_restart_blocks > 0) {
         return;
     }
-    ++m_incarnation_count;
-    const std::string id =
-        m_settings.keeps_id ? m_settings.name : m_settings.name + "-" + std::to_string(m_incarnation_count);
+    const std::string id = m_settings.keeps_id
+                               ? m_settings.name
+                               : m_settings.name + "-" + std::to_string(m_incarnation_count + 1);
     m_vm = std::make_unique<task_vm>(m_loop, id, m_settings.run_time);
+    m_listen_failed = !m_vm->listen({"127.0.0.1", m_port});
+    if (m_listen_failed) {
+        m_vm.reset();
+        m_restart_timer->start(port_retry_delay);
+        return;
+    }
+    ++m_incarnation_count;
+    m_port = m_vm->port();
     m_vm->set_machine(m_settings.name);
     m_vm->set_clock_rate(m_settings.clock_rate);
     if (m_settings.keeps_id) {
@@ -42,8 +52,6 @@
     }
     // The VM must not be destroyed within its own timer's callback.
     m_vm->on_crash([this] { m_crash_timer->start(0ms); });
-    m_listen_failed = !m_vm->listen({"127.0.0.1", m_port});
-    m_port = m_vm->port();
     if (m_on_incarnation_start) {
         m_on_incarnation_start({"127.0.0.1", m_port});
     }
