--- a/node/node.cpp
+++ b/node/node.cpp
@@ -29,17 +29,6 @@
 constexpr milliseconds shed_duration = 2500ms;
 /// The process ends all open requests this long before the end of the grace period.
 constexpr milliseconds exit_margin = 700ms;
-constexpr milliseconds link_log_interval = 1s;
-/// Share of the link in use from which its load is logged.
-constexpr double logged_link_share = 0.25;
-constexpr double kilobytes_per_megabit = 125;
-
-/// Names of what the link's traffic is counted by, in the order of link_traffic.
-constexpr std::array<std::string_view, 5> link_ends{"vms", "store", "peers", "served", "clients"};
-
-std::int64_t kilobytes(std::uint64_t bytes, double seconds) {
-    return static_cast<std::int64_t>(static_cast<double>(bytes) / 1000 / seconds);
-}
 
 } // namespace
 
@@ -353,79 +342,6 @@
     }
 }
 
-node::link_traffic node::traffic() const {
-    return {m_vms.traffic(), m_store.traffic(), m_peers.traffic(), m_peer_server.traffic(),
-            m_ingress.traffic()};
-}
-
-/// Lets the store's large answers in the background have what everything else leaves of the link.
-void node::share_link(timestamp now) {
-    std::uint64_t received = 0;
-    for (const byte_counts& end : traffic()) {
-        received += end.received;
-    }
-    received -= m_store.background_bytes_received();
-    const milliseconds elapsed = now - std::exchange(m_link_shared_at, now);
-    const std::uint64_t bytes = received - std::exchange(m_other_bytes_received, received);
-    if (elapsed > 0ms) {
-        m_store.set_other_receive_rate(bytes * 1000 / static_cast<std::uint64_t>(elapsed.count()));
-    }
-}
-
-/// Logs what the node's link carried in the last second, by the other end, if that is much of what it can
-/// carry: the link of a pool's owner bounds what the pool can start.
-void node::log_link_load(timestamp now) {
-    if (now - m_link_logged_at < link_log_interval) {
-        return;
-    }
-    const link_traffic present = traffic();
-    const link_traffic previous = std::exchange(m_link_traffic, present);
-    const double seconds = static_cast<double>((now - std::exchange(m_link_logged_at, now)).count()) / 1000;
-    const auto sent = [&](std::size_t end) {
-        return kilobytes(present[end].sent - previous[end].sent, seconds);
-    };
-    const auto received = [&](std::size_t end) {
-        return kilobytes(present[end].received - previous[end].received, seconds);
-    };
-    std::int64_t total_sent = 0;
-    std::int64_t total_received = 0;
-    for (std::size_t end = 0; end < present.size(); ++end) {
-        total_sent += sent(end);
-        total_received += received(end);
-    }
-    const std::string store_reads = describe_store_reads(seconds);
-    const double link_kb = m_settings.link_mbps * kilobytes_per_megabit;
-    if (static_cast<double>(std::max(total_sent, total_received)) < link_kb * logged_link_share) {
-        return;
-    }
-    // In the order of link_ends.
-    log_event(event_id::link_load, {{"vms_out", sent(0)},
-                                    {"vms_in", received(0)},
-                                    {"store_out", sent(1)},
-                                    {"store_in", received(1)},
-                                    {"peers_out", sent(2)},
-                                    {"peers_in", received(2)},
-                                    {"served_out", sent(3)},
-                                    {"served_in", received(3)},
-                                    {"clients_out", sent(4)},
-                                    {"clients_in", received(4)},
-                                    {"link_kb", static_cast<std::int64_t>(link_kb)}});
-    log_event(event_id::store_reads, {{"kb", store_reads}});
-}
-
-/// Kilobytes a second that the store has sent since the last call, by the purpose of its calls.
-std::string node::describe_store_reads(double seconds) {
-    std::string text;
-    for (const auto& [purpose, counts] : m_store.calls_by_purpose()) {
-        const std::uint64_t bytes = counts.bytes.received;
-        const std::int64_t read = kilobytes(bytes - std::exchange(m_store_reads[purpose], bytes), seconds);
-        if (read > 0) {
-            text += (text.empty() ? "" : ",") + purpose + ":" + std::to_string(read);
-        }
-    }
-    return text.empty() ? "-" : text;
-}
-
 void node::stop(std::function<void()> stopped) {
     if (m_stopping) {
         return;
@@ -467,77 +383,5 @@
 }
 
 /// Sets what each account with a limit uses and may use in a pool that this node owns, and its limit.
-void node::set_account_metrics(const pool_task& task) {
-    const auto set = [&](const std::string& name, const std::string& account, const jobs::resources& amount) {
-        const std::string label = "{account=\"" + account + "\",pool=\"" + task.pool() + "\"}";
-        m_counters.set("account_" + name + "_millicores" + label,
-                       static_cast<std::uint64_t>(amount.cpu_millicores));
-        m_counters.set("account_" + name + "_memory_mb" + label,
-                       static_cast<std::uint64_t>(amount.memory_mb));
-    };
-    const jobs::account_ledger& ledger = task.scheduler().accounts();
-    for (const auto& [account, ceiling] : task.allowances().ceilings()) {
-        const auto demand = ledger.demand_of(account);
-        set("used", account, demand.used);
-        set("blocked", account, demand.blocked);
-        set("allowance", account, ceiling);
-    }
-    for (const jobs::client_account& account : m_configuration.current().accounts.all()) {
-        if (account.has_limit()) {
-            set("limit", account.name, account.limit);
-        }
-    }
-}
-
-/// Sets how often this node has called one kind of server for what, and the bytes of these calls.
-void node::set_call_metrics(const std::string& server, const std::map<std::string, call_counts>& calls) {
-    for (const auto& [purpose, counts] : calls) {
-        const std::string label =
-            std::string("{to=\"").append(server).append("\",purpose=\"").append(purpose).append("\"}");
-        m_counters.set("calls" + label, counts.calls);
-        m_counters.set("call_sent_bytes" + label, counts.bytes.sent);
-        m_counters.set("call_received_bytes" + label, counts.bytes.received);
-    }
-}
-
-/// Answers a request on the metrics address: a question of an operator, else the metrics.
-void node::answer_operator(server_request& request) {
-    const auto answer = m_operator_view.answer(path_of_target(request.target()));
-    if (!answer) {
-        request.reply(200, {}, metrics_text());
-        return;
-    }
-    http_headers headers;
-    headers.add("Content-Type", "application/json");
-    request.reply(200, headers, boost::json::serialize(*answer));
-}
-
-std::string node::metrics_text() {
-    set_call_metrics("store", m_store.calls_by_purpose());
-    set_call_metrics("vms", m_vms.calls_by_purpose());
-    set_call_metrics("machines", m_machines.calls_by_purpose());
-    set_call_metrics("peers", m_peers.calls_by_purpose());
-    const milliseconds silence = m_store.unresponsive_for(event_loop::now());
-    m_counters.set("store_unanswered_ms", static_cast<std::uint64_t>(silence.count()));
-    m_counters.set("configuration_version", static_cast<std::uint64_t>(m_configuration.current().version));
-    m_counters.set("configuration_age_ms",
-                   static_cast<std::uint64_t>(m_configuration.age(event_loop::now()).count()));
-    m_counters.set("loop_lag_ms",
-                   static_cast<std::uint64_t>(std::exchange(m_longest_lag, milliseconds(0)).count()));
-    const link_traffic link = traffic();
-    for (std::size_t end = 0; end < link.size(); ++end) {
-        const std::string label = "{end=\"" + std::string(link_ends.at(end)) + "\"}";
-        m_counters.set("link_sent_bytes" + label, link.at(end).sent);
-        m_counters.set("link_received_bytes" + label, link.at(end).received);
-    }
-    for (const auto& [duty, task] : m_pools) {
-        const std::string label = "{pool=\"" + task->pool() + "\"}";
-        m_counters.set("pool_jobs" + label, task->scheduler().job_count());
-        m_counters.set("pool_inbox_jobs" + label, task->inbox_jobs());
-        m_counters.set("pool_inbox_age_ms" + label, static_cast<std::uint64_t>(task->inbox_age().count()));
-        set_account_metrics(*task);
-    }
-    return m_counters.to_text();
-}
 
 } // namespace siskinpaddle::node
