--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -81,8 +81,8 @@
     query_demands();
 }
 
-/// Machines that should have arrived don't count: their VMs serve the pool, or never will, and the list that
-/// shows it may be one interval old.
+/// Counts moves until their VMs usually serve the pool. A list that shows the arrival may come an interval
+/// later, and until then the VM would count twice.
 std::size_t fleet_task::count_arriving(const std::string& pool) const {
     const timestamp now = event_loop::now();
     return static_cast<std::size_t>(std::ranges::count_if(m_moves, [&](const auto& item) {
@@ -143,7 +143,8 @@
     return std::ranges::any_of(m_waves, [](const auto& item) { return !item.second.completed; });
 }
 
-/// A move that was called invalid is explained by the next list; until then the next machine would be tried.
+/// A list is due after an invalid move: until the list shows whether the kind or the machine was the cause,
+/// machines of the same kind would be tried one after the other.
 bool fleet_task::is_list_due() const {
     const bool is_one_invalid =
         std::ranges::any_of(m_refused_moves, [](const auto& item) { return item.second.is_invalid; });
@@ -209,7 +210,7 @@
     record_refused_kinds();
 }
 
-/// A list that was begun before an order shows nothing about it.
+/// Only lists begun after an order show its effect.
 void fleet_task::remove_finished_moves() {
     std::erase_if(m_moves, [&](const auto& item) {
         const pending_move& move = item.second;
@@ -227,8 +228,8 @@
     });
 }
 
-/// A move that the platform calls invalid tells that the pool is not for the machine's kind only if the
-/// machine still exists.
+/// The platform gives one answer to a move into a pool that is not for the machine's kind and to a move of a
+/// machine that no longer exists; a list begun later distinguishes them.
 void fleet_task::record_refused_kinds() {
     std::erase_if(m_refused_moves, [&](const auto& item) {
         const refused_move& refused = item.second;
--- a/node/fleet_timing.cpp
+++ b/node/fleet_timing.cpp
@@ -14,8 +14,7 @@
 constexpr std::size_t machines_per_page = 200;
 constexpr milliseconds list_interval_per_page = 80ms;
 
-/// A wave maintains no more machines at a time than its operator allows; a machine that went down meanwhile
-/// counts.
+/// A wave's limit of concurrent maintenance counts machines that are down, also those since the last order.
 constexpr milliseconds max_age_in_wave = 1s;
 
 } // namespace
--- a/tests/jobs/zone_ranking_test.cpp
+++ b/tests/jobs/zone_ranking_test.cpp
@@ -13,7 +13,7 @@
     return "z" + std::to_string(number % zone_count);
 }
 
-/// Fills a pool with jobs of eight tasks, as at a peak, and tells what the loss of a zone would hit.
+/// A pool filled with jobs of eight tasks, as at a peak; counts the jobs that the loss of a zone would hit.
 class zone_loss_replay {
   public:
     zone_loss_replay(std::size_t vms, std::size_t jobs) {
