--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -74,6 +74,10 @@
     if (system.call(0, "GET", job_path("seats", booking)) != 200) {
         return exit_not_run;
     }
+    if (options.trouble && options.part == "steps") {
+        system.publish(6, {make_queue("quotes", "agency")}, pools);
+        system.wait(config_apply_time);
+    }
     if (options.trouble) {
         system.publish(7, {make_queue("seats", "agency"), make_queue("quotes", "agency")}, pools);
     }
