Review: sources of the stand-ins lie in review/fakes

Cause: the linter takes the flags of a source that no target names from the likest one; for those in review/N it missed the include folder of the tests' stand-ins.

--- a/review/2/case.cpp
+++ b/review/fakes/case_2.cpp
@@ -1,4 +1,4 @@
-#include "standins/deployment.hpp"
+#include "deployment.hpp"
 
 #include <csignal>
 #include <iostream>
