--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -280,20 +280,31 @@
 
 void ingress_task::status_answered(const client_context& client, const peer_answer& answer) {
     if (outcome_of(answer) != peer_outcome::ok) {
-        read_status_from_store(client);
+        read_status_from_store(client, outcome_of(answer));
         return;
     }
     observe(client, "ok");
     platform::answer_phase(*client.request, static_cast<jobs::job_phase>(answer.phase));
 }
 
-void ingress_task::read_status_from_store(const client_context& client) {
+void ingress_task::answer_no_job(const client_context& client, peer_outcome owner) {
+    observe(client, "no_job");
+    log_event(event_id::job_not_found, {{"job", client.call.job},
+                                        {"call", name_of(client.call.request)},
+                                        {"queue", client.call.queue},
+                                        {"pool", client.call.pool},
+                                        {"owner", name_of(owner)},
+                                        {"configuration", m_context.configuration.current().version}});
+    platform::answer_no_job(*client.request);
+}
+
+void ingress_task::read_status_from_store(const client_context& client, peer_outcome owner) {
     if (store_is_failing(m_context.store, event_loop::now())) {
         refuse(client, "store", retry_after_no_owner);
         return;
     }
     look_up_job(m_context.store, client.call.pool, client.call.job,
-                [this, client, alive = m_lifetime.weak_token()](const lookup_answer& answer) {
+                [this, client, owner, alive = m_lifetime.weak_token()](const lookup_answer& answer) {
                     if (alive.expired()) {
                         return;
                     }
@@ -303,8 +314,7 @@
                         observe(client, "ok_by_store");
                         platform::answer_phase(*client.request, *answer.phase);
                     } else {
-                        observe(client, "no_job");
-                        platform::answer_no_job(*client.request);
+                        answer_no_job(client, owner);
                     }
                 });
 }
@@ -318,15 +328,15 @@
         return;
     }
     look_up_job(m_context.store, client.call.pool, client.call.job,
-                [this, client, alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                [this, client, owner = outcome_of(answer),
+                 alive = m_lifetime.weak_token()](const lookup_answer& found) {
                     if (alive.expired()) {
                         return;
                     }
                     if (!found.store_reached) {
                         refuse(client, "store", retry_after_unavailable);
                     } else if (!found.has_job_for(client.account)) {
-                        observe(client, "no_job");
-                        platform::answer_no_job(*client.request);
+                        answer_no_job(client, owner);
                     } else {
                         cancel_through_store(client);
                     }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -109,7 +109,8 @@
     void submit_through_store(const client_context& client, bool may_be_stored);
     void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
     [[nodiscard]] bool is_unsettled(const std::string& job) const;
-    void read_status_from_store(const client_context& client);
+    void read_status_from_store(const client_context& client, peer_outcome owner);
+    void answer_no_job(const client_context& client, peer_outcome owner);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
     void report_unknown_outcome(const client_context& client, std::string_view why);
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -128,6 +128,7 @@
     duty_handover = 1962,
     store_reads = 1963,
     start_settled = 1968,
+    job_not_found = 1969,
 };
 
 /// Number, name and level of an event.
@@ -244,6 +245,7 @@
     event_definition{event_id::duty_handover, "duty-handover", event_level::warning},
     event_definition{event_id::store_reads, "store-reads", event_level::info},
     event_definition{event_id::start_settled, "start-settled", event_level::info},
+    event_definition{event_id::job_not_found, "job-not-found", event_level::info},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
