A job keeps the pool that accepted it, and is found there

Cause: a job is stored under its pool and id, and every call took the pool from the route as the newest version has it. Evidence: 1969 job-not-found names pool agency on both nodes while the owner of desk has the jobs.

Now the transaction that accepts a job, by the pool's owner or into the inbox, also writes sp/place/JOB on condition that there is none. So one of two pools wins, whatever version their nodes have; the loser's answer names the place, and the submit is answered as the repeat that it is. A look-up or cancellation that the owner of the queue's pool does not answer for reads the place and goes to the owner of that pool. The id of another queue's or account's job is refused with 409. The place is removed with the job's progress; several transactions now remove ended jobs in a round, since each takes two entries.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -15,6 +15,7 @@
 #include "jobs/fleet_configuration.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_admission.hpp"
+#include "jobs/job_place.hpp"
 #include "jobs/job_state.hpp"
 #include "jobs/label_meters.hpp"
 #include "jobs/maintenance.hpp"
--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -129,6 +129,34 @@
 
 /// A previous attempt to submit the same job may have been accepted although its client got no answer.
 void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after) {
+    look_up_place(m_context.store, client.call.job,
+                  [this, client, retry_after, alive = m_lifetime.weak_token()](const place_answer& found) {
+                      if (alive.expired()) {
+                          return;
+                      }
+                      if (!found.store_reached) {
+                          report_unknown_outcome(client, "store");
+                      } else if (found.place) {
+                          answer_placed_submit(client, *found.place);
+                      } else {
+                          refuse_unless_in_pool(client, retry_after);
+                      }
+                  });
+}
+
+/// Answers a submit for an id whose job is stored.
+void ingress_task::answer_placed_submit(const client_context& client, const jobs::job_place& place) {
+    if (is_job_of_client(client, place)) {
+        observe(client, "ok");
+        platform::answer_accepted(*client.request);
+    } else {
+        observe(client, "id_in_use");
+        platform::answer_id_in_use(*client.request);
+    }
+}
+
+/// Versions of the program without places store only the job.
+void ingress_task::refuse_unless_in_pool(const client_context& client, milliseconds retry_after) {
     look_up_job(m_context.store, client.call.pool, client.call.job,
                 [this, client, retry_after, alive = m_lifetime.weak_token()](const lookup_answer& found) {
                     if (alive.expired()) {
@@ -182,7 +210,10 @@
     change.conditions.push_back({submit_key(client.call.pool, id), 0});
     change.conditions.push_back({job_prefix(client.call.pool) + id, 0});
     change.conditions.push_back({progress_prefix(client.call.pool) + id, 0});
+    change.conditions.push_back({place_key(id), 0});
     change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
+    change.writes.push_back(
+        place_write(id, {client.call.pool, client.call.queue, client.address, client.account}));
     const std::uint64_t write_id = m_next_write_id++;
     m_inbox_writes.emplace(write_id, inbox_write{client, event_loop::now()});
     m_context.store.commit(change, [this, client, may_be_stored, write_id,
@@ -190,8 +221,10 @@
         if (alive.expired() || m_inbox_writes.erase(write_id) == 0) {
             return; // The unknown outcome has already been reported.
         }
-        if (answer.status == platform::store_status::ok ||
-            answer.status == platform::store_status::conflict) {
+        if (const auto place = place_in(answer, client.call.job)) {
+            answer_placed_submit(client, *place);
+        } else if (answer.status == platform::store_status::ok ||
+                   answer.status == platform::store_status::conflict) {
             observe(client, "ok_by_store");
             platform::answer_accepted(*client.request);
         } else if (answer.status == platform::store_status::refused) {
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -49,17 +49,14 @@
     if (!admit_client(client, *queue)) {
         return;
     }
+    client.address = jobs::address_of(*queue);
     switch (client.call.request) {
     case platform::client_request::submit:
         handle_submit(client);
         return;
     case platform::client_request::status:
-        send_to_owner(client, make_request(peer_request_kind::status, client),
-                      &ingress_task::status_answered);
-        return;
     case platform::client_request::cancel:
-        send_to_owner(client, make_request(peer_request_kind::cancel, client),
-                      &ingress_task::cancel_answered);
+        send_job_call(client);
         return;
     case platform::client_request::count:
         handle_count(client);
@@ -69,6 +66,17 @@
     }
 }
 
+/// Sends a call about a job to the owner of the call's pool.
+void ingress_task::send_job_call(const client_context& client) {
+    if (client.call.request == platform::client_request::status) {
+        send_to_owner(client, make_request(peer_request_kind::status, client),
+                      &ingress_task::status_answered);
+    } else {
+        send_to_owner(client, make_request(peer_request_kind::cancel, client),
+                      &ingress_task::cancel_answered);
+    }
+}
+
 void ingress_task::refuse_unknown_queue(const client_context& client) {
     const configuration_task& configuration = m_context.configuration;
     if (!configuration.is_confirmed(event_loop::now())) {
@@ -276,11 +284,51 @@
     platform::answer_unknown(*client.request);
 }
 
+// --- Place of a job ---
+
+/// Whether the job at this place is the one that the client means and may access.
+bool ingress_task::is_job_of_client(const client_context& client, const jobs::job_place& place) const {
+    return jobs::is_job_of_queue(place, client.call.queue, client.address) &&
+           jobs::may_access_job(place.account, client.account);
+}
+
+/// Handles a call about a job that the owner of the queue's pool does not answer for (`owner`): sends it to
+/// the owner of the pool that has the job if that is another one, and calls `otherwise` if not.
+void ingress_task::send_by_place(const client_context& client, peer_outcome owner, lookup_handler otherwise) {
+    if (client.place_known || store_is_failing(m_context.store, event_loop::now())) {
+        (this->*otherwise)(client, owner);
+        return;
+    }
+    look_up_place(
+        m_context.store, client.call.job,
+        [this, client, owner, otherwise, alive = m_lifetime.weak_token()](const place_answer& found) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!found.store_reached) {
+                refuse(client, "store", retry_after_unavailable);
+                return;
+            }
+            if (found.place && !is_job_of_client(client, *found.place)) {
+                answer_no_job(client, owner);
+                return;
+            }
+            client_context placed = client;
+            placed.place_known = true;
+            if (!found.place || found.place->pool == client.call.pool) {
+                (this->*otherwise)(placed, owner);
+                return;
+            }
+            placed.call.pool = found.place->pool;
+            send_job_call(placed);
+        });
+}
+
 // --- Status ---
 
 void ingress_task::status_answered(const client_context& client, const peer_answer& answer) {
     if (outcome_of(answer) != peer_outcome::ok) {
-        read_status_from_store(client, outcome_of(answer));
+        send_by_place(client, outcome_of(answer), &ingress_task::read_status_from_store);
         return;
     }
     observe(client, "ok");
@@ -327,9 +375,12 @@
         platform::answer_accepted(*client.request);
         return;
     }
+    send_by_place(client, outcome_of(answer), &ingress_task::cancel_if_stored);
+}
+
+void ingress_task::cancel_if_stored(const client_context& client, peer_outcome owner) {
     look_up_job(m_context.store, client.call.pool, client.call.job,
-                [this, client, owner = outcome_of(answer),
-                 alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                [this, client, owner, alive = m_lifetime.weak_token()](const lookup_answer& found) {
                     if (alive.expired()) {
                         return;
                     }
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -61,7 +61,9 @@
         platform::client_call call;
         jobs::job_spec spec; ///< Set for a submit.
         timestamp received_at{0};
-        std::string account; ///< Empty for a public queue, or while `owner_checks_key`.
+        std::uint64_t address = 0; ///< Of the call's queue, see jobs::address_of().
+        std::string account;       ///< Empty for a public queue, or while `owner_checks_key`.
+        bool place_known = false;  ///< The call's pool is the stored place of its job, not the queue's pool.
         /// This node's configuration may be outdated: the pool's owner checks the API key.
         bool owner_checks_key = false;
         bool key_unknown = false; ///< The owner may refuse the key, but not accept it.
@@ -82,9 +84,11 @@
         timestamp sent_at;
     };
     using handler = void (ingress_task::*)(const client_context&, const peer_answer&);
+    using lookup_handler = void (ingress_task::*)(const client_context&, peer_outcome);
 
     void handle_request(const request_handle& request);
     void dispatch(client_context client);
+    void send_job_call(const client_context& client);
     [[nodiscard]] bool admit_client(client_context& client, const jobs::queue_settings& queue);
     void handle_submit(client_context& client);
     void handle_count(const client_context& client);
@@ -104,12 +108,17 @@
     void send_count(const client_context& client, const cached_count& count, std::string_view from);
     void refuse_for_load(const client_context& client, const peer_answer& answer);
     void refuse_unless_stored(const client_context& client, milliseconds retry_after);
+    void refuse_unless_in_pool(const client_context& client, milliseconds retry_after);
+    void answer_placed_submit(const client_context& client, const jobs::job_place& place);
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
     void submit_through_store(const client_context& client, bool may_be_stored);
     void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
     [[nodiscard]] bool is_unsettled(const std::string& job) const;
+    void send_by_place(const client_context& client, peer_outcome owner, lookup_handler otherwise);
+    [[nodiscard]] bool is_job_of_client(const client_context& client, const jobs::job_place& place) const;
     void read_status_from_store(const client_context& client, peer_outcome owner);
+    void cancel_if_stored(const client_context& client, peer_outcome owner);
     void answer_no_job(const client_context& client, peer_outcome owner);
     void cancel_through_store(const client_context& client);
     void refuse(const client_context& client, std::string_view why, milliseconds retry_after);
--- a/node/job_lookup.cpp
+++ b/node/job_lookup.cpp
@@ -2,6 +2,8 @@
 
 #include "node/keys.hpp"
 
+#include <algorithm>
+
 namespace siskinpaddle::node {
 
 namespace {
@@ -39,6 +41,28 @@
 
 } // namespace
 
+platform::store_write place_write(const std::string& job, const jobs::job_place& place) {
+    return {place_key(job), encode_archive(place), 0};
+}
+
+std::optional<jobs::job_place> place_in(const platform::store_answer& answer, const std::string& job) {
+    const auto found = std::ranges::find(answer.items, place_key(job), &platform::store_item::key);
+    if (found == answer.items.end()) {
+        return std::nullopt;
+    }
+    const auto place = decode_archive<jobs::job_place>(found->value);
+    return place ? std::optional(place.value()) : std::nullopt;
+}
+
+void look_up_place(platform::store_client& store, const std::string& job,
+                   const std::function<void(place_answer)>& done) {
+    store.get(place_key(job), [job, done](const platform::store_answer& answer) {
+        const bool reached =
+            answer.status == platform::store_status::ok || answer.status == platform::store_status::absent;
+        done({reached, place_in(answer, job)});
+    });
+}
+
 void look_up_job(platform::store_client& store, const std::string& pool, const std::string& job,
                  const std::function<void(lookup_answer)>& done) {
     const auto look_for_progress = [&store, pool, job, done] {
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -11,6 +11,8 @@
 /// - `sp/ctl/own/DUTY`: owner and epoch, its revision is the fencing token; written by the node that claims
 /// the duty, kept permanently.
 /// - `sp/ctl/live/DUTY`: name of the owner; written by the owner, expires with its lease.
+/// - `sp/place/JOB`: which pool has an accepted job; written together with the job's record, or with its
+/// request in the inbox, and kept as long as the job's progress.
 /// - `sp/job/POOL/JOB`: an accepted job; written by the pool's owner, kept until the job ends.
 /// - `sp/progress/POOL/JOB`: tasks done and final phase; written by the pool's owner, kept for a while after
 /// the job's end.
@@ -36,6 +38,9 @@
 [[nodiscard]] inline std::string inbox_prefix(const std::string& pool) {
     return "sp/inbox/" + pool + "/";
 }
+[[nodiscard]] inline std::string place_key(const std::string& job) {
+    return "sp/place/" + job;
+}
 [[nodiscard]] inline std::string submit_key(const std::string& pool, const std::string& job) {
     return inbox_prefix(pool) + "submit/" + job;
 }
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -24,6 +24,12 @@
 constexpr milliseconds inbox_retry = 300ms;
 /// Interval between removals of ended jobs.
 constexpr milliseconds cleanup_interval = 2s;
+/// Transaction entries for the removal of an ended job: its progress and its place.
+constexpr std::size_t entries_per_forgotten_job = 2;
+constexpr std::size_t forgotten_jobs_per_write =
+    (platform::max_transaction_entries - 1) / entries_per_forgotten_job;
+/// Most ended jobs that are removed at a time, so that removals use a small part of the store's rate.
+constexpr std::size_t max_forgotten_jobs = 4 * forgotten_jobs_per_write;
 /// VMs that are kept empty at the request of the fleet's owner take work again if it sends no demand query
 /// for this long.
 constexpr milliseconds cleared_timeout = 6s;
@@ -204,20 +210,30 @@
         m_ended[job.id] = {job.phase, job.account, now};
         m_progress_revisions.erase(job.id);
     }
-    platform::store_transaction change;
-    change.conditions.push_back(owner_condition());
+    forget_ended_jobs(now);
+}
+
+/// Removes what is stored of jobs that ended long ago. A new owner reads again, and removes later, what is
+/// left by a removal that failed.
+void pool_task::forget_ended_jobs(timestamp now) {
+    std::vector<std::string> forgotten;
     for (const auto& [id, job] : m_ended) {
         if (now - job.ended_at > m_context.settings.ended_job_retention &&
-            change.removals.size() < platform::max_transaction_entries - 1) {
-            change.removals.push_back(progress_prefix(m_pool) + id);
+            forgotten.size() < max_forgotten_jobs) {
+            forgotten.push_back(id);
         }
     }
-    for (const std::string& key : change.removals) {
-        const std::string id = key.substr(progress_prefix(m_pool).size());
-        m_ended.erase(id);
-    }
-    if (!change.removals.empty()) {
+    for (std::span<const std::string> remaining(forgotten); !remaining.empty();) {
+        const auto batch = remaining.first(std::min(remaining.size(), forgotten_jobs_per_write));
+        platform::store_transaction change;
+        change.conditions.push_back(owner_condition());
+        for (const std::string& id : batch) {
+            change.removals.push_back(progress_prefix(m_pool) + id);
+            change.removals.push_back(place_key(id));
+            m_ended.erase(id);
+        }
         m_context.store.commit(change, [](const platform::store_answer&) {});
+        remaining = remaining.subspan(batch.size());
     }
 }
 
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -1,5 +1,6 @@
 #include "node/pool_task.hpp"
 
+#include "node/job_lookup.hpp"
 #include "node/keys.hpp"
 #include "node/store_health.hpp"
 
@@ -9,8 +10,8 @@
 
 namespace {
 
-/// Transaction entries for the acceptance of one job: a condition and a write.
-constexpr std::size_t entries_per_job = 2;
+/// Transaction entries for the acceptance of one job: two writes and a condition, or the reverse.
+constexpr std::size_t entries_per_job = 3;
 /// Most jobs accepted by one transaction, besides its condition on the owner.
 constexpr std::size_t max_submits_per_write = (platform::max_transaction_entries - 1) / entries_per_job;
 constexpr milliseconds submit_retry = 120ms;
@@ -111,13 +112,8 @@
     const auto batch_end =
         m_submits.begin() + static_cast<std::ptrdiff_t>(std::min(max_submits_per_write, m_submits.size()));
     for (auto waiting = m_submits.begin(); waiting != batch_end; ++waiting) {
-        waiting_submit& item = *waiting;
-        // A write that is executed late must not restore the record of a job that has ended; the progress of
-        // an ended job is kept longer than its record. Until the job ends, writing its record again changes
-        // nothing.
-        change.conditions.push_back({progress_prefix(m_pool) + item.record.spec.id, 0});
-        change.writes.push_back({job_prefix(m_pool) + item.record.spec.id, encode_archive(item.record), 0});
-        batch.push_back(std::move(item));
+        add_submit(change, m_pool, *waiting, place_of(waiting->record));
+        batch.push_back(std::move(*waiting));
     }
     m_submits.erase(m_submits.begin(), batch_end);
     if (batch.empty()) {
@@ -133,6 +129,27 @@
     });
 }
 
+jobs::job_place pool_task::place_of(const jobs::job_record& record) const {
+    const jobs::queue_settings* queue = m_context.configuration.current().find_queue(record.spec.queue);
+    return {m_pool, record.spec.queue, queue == nullptr ? 0 : jobs::address_of(*queue), record.account};
+}
+
+/// Adds the acceptance of a job to a transaction. The job is accepted only once in the deployment: its place
+/// must not exist yet, or must still be the one that was found in this pool.
+void pool_task::add_submit(platform::store_transaction& change, const std::string& pool,
+                           const waiting_submit& item, const jobs::job_place& place) {
+    const std::string& id = item.record.spec.id;
+    change.conditions.push_back({place_key(id), item.place_revision});
+    if (item.place_revision == 0) {
+        change.writes.push_back(place_write(id, place));
+    } else {
+        // The job was accepted through another write. A write that is executed late must not restore the
+        // record of a job that has ended; until the job ends, writing its record again changes nothing.
+        change.conditions.push_back({progress_prefix(pool) + id, 0});
+    }
+    change.writes.push_back({job_prefix(pool) + id, encode_archive(item.record), 0});
+}
+
 void pool_task::answer_stalled_submits() {
     if (m_submitting.empty() || !store_is_unresponsive(m_context.store, event_loop::now())) {
         return;
@@ -194,17 +211,22 @@
     } else if (m_ownership_lost) {
         keep_unconfirmed_submits(std::move(batch), unanswered);
     } else if (conflict) {
-        // An earlier write was executed, or the token is one that a new claim by this node has replaced.
-        std::erase_if(batch,
-                      [&](const waiting_submit& item) { return finish_if_progress_found(item, answer); });
-        retry_submits(std::move(batch));
+        // An earlier write was executed, another pool has a job, or the token is one that a new claim by this
+        // node has replaced.
+        const bool found_jobs = std::ranges::any_of(batch, [&](const waiting_submit& item) {
+            return place_in(answer, item.record.spec.id).has_value();
+        });
+        std::erase_if(batch, [&](waiting_submit& item) {
+            return finish_if_progress_found(item, answer) || finish_if_placed(item, answer);
+        });
+        retry_submits(std::move(batch), found_jobs ? 0ms : submit_retry);
     } else if (unanswered || has_unconfirmed_submit(batch)) {
         // The write may still be executed, so a refusal could be wrong: the write is repeated until its
         // outcome is known.
         for (const waiting_submit& item : batch) {
             m_unconfirmed_submits.emplace(item.record.spec.id, item.record.spec.queue);
         }
-        retry_submits(std::move(batch));
+        retry_submits(std::move(batch), submit_retry);
     } else {
         for (const waiting_submit& item : batch) {
             finish_submit(item.record.spec.id, item.done, peer_outcome::unavailable);
@@ -237,10 +259,35 @@
     return true;
 }
 
-void pool_task::retry_submits(std::vector<waiting_submit> batch) {
+/// Finishes the submit and returns true if the answer to its refused write says that another pool has the
+/// job, or that the id is that of another job. If this pool has the job, the submit is to be repeated for its
+/// place.
+bool pool_task::finish_if_placed(waiting_submit& item, const platform::store_answer& answer) {
+    const std::string& id = item.record.spec.id;
+    const auto place = place_in(answer, id);
+    if (!place) {
+        return false;
+    }
+    const jobs::job_place own = place_of(item.record);
+    const bool is_same_job = jobs::is_job_of_queue(*place, own.queue, own.address) &&
+                             jobs::may_access_job(place->account, own.account);
+    if (is_same_job && place->pool == m_pool) {
+        item.place_revision = revision_of(answer, place_key(id));
+        return false;
+    }
+    log_event(event_id::submit_repeated, {{"pool", m_pool},
+                                          {"job", id},
+                                          {"found_in", place->pool},
+                                          {"queue", place->queue},
+                                          {"same_job", static_cast<int>(is_same_job)}});
+    finish_submit(id, item.done, is_same_job ? peer_outcome::ok : peer_outcome::id_in_use);
+    return true;
+}
+
+void pool_task::retry_submits(std::vector<waiting_submit> batch, milliseconds delay) {
     m_submits.insert(m_submits.begin(), std::make_move_iterator(batch.begin()),
                      std::make_move_iterator(batch.end()));
-    m_submit_timer->start(submit_retry);
+    m_submit_timer->start(delay);
     m_writing_submits = true;
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -78,6 +78,7 @@
     struct waiting_submit {
         jobs::job_record record;
         reply done;
+        std::int64_t place_revision = 0; ///< Of the job's place in this pool; 0: none was found.
     };
     /// A job that an entry accepted and stored in the inbox.
     struct inbox_job {
@@ -171,10 +172,14 @@
     void write_submits();
     [[nodiscard]] bool has_unconfirmed_submit(const std::vector<waiting_submit>& batch) const;
     void on_submit_stored(const waiting_submit& item);
+    [[nodiscard]] jobs::job_place place_of(const jobs::job_record& record) const;
+    static void add_submit(platform::store_transaction& change, const std::string& pool,
+                           const waiting_submit& item, const jobs::job_place& place);
+    bool finish_if_placed(waiting_submit& item, const platform::store_answer& answer);
     /// Finishes the submit and returns true if the answer to its refused write contains the job's progress.
     [[nodiscard]] bool finish_if_progress_found(const waiting_submit& item,
                                                 const platform::store_answer& answer);
-    void retry_submits(std::vector<waiting_submit> batch);
+    void retry_submits(std::vector<waiting_submit> batch, milliseconds delay);
     void keep_unconfirmed_submits(std::vector<waiting_submit> batch, bool unanswered);
     void on_submits_written(std::vector<waiting_submit> batch, const platform::store_answer& answer,
                             std::int64_t token);
@@ -209,6 +214,7 @@
     void on_ownership_lost(const char* found_by, std::int64_t token);
     [[nodiscard]] platform::store_condition owner_condition() const;
     void run_cleanup();
+    void forget_ended_jobs(timestamp now);
 
     context m_context;
     std::string m_pool;
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -129,6 +129,7 @@
     store_reads = 1963,
     start_settled = 1968,
     job_not_found = 1969,
+    submit_repeated = 1970,
 };
 
 /// Number, name and level of an event.
@@ -246,6 +247,7 @@
     event_definition{event_id::store_reads, "store-reads", event_level::info},
     event_definition{event_id::start_settled, "start-settled", event_level::info},
     event_definition{event_id::job_not_found, "job-not-found", event_level::info},
+    event_definition{event_id::submit_repeated, "submit-repeated", event_level::info},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
--- a/tests/node/node_deployment.hpp
+++ b/tests/node/node_deployment.hpp
@@ -88,13 +88,14 @@
     void kill_node(const std::string& id) { nodes[id].process.reset(); }
 
     /// Adds a VM on a machine of its own, or on the given one.
-    fakes::task_vm& add_vm(const std::string& name, milliseconds run_time, const std::string& machine = {}) {
+    fakes::task_vm& add_vm(const std::string& name, milliseconds run_time, const std::string& machine = {},
+                           const std::string& pool = "p") {
         vms.push_back(std::make_unique<fakes::task_vm>(loop, name, run_time));
         if (!machine.empty()) {
             vms.back()->set_machine(machine);
         }
         REQUIRE(vms.back()->listen({"127.0.0.1", 0}));
-        store.put(platform::vm_key(name), vms.back()->registration("p"));
+        store.put(platform::vm_key(name), vms.back()->registration(pool));
         return *vms.back();
     }
 
