A pool with jobs has an owner, and its jobs have limits, without a queue

A job that an entry had stored in the inbox of a pool without an owner never ran if its queue was removed.

Now sp/ctl/jobs/POOL names the queues whose jobs a pool may have, with their settings. It is written in the transaction that accepts the first job of a queue, so that there is no moment with a job and without the record; nodes follow its prefix already. Pools with a record are claimed, asked for their demand, counted when an account's limit is divided, and shown to operators. The newest version that names a queue sets the limits of its jobs, the last known settings apply after that. The record goes when nothing is left in the pool. An inbox write is conditional on it, so a pool that has just been found empty isn't forgotten with the job.

Tests: pool_record_test (node and jobs), and orders with restarts and lost owners in job_place_test.

--- a/core/bounded_archive.hpp
+++ b/core/bounded_archive.hpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/leaf.hpp>
 #include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
--- a/jobs/fleet_configuration.hpp
+++ b/jobs/fleet_configuration.hpp
@@ -16,6 +16,13 @@
     milliseconds base_time{0};       ///< Time of one answer without the VMs named in the query.
     milliseconds time_per_vm{0};     ///< Additional time for each VM named in the query.
     milliseconds ticket_validity{0}; ///< How long a ticket is valid.
+
+    bool operator==(const advice_settings&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(base_time, time_per_vm, ticket_validity);
+    }
 };
 
 /// A queue: jobs submitted to one host and path prefix run in one pool.
@@ -30,6 +37,14 @@
     milliseconds target_latency{0}; ///< ... to which this is added; the sum is the job's objective.
     std::optional<advice_settings> advice;
     bool is_public = false; ///< Its calls need no API key; they have no account.
+
+    bool operator==(const queue_settings&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+        archive(name, host, prefix, pool, priority, max_attempts, stretch_factor, target_latency, advice,
+                is_public);
+    }
 };
 
 /// A pool of VMs.
--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -20,6 +20,7 @@
 #include "jobs/label_meters.hpp"
 #include "jobs/maintenance.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/pool_record.hpp"
 #include "jobs/pool_report.hpp"
 #include "jobs/pool_reserves.hpp"
 #include "jobs/queue_count.hpp"
--- a/jobs/scheduler.cpp
+++ b/jobs/scheduler.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Jobs of queues that the configuration no longer names are kept, with the most lenient settings.
+/// Jobs of queues whose settings are not known are kept, with the most lenient settings.
 const queue_settings unknown_queue{};
 
 } // namespace
@@ -129,6 +129,14 @@
     }));
 }
 
+std::set<std::string> scheduler::queues_of_jobs() const {
+    std::set<std::string> queues;
+    for (const auto& [id, job] : m_jobs) {
+        queues.insert(job.spec().queue);
+    }
+    return queues;
+}
+
 const job_state* scheduler::find_job(const std::string& job) const {
     const auto found = m_jobs.find(job);
     return found == m_jobs.end() ? nullptr : &found->second;
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -152,6 +152,8 @@
     // --- Jobs ---
 
     [[nodiscard]] bool has_job(const std::string& job) const { return m_jobs.contains(job); }
+    /// Names of the queues that have jobs here, ended ones included.
+    [[nodiscard]] std::set<std::string> queues_of_jobs() const;
     /// `account`: the account of the job; empty if it has none.
     [[nodiscard]] admission_verdict check_admission(const job_spec& spec,
                                                     const std::string& account = {}) const;
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -118,7 +118,7 @@
     job.task(id).failed_on.push_back(vm.info().incarnation);
     mark_changed(job, false);
     const queue_settings& queue = *queue_of(job);
-    // A queue that the configuration no longer names has no limit on attempts.
+    // A queue whose settings are not known has no limit on attempts.
     if (state.failed_attempts.size() >= queue.max_attempts && !queue.name.empty()) {
         add_note("job-failed", vm.info().incarnation, &counted, attempt);
         finish_job(job, job_phase::failed, now);
--- a/node/allowance_task.cpp
+++ b/node/allowance_task.cpp
@@ -68,9 +68,8 @@
     m_handlers.changed();
 }
 
-void allowance_task::configure(const jobs::fleet_configuration& configuration) {
-    m_allowances.configure(configuration.accounts.all(), configuration.version,
-                           configuration.pools_with_queues().size());
+void allowance_task::configure(const jobs::fleet_configuration& configuration, std::size_t pools) {
+    m_allowances.configure(configuration.accounts.all(), configuration.version, pools);
 }
 
 void allowance_task::update(const std::map<std::string, jobs::account_demand>& demand, timestamp now) {
--- a/node/allowance_task.hpp
+++ b/node/allowance_task.hpp
@@ -26,7 +26,8 @@
 
     /// Reads all allowances; calls `done` once they are read. Called once, before any other function.
     void load(std::function<void()> done);
-    void configure(const jobs::fleet_configuration& configuration);
+    /// `pools`: number of pools among which limits are divided.
+    void configure(const jobs::fleet_configuration& configuration, std::size_t pools);
     /// Sends the writes that adapt the allowances to the demand.
     void update(const std::map<std::string, jobs::account_demand>& demand, timestamp now);
 
--- a/node/fleet_task.cpp
+++ b/node/fleet_task.cpp
@@ -96,7 +96,7 @@
     m_round_started_at = event_loop::now();
     m_demands.clear();
     m_empty_vms.clear();
-    const std::vector<std::string> pools = m_context.configuration.current().pools_with_queues();
+    const std::vector<std::string> pools = m_context.records.pools_to_own(m_context.configuration.current());
     m_unanswered = {pools.begin(), pools.end()};
     m_answers_timer->start(answers_timeout);
     for (const std::string& pool : pools) {
--- a/node/fleet_task.hpp
+++ b/node/fleet_task.hpp
@@ -3,6 +3,7 @@
 #include "node/configuration_task.hpp"
 #include "node/membership_task.hpp"
 #include "node/peer_client.hpp"
+#include "node/pool_records.hpp"
 
 #include <functional>
 #include <map>
@@ -31,6 +32,7 @@
         platform::machine_client& machines;
         membership_task& membership;
         configuration_task& configuration;
+        const pool_records& records;
         /// Sends a request to a pool's owner, which may be this node.
         std::function<void(const peer_request&, peer_server::reply)> ask_pool;
     };
--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -4,6 +4,8 @@
 #include "node/keys.hpp"
 #include "node/store_health.hpp"
 
+#include <algorithm>
+
 namespace siskinpaddle::node {
 
 namespace {
@@ -204,35 +206,76 @@
         refuse_unless_stored(client, recent->retry_after);
         return;
     }
-    const jobs::job_record record{client.spec, wall_clock_ms(), client.account};
+    write_to_inbox(client, may_be_stored);
+}
+
+/// `record`: the pool's record if it has to be written, too.
+platform::store_transaction ingress_task::inbox_transaction(const client_context& client,
+                                                            const pool_record_update& record) const {
     const std::string& id = client.call.job;
+    const std::string& pool = client.call.pool;
     platform::store_transaction change;
-    change.conditions.push_back({submit_key(client.call.pool, id), 0});
-    change.conditions.push_back({job_prefix(client.call.pool) + id, 0});
-    change.conditions.push_back({progress_prefix(client.call.pool) + id, 0});
-    change.conditions.push_back({place_key(id), 0});
-    change.writes.push_back({submit_key(client.call.pool, id), encode_archive(record), 0});
-    change.writes.push_back(
-        place_write(id, {client.call.pool, client.call.queue, client.address, client.account}));
+    for (const std::string& key :
+         {submit_key(pool, id), job_prefix(pool) + id, progress_prefix(pool) + id, place_key(id)}) {
+        change.conditions.push_back({key, 0});
+    }
+    // Also if the record is not written: its owner may have just removed it, with nothing left in the pool.
+    change.conditions.push_back({pool_record_key(pool), m_context.records.find(pool).revision});
+    const jobs::job_record job{client.spec, wall_clock_ms(), client.account};
+    change.writes.push_back({submit_key(pool, id), encode_archive(job), 0});
+    change.writes.push_back(place_write(id, {pool, client.call.queue, client.address, client.account}));
+    if (record) {
+        change.writes.push_back({pool_record_key(pool), encode_archive(*record), 0});
+    }
+    return change;
+}
+
+/// Takes the pool's record from the answer to a refused write. Returns whether the record is the only reason:
+/// the job is not stored, and the write can be repeated with the record as it is now.
+bool ingress_task::renew_pool_record(const client_context& client, const platform::store_answer& answer) {
+    const std::string& pool = client.call.pool;
+    const std::int64_t known = m_context.records.find(pool).revision;
+    m_context.records.renew(pool, answer);
+    const bool is_only_reason = std::ranges::all_of(
+        answer.items, [&](const auto& item) { return item.key == pool_record_key(pool); });
+    return is_only_reason && m_context.records.find(pool).revision != known;
+}
+
+void ingress_task::write_to_inbox(const client_context& client, bool may_be_stored) {
     const std::uint64_t write_id = m_next_write_id++;
     m_inbox_writes.emplace(write_id, inbox_write{client, event_loop::now()});
-    m_context.store.commit(change, [this, client, may_be_stored, write_id,
-                                    alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
-        if (alive.expired() || m_inbox_writes.erase(write_id) == 0) {
-            return; // The unknown outcome has already been reported.
-        }
-        if (const auto place = place_in(answer, client.call.job)) {
-            answer_placed_submit(client, *place);
-        } else if (answer.status == platform::store_status::ok ||
-                   answer.status == platform::store_status::conflict) {
-            observe(client, "ok_by_store");
-            platform::answer_accepted(*client.request);
-        } else if (answer.status == platform::store_status::refused) {
-            refuse_unless_unsettled(client, may_be_stored);
-        } else {
-            report_unknown_outcome(client, "store");
-        }
-    });
+    const pool_record_update record = m_context.records.update_for(client.call.pool, {client.call.queue},
+                                                                   m_context.configuration.current());
+    m_context.store.commit(inbox_transaction(client, record),
+                           [this, client, may_be_stored, write_id, record,
+                            alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+                               if (alive.expired()) {
+                                   return;
+                               }
+                               if (record && answer.status == platform::store_status::ok) {
+                                   m_context.records.set(client.call.pool, *record, answer.revision);
+                               }
+                               if (m_inbox_writes.erase(write_id) > 0) {
+                                   on_inbox_written(client, may_be_stored, answer);
+                               } // Else the unknown outcome has already been reported.
+                           });
+}
+
+void ingress_task::on_inbox_written(const client_context& client, bool may_be_stored,
+                                    const platform::store_answer& answer) {
+    const bool conflict = answer.status == platform::store_status::conflict;
+    if (const auto place = place_in(answer, client.call.job)) {
+        answer_placed_submit(client, *place);
+    } else if (conflict && renew_pool_record(client, answer)) {
+        write_to_inbox(client, may_be_stored);
+    } else if (conflict || answer.status == platform::store_status::ok) {
+        observe(client, "ok_by_store");
+        platform::answer_accepted(*client.request);
+    } else if (answer.status == platform::store_status::refused) {
+        refuse_unless_unsettled(client, may_be_stored);
+    } else {
+        report_unknown_outcome(client, "store");
+    }
 }
 
 void ingress_task::answer_stalled_submits() {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -3,6 +3,7 @@
 #include "node/configuration_task.hpp"
 #include "node/membership_task.hpp"
 #include "node/peer_client.hpp"
+#include "node/pool_records.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <functional>
@@ -22,6 +23,7 @@
         platform::store_client& store;
         membership_task& membership;
         configuration_task& configuration;
+        pool_records& records;
         peer_client& peers;
         metrics& counters;
         jobs::access_settings access;
@@ -113,6 +115,12 @@
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
     void submit_through_store(const client_context& client, bool may_be_stored);
+    void write_to_inbox(const client_context& client, bool may_be_stored);
+    void on_inbox_written(const client_context& client, bool may_be_stored,
+                          const platform::store_answer& answer);
+    [[nodiscard]] platform::store_transaction inbox_transaction(const client_context& client,
+                                                                const pool_record_update& record) const;
+    [[nodiscard]] bool renew_pool_record(const client_context& client, const platform::store_answer& answer);
     void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
     [[nodiscard]] bool is_unsettled(const std::string& job) const;
     void send_by_place(const client_context& client, peer_outcome owner, lookup_handler otherwise);
--- a/node/keys.hpp
+++ b/node/keys.hpp
@@ -11,6 +11,8 @@
 /// - `sp/ctl/own/DUTY`: owner and epoch, its revision is the fencing token; written by the node that claims
 /// the duty, kept permanently.
 /// - `sp/ctl/live/DUTY`: name of the owner; written by the owner, expires with its lease.
+/// - `sp/ctl/jobs/POOL`: the queues whose jobs the pool may have, with their settings; written together with
+/// the first job of a queue, kept until the pool has none left.
 /// - `sp/place/JOB`: which pool has an accepted job; written together with the job's record, or with its
 /// request in the inbox, and kept as long as the job's progress.
 /// - `sp/job/POOL/JOB`: an accepted job; written by the pool's owner, kept until the job ends.
@@ -28,6 +30,11 @@
 inline const std::string node_prefix = "sp/ctl/node/";
 inline const std::string owner_prefix = "sp/ctl/own/";
 inline const std::string liveness_prefix = "sp/ctl/live/";
+inline const std::string pool_record_prefix = "sp/ctl/jobs/";
+
+[[nodiscard]] inline std::string pool_record_key(const std::string& pool) {
+    return pool_record_prefix + pool;
+}
 
 [[nodiscard]] inline std::string job_prefix(const std::string& pool) {
     return "sp/job/" + pool + "/";
--- a/node/membership_task.cpp
+++ b/node/membership_task.cpp
@@ -204,6 +204,8 @@
         } else {
             m_liveness_keys[duty] = item;
         }
+    } else if (item.key.starts_with(pool_record_prefix)) {
+        m_handlers.pool_record_changed(item);
     }
 }
 
--- a/node/membership_task.hpp
+++ b/node/membership_task.hpp
@@ -60,6 +60,8 @@
         std::function<void(const ownership&)> gained; ///< Owned from now on, or again under a new token.
         std::function<void(const std::string&)> lost; ///< Another node owns the duty.
         std::function<void()> store_recovered;        ///< The store answers again after a failure.
+        /// A pool record has changed in the store.
+        std::function<void(const platform::store_item&)> pool_record_changed;
     };
 
     membership_task(event_loop& loop, const node_settings& settings, platform::store_client& store,
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -37,15 +37,16 @@
       m_machines(loop, settings.machines), m_advice(loop, settings.advice), m_peers(loop),
       m_configuration(
           loop, m_store, [this] { configuration_changed(); }, configuration_ages_of(settings)),
+      m_pool_records([this](const std::string& pool) { pool_record_changed(pool); }),
       m_membership(loop, settings, m_store,
                    {[this](const ownership& held) { duty_gained(held); },
-                    [this](const std::string& duty) { duty_lost(duty); },
-                    [this] { handle_store_recovery(); }}),
-      m_ingress(
-          {loop, m_store, m_membership, m_configuration, m_peers, m_counters, access_settings_of(settings)},
-          [this](const peer_request& request, const peer_server::reply& done) {
-              return handle_local(request, done);
-          }),
+                    [this](const std::string& duty) { duty_lost(duty); }, [this] { handle_store_recovery(); },
+                    [this](const platform::store_item& item) { m_pool_records.apply(item); }}),
+      m_ingress({loop, m_store, m_membership, m_configuration, m_pool_records, m_peers, m_counters,
+                 access_settings_of(settings)},
+                [this](const peer_request& request, const peer_server::reply& done) {
+                    return handle_local(request, done);
+                }),
       m_peer_server(loop, [this](const peer_request& request,
                                  peer_server::reply done) { handle_peer(request, std::move(done)); }),
       m_readiness(loop, {},
@@ -56,7 +57,7 @@
                           request->reply(404, {}, "");
                       }
                   }),
-      m_operator_view(m_membership, m_configuration, m_pools),
+      m_operator_view(m_membership, m_configuration, m_pool_records, m_pools),
       m_metrics_server(loop, {},
                        [this](const std::shared_ptr<server_request>& request) { answer_operator(*request); }),
       m_timer(loop.make_timer([this] { tick(); })) {}
@@ -91,15 +92,26 @@
 }
 
 void node::configuration_changed() {
-    const jobs::fleet_configuration& configuration = m_configuration.current();
+    update_duties();
+    for (const auto& [duty, task] : m_pools) {
+        task->configure(m_configuration.current());
+    }
+}
+
+void node::pool_record_changed(const std::string& pool) {
+    update_duties();
+    const auto task = m_pools.find(pool_duty(pool));
+    if (task != m_pools.end()) {
+        task->second->configure(m_configuration.current());
+    }
+}
+
+void node::update_duties() {
     std::set<std::string> duties{fleet_duty};
-    for (const std::string& pool : configuration.pools_with_queues()) {
+    for (const std::string& pool : m_pool_records.pools_to_own(m_configuration.current())) {
         duties.insert(pool_duty(pool));
     }
     m_membership.set_duties(std::move(duties));
-    for (const auto& [duty, task] : m_pools) {
-        task->configure(configuration);
-    }
 }
 
 void node::duty_gained(const ownership& held) {
@@ -110,6 +122,7 @@
         }
         m_fleet = std::make_unique<fleet_task>(
             fleet_task::context{m_loop, m_settings, m_store, m_machines, m_membership, m_configuration,
+                                m_pool_records,
                                 [this](const peer_request& request, peer_server::reply done) {
                                     send_to_pool_owner(request, std::move(done));
                                 }},
@@ -129,10 +142,10 @@
         m_pools.erase(known);
     }
     const std::string pool = held.duty.substr(pool_duty("").size());
-    auto task =
-        std::make_unique<pool_task>(pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines,
-                                                       m_advice, m_membership, m_configuration, m_counters},
-                                    pool, held);
+    auto task = std::make_unique<pool_task>(pool_task::context{m_loop, m_settings, m_store, m_vms, m_machines,
+                                                               m_advice, m_membership, m_configuration,
+                                                               m_pool_records, m_counters},
+                                            pool, held);
     task->configure(m_configuration.current());
     task->start();
     m_pools[held.duty] = std::move(task);
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -31,6 +31,8 @@
     using link_traffic = std::array<byte_counts, 5>;
 
     void configuration_changed();
+    void pool_record_changed(const std::string& pool);
+    void update_duties();
     void duty_gained(const ownership& held);
     void duty_lost(const std::string& duty);
     void handle_store_recovery();
@@ -62,6 +64,7 @@
     platform::advice_client m_advice;
     peer_client m_peers;
     configuration_task m_configuration;
+    pool_records m_pool_records;
     membership_task m_membership;
     std::map<std::string, std::unique_ptr<pool_task>> m_pools;
     std::unique_ptr<fleet_task> m_fleet;
--- a/node/operator_view.cpp
+++ b/node/operator_view.cpp
@@ -92,7 +92,7 @@
 boost::json::object operator_view::describe_pools() const {
     const timestamp now = event_loop::now();
     boost::json::array rows;
-    for (const std::string& pool : m_configuration.current().pools_with_queues()) {
+    for (const std::string& pool : m_records.pools_to_own(m_configuration.current())) {
         boost::json::object row = refer_to_owner(pool);
         if (const pool_task* task = find_owned(pool)) {
             const jobs::pool_load load = task->scheduler().load();
--- a/node/operator_view.hpp
+++ b/node/operator_view.hpp
@@ -21,8 +21,8 @@
 
     /// The arguments outlive the object.
     operator_view(const membership_task& membership, const configuration_task& configuration,
-                  const pool_tasks& pools)
-        : m_membership(membership), m_configuration(configuration), m_pools(pools) {}
+                  const pool_records& records, const pool_tasks& pools)
+        : m_membership(membership), m_configuration(configuration), m_records(records), m_pools(pools) {}
 
     /// The answer to a GET request, or nothing if the target is none of those in docs/OPERATIONS.md.
     [[nodiscard]] std::optional<boost::json::object> answer(std::string_view target) const;
@@ -40,6 +40,7 @@
 
     const membership_task& m_membership;
     const configuration_task& m_configuration;
+    const pool_records& m_records;
     const pool_tasks& m_pools;
 };
 
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -22,6 +22,9 @@
 /// Delay before cancellations in the inbox that could not be carried out are retried; a cancellation must
 /// take effect within three seconds.
 constexpr milliseconds inbox_retry = 300ms;
+/// Interval between reviews of the pool's record. Changes of settings are rare and need not be stored at
+/// once.
+constexpr milliseconds pool_record_interval = 10s;
 /// Interval between removals of ended jobs.
 constexpr milliseconds cleanup_interval = 2s;
 /// Transaction entries for the removal of an ended job: its progress and its place.
@@ -211,6 +214,9 @@
         m_progress_revisions.erase(job.id);
     }
     forget_ended_jobs(now);
+    if (now - m_pool_record_reviewed_at >= pool_record_interval) {
+        review_pool_record(now);
+    }
 }
 
 /// Removes what is stored of jobs that ended long ago. A new owner reads again, and removes later, what is
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -12,8 +12,11 @@
 
 /// Transaction entries for the acceptance of one job: two writes and a condition, or the reverse.
 constexpr std::size_t entries_per_job = 3;
-/// Most jobs accepted by one transaction, besides its condition on the owner.
-constexpr std::size_t max_submits_per_write = (platform::max_transaction_entries - 1) / entries_per_job;
+/// Transaction entries for the pool's record.
+constexpr std::size_t pool_record_entries = 2;
+/// Most jobs accepted by one transaction, besides its condition on the owner and the pool's record.
+constexpr std::size_t max_submits_per_write =
+    (platform::max_transaction_entries - 1 - pool_record_entries) / entries_per_job;
 constexpr milliseconds submit_retry = 120ms;
 /// Short, since the length of an outage is unknown: a client that retries right after the outage can still be
 /// served within an objective of two seconds.
@@ -121,14 +124,40 @@
     }
     m_writing_submits = true;
     m_sent_submits = std::move(batch);
-    m_context.store.commit(change, [this, token = m_ownership.token,
+    const pool_record_update record = add_pool_record(change);
+    m_context.store.commit(change, [this, record, token = m_ownership.token,
                                     alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
         if (!alive.expired()) {
+            take_pool_record(record, answer);
             on_submits_written(std::exchange(m_sent_submits, {}), answer, token);
         }
     });
 }
 
+/// Adds to the transaction that accepts the sent submits that the pool's record names their queues.
+pool_record_update pool_task::add_pool_record(platform::store_transaction& change) const {
+    std::set<std::string> queues;
+    for (const waiting_submit& item : m_sent_submits) {
+        queues.insert(item.record.spec.queue);
+    }
+    const pool_record_update record =
+        m_context.records.update_for(m_pool, queues, m_context.configuration.current());
+    if (record) {
+        change.conditions.push_back({pool_record_key(m_pool), m_context.records.find(m_pool).revision});
+        change.writes.push_back({pool_record_key(m_pool), encode_archive(*record), 0});
+    }
+    return record;
+}
+
+/// Takes the answer to a transaction that was to write the pool's record, if it was.
+void pool_task::take_pool_record(const pool_record_update& record, const platform::store_answer& answer) {
+    if (record && answer.status == platform::store_status::ok) {
+        m_context.records.set(m_pool, *record, answer.revision);
+    } else if (record && answer.status == platform::store_status::conflict) {
+        m_context.records.renew(m_pool, answer);
+    }
+}
+
 jobs::job_place pool_task::place_of(const jobs::job_record& record) const {
     const jobs::queue_settings* queue = m_context.configuration.current().find_queue(record.spec.queue);
     return {m_pool, record.spec.queue, queue == nullptr ? 0 : jobs::address_of(*queue), record.account};
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -155,6 +155,7 @@
         on_vm_changed(vm, info);
     }
     check_unresponsive_vms();
+    review_pool_record(now);
 }
 
 } // namespace siskinpaddle::node
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -94,13 +94,10 @@
 }
 
 void pool_task::configure(const jobs::fleet_configuration& configuration) {
-    std::vector<jobs::queue_settings> queues;
-    std::ranges::copy_if(configuration.queues, std::back_inserter(queues),
-                         [this](const jobs::queue_settings& item) { return item.pool == m_pool; });
-    m_scheduler.configure(std::move(queues));
+    m_scheduler.configure(jobs::queues_of_pool(m_context.records.find(m_pool).record, configuration, m_pool));
     const jobs::pool_settings* pool = configuration.find_pool(m_pool);
     m_vms_check_capacity = pool == nullptr || pool->vms_check_capacity;
-    m_allowances.configure(configuration);
+    m_allowances.configure(configuration, m_context.records.pools_to_own(configuration).size());
     schedule_decision();
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -4,6 +4,7 @@
 #include "node/configuration_task.hpp"
 #include "node/membership_task.hpp"
 #include "node/peer_protocol.hpp"
+#include "node/pool_records.hpp"
 #include "node/vm_directory.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -32,6 +33,7 @@
         platform::advice_client& advice;
         membership_task& membership;
         const configuration_task& configuration;
+        pool_records& records;
         metrics& counters;
     };
 
@@ -183,6 +185,8 @@
     void keep_unconfirmed_submits(std::vector<waiting_submit> batch, bool unanswered);
     void on_submits_written(std::vector<waiting_submit> batch, const platform::store_answer& answer,
                             std::int64_t token);
+    [[nodiscard]] pool_record_update add_pool_record(platform::store_transaction& change) const;
+    void take_pool_record(const pool_record_update& record, const platform::store_answer& answer);
 
     // Requests in the inbox, which did not reach an owner.
     void process_inbox_submit(const platform::store_item& item);
@@ -197,6 +201,12 @@
     [[nodiscard]] std::size_t count_waiting_in_inbox(const std::string& queue) const;
     void remove_from_inbox(const std::string& key);
 
+    // The queues of the pool's jobs.
+    [[nodiscard]] std::set<std::string> queues_in_use(timestamp now);
+    [[nodiscard]] bool has_jobs() const;
+    void review_pool_record(timestamp now);
+    void write_pool_record(const pool_record_update& record);
+
     // Storing.
     void schedule_store();
     void store_changes();
@@ -275,6 +285,10 @@
     /// Ids of the VMs to keep empty, by the last demand query. The fleet's owner knows VMs by their ids.
     std::set<std::string> m_evacuated_vms;
     timestamp m_evacuated_at{0}; ///< When the last demand query arrived.
+    /// Queue -> when it last had a job here. Includes the queues of the pool's record.
+    std::map<std::string, timestamp> m_queues_used_at;
+    timestamp m_pool_record_reviewed_at{0};
+    bool m_writing_pool_record = false;
     timestamp m_cleaned_up_at{0};
     timestamp m_vm_record_reviewed_at{0};
     timestamp m_inbox_retried_at{0};
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -130,6 +130,7 @@
     start_settled = 1968,
     job_not_found = 1969,
     submit_repeated = 1970,
+    pool_record_stored = 1971,
 };
 
 /// Number, name and level of an event.
@@ -248,6 +249,7 @@
     event_definition{event_id::start_settled, "start-settled", event_level::info},
     event_definition{event_id::job_not_found, "job-not-found", event_level::info},
     event_definition{event_id::submit_repeated, "submit-repeated", event_level::info},
+    event_definition{event_id::pool_record_stored, "pool-record-stored", event_level::info},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
--- a/tests/node/fleet_fixture.hpp
+++ b/tests/node/fleet_fixture.hpp
@@ -65,10 +65,10 @@
         m_client.emplace(m_loop, endpoint{"127.0.0.1", m_store.port()});
         m_machine_client.emplace(m_loop, endpoint{"127.0.0.1", m_machine_server.port()});
         m_configured.emplace(m_loop, *m_client, [] {});
-        m_membership.emplace(
-            m_loop, m_settings, *m_client,
-            node::membership_task::handlers{[this](const node::ownership& held) { start_fleet(held); },
-                                            [](const std::string&) {}, [] {}});
+        m_membership.emplace(m_loop, m_settings, *m_client,
+                             node::membership_task::handlers{
+                                 [this](const node::ownership& held) { start_fleet(held); },
+                                 [](const std::string&) {}, [] {}, [](const platform::store_item&) {}});
     }
 
     void add_machine(const std::string& name, const std::string& pool) {
@@ -147,7 +147,7 @@
             }
         };
         m_fleet.emplace(node::fleet_task::context{m_loop, m_settings, *m_client, *m_machine_client,
-                                                  *m_membership, *m_configured, ask_pool},
+                                                  *m_membership, *m_configured, m_records, ask_pool},
                         held);
         m_fleet->start();
     }
@@ -192,6 +192,7 @@
     std::optional<platform::store_client> m_client;
     std::optional<platform::machine_client> m_machine_client;
     std::optional<node::configuration_task> m_configured;
+    node::pool_records m_records{[](const std::string&) {}};
     std::optional<node::membership_task> m_membership;
     std::optional<node::fleet_task> m_fleet;
 
--- a/tests/node/job_place_test.cpp
+++ b/tests/node/job_place_test.cpp
@@ -25,6 +25,15 @@
                             }
                         }};
 
+constexpr change restart{"all nodes restart", [](moving_queue& d) { d.restart_all_nodes(); }};
+constexpr change kill_owner{"the owner of p is killed", [](moving_queue& d) {
+                                const std::string owner = d.owner_of("p");
+                                REQUIRE_FALSE(owner.empty());
+                                d.kill_node(owner);
+                                d.start_node(owner);
+                                d.wait_until_in_force();
+                            }};
+
 struct order_of_changes {
     const char* name;
     std::vector<change> changes;
@@ -61,6 +70,10 @@
         {"the pool changes and changes back", {move_to_q, back_to_p}},
         {"submitted again between two changes", {move_to_q, repeat, back_to_p}},
         {"two queues swap their pools", {swap_pools}},
+        {"the pool changes, then all nodes restart", {move_to_q, restart}},
+        {"the pool changes, then its owner is killed", {move_to_q, kill_owner}},
+        {"all nodes restart while the queue is gone", {remove_queue, restart, move_to_q}},
+        {"all nodes restart after a swap", {swap_pools, restart}},
     };
     for (const order_of_changes& order : orders) {
         INFO("order: ", std::string(order.name));
--- /dev/null
+++ b/tests/node/pool_record_test.cpp
@@ -0,0 +1,81 @@
+#include "node/moving_queue.hpp"
+
+using namespace siskinpaddle;
+using namespace siskinpaddle::tests;
+
+namespace {
+
+constexpr milliseconds wait_timeout = 20s;
+
+std::size_t failed_runs(const moving_queue& d) {
+    return static_cast<std::size_t>(
+        std::ranges::count(d.vms[0]->runs(), "failed", &fakes::task_vm::run_record::outcome));
+}
+
+} // namespace
+
+// Guards against a pool whose jobs nobody runs: no queue leads there any more, and all nodes have ended.
+TEST_CASE("a pool with jobs has an owner although no queue leads there") {
+    moving_queue d;
+    d.submit_both();
+    d.lead("quotes", {});
+    d.restart_all_nodes();
+    CHECK(loop_until(
+        d.loop, [&] { return !d.owner_of("p").empty(); }, wait_timeout));
+    d.wait(8s); // Longer than a VM's lease.
+    CHECK(d.starts_of(lasting_job) == 1);
+    CHECK(d.vms[0]->runs().back().outcome.empty());
+}
+
+// Guards against an accepted job that never runs: it was stored in the inbox of a pool that has had no owner
+// yet.
+TEST_CASE("a job in the inbox of a pool without an owner is run although its queue is gone") {
+    moving_queue d(std::vector<std::string>{});
+    d.store.hold_writes("sp/ctl/own/pool/");
+    d.start_node("n1");
+    REQUIRE(d.until([&] { return d.submit("n1", ending_job) == 200; }));
+    d.set_pool("quotes", {});
+    d.publish();
+    d.kill_node("n1");
+    d.store.hold_writes({});
+    d.start_node("n1");
+    CHECK(loop_until(
+        d.loop, [&] { return d.starts_of(ending_job) == 1; }, wait_timeout));
+}
+
+// Guards against attempts without limit: the settings of a removed queue were forgotten.
+TEST_CASE("the limit on attempts of a removed queue stays in force") {
+    for (const bool restarts : {false, true}) {
+        INFO("all nodes restart: ", restarts);
+        moving_queue d;
+        d.vms[0]->set_failing(true);
+        REQUIRE(d.submit("n1", ending_job) == 200);
+        d.lead("quotes", {});
+        if (restarts) {
+            d.restart_all_nodes();
+        }
+        CHECK(loop_until(
+            d.loop, [&] { return failed_runs(d) == d.max_attempts; }, wait_timeout));
+        d.wait(2s);
+        CHECK(failed_runs(d) == d.max_attempts);
+        d.lead("quotes", "q");
+        CHECK(d.reaches_phase("n1", ending_job, "failed"));
+    }
+}
+
+// Guards against records that stay in the store, and owners of empty pools, for good.
+TEST_CASE("the record of a pool without queues is removed once nothing is left there") {
+    moving_queue d;
+    for (const std::string& name : d.names()) {
+        d.nodes[name].settings->ended_job_retention = 1s;
+    }
+    d.submit_both();
+    d.lead("quotes", "q");
+    REQUIRE(d.store.contains("sp/ctl/jobs/p"));
+    REQUIRE(d.call("n1", "DELETE", "/quotes/" + lasting_job).code == 200);
+    CHECK(loop_until(
+        d.loop, [&] { return !d.store.contains("sp/ctl/jobs/p"); }, 40s));
+    d.lead("quotes", "p"); // The next job writes it again.
+    CHECK(d.submit("n1", "dddddddddddddddd") == 200);
+    CHECK(d.store.contains("sp/ctl/jobs/p"));
+}
