Counts and refusals of a queue cover the pools that it led to before

After a queue had changed its pool, its count left out the jobs that wait in the earlier pool, and a repeat of a job there was refused with 429 ("not accepted, never runs") although the job ran: the owner that refuses for load knows nothing of other pools.

Cause: both asked only the pool that the queue leads to now. The pools' records tell which others may have jobs of the queue. A count is the sum of what these owners report, and none is reported if one of them has none; before a refusal for load or for an account's limit the job's place is read, but only while another pool may have jobs of the queue.

--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -61,7 +61,9 @@
     if (outcome_of(answer) == peer_outcome::unanswered) {
         // The query stored nothing, so the job can be refused. Through the inbox it would be accepted without
         // admission, by a pool whose owner refuses jobs and is too busy to answer.
-        refuse_unless_stored(client, m_overloads[client.call.pool].retry_after);
+        refuse_unless_stored(client, [this, client, wait = m_overloads[client.call.pool].retry_after] {
+            refuse_overloaded(client, wait);
+        });
         return;
     }
     if (outcome_of(answer) != peer_outcome::admissible) {
@@ -84,9 +86,7 @@
         platform::answer_id_in_use(*client.request);
         return;
     case peer_outcome::over_limit:
-        observe(client, "over_limit");
-        platform::answer_over_limit(*client.request, "needs more than the account's limit",
-                                    retry_after_over_limit);
+        refuse_over_limit(client);
         return;
     case peer_outcome::overloaded:
         m_overloads[client.call.pool] = {event_loop::now(), milliseconds(answer.retry_after_ms)};
@@ -118,7 +118,7 @@
 /// submit of a job that is stored in the inbox and will run; in that case the store is read first.
 void ingress_task::refuse_for_load(const client_context& client, const peer_answer& answer) {
     const milliseconds retry_after(answer.retry_after_ms);
-    if (milliseconds(answer.inbox_age_ms) <= jobs::max_count_age) {
+    if (milliseconds(answer.inbox_age_ms) <= jobs::max_count_age && !may_be_in_other_pool(client)) {
         refuse_overloaded(client, retry_after);
         return;
     }
@@ -126,13 +126,31 @@
         report_unknown_outcome(client, "key-unconfirmed");
         return;
     }
-    refuse_unless_stored(client, retry_after);
+    refuse_unless_stored(client, [this, client, retry_after] { refuse_overloaded(client, retry_after); });
+}
+
+void ingress_task::refuse_over_limit(const client_context& client) {
+    const auto refusal = [this, client] {
+        observe(client, "over_limit");
+        platform::answer_over_limit(*client.request, "needs more than the account's limit",
+                                    retry_after_over_limit);
+    };
+    if (may_be_in_other_pool(client)) {
+        refuse_unless_stored(client, refusal);
+    } else {
+        refusal();
+    }
+}
+
+/// Whether a pool that the call's owner knows nothing about may have accepted the job.
+bool ingress_task::may_be_in_other_pool(const client_context& client) const {
+    return !m_context.records.other_pools_of(client.call.queue, client.call.pool).empty();
 }
 
 /// A previous attempt to submit the same job may have been accepted although its client got no answer.
-void ingress_task::refuse_unless_stored(const client_context& client, milliseconds retry_after) {
+void ingress_task::refuse_unless_stored(const client_context& client, const std::function<void()>& refusal) {
     look_up_place(m_context.store, client.call.job,
-                  [this, client, retry_after, alive = m_lifetime.weak_token()](const place_answer& found) {
+                  [this, client, refusal, alive = m_lifetime.weak_token()](const place_answer& found) {
                       if (alive.expired()) {
                           return;
                       }
@@ -141,7 +159,7 @@
                       } else if (found.place) {
                           answer_placed_submit(client, *found.place);
                       } else {
-                          refuse_unless_in_pool(client, retry_after);
+                          refuse_unless_in_pool(client, refusal);
                       }
                   });
 }
@@ -158,9 +176,9 @@
 }
 
 /// Versions of the program without places store only the job.
-void ingress_task::refuse_unless_in_pool(const client_context& client, milliseconds retry_after) {
+void ingress_task::refuse_unless_in_pool(const client_context& client, const std::function<void()>& refusal) {
     look_up_job(m_context.store, client.call.pool, client.call.job,
-                [this, client, retry_after, alive = m_lifetime.weak_token()](const lookup_answer& found) {
+                [this, client, refusal, alive = m_lifetime.weak_token()](const lookup_answer& found) {
                     if (alive.expired()) {
                         return;
                     }
@@ -172,7 +190,7 @@
                     } else if (is_unsettled(client.call.job)) {
                         report_unknown_outcome(client, "unsettled");
                     } else {
-                        refuse_overloaded(client, retry_after);
+                        refusal();
                     }
                 });
 }
@@ -203,7 +221,8 @@
     }
     const overload* recent = recent_overload(client.call.pool);
     if (recent != nullptr && !may_be_stored) {
-        refuse_unless_stored(client, recent->retry_after);
+        refuse_unless_stored(client,
+                             [this, client, wait = recent->retry_after] { refuse_overloaded(client, wait); });
         return;
     }
     write_to_inbox(client, may_be_stored);
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -174,7 +174,7 @@
         send_count(client, known->second, "copy");
         return;
     }
-    send_to_owner(client, make_request(peer_request_kind::count, client), &ingress_task::count_answered);
+    send_count_calls(client);
 }
 
 /// Answers a client whose API key is not valid, or could not be checked. Returns false if the answer has to
@@ -413,19 +413,48 @@
 
 // --- Count ---
 
+/// Asks the owner of the queue's pool, and the owners of other pools that may have accepted jobs of the
+/// queue.
+void ingress_task::send_count_calls(const client_context& client) {
+    const std::vector<std::string> others =
+        m_context.records.other_pools_of(client.call.queue, client.call.pool);
+    if (client.owner_checks_key && !others.empty()) {
+        refuse(client, "key-unconfirmed", retry_after_unavailable);
+        return;
+    }
+    client_context counted = client;
+    counted.counts = std::make_shared<count_sum>();
+    counted.counts->unanswered = 1 + others.size();
+    send_to_owner(counted, make_request(peer_request_kind::count, counted), &ingress_task::count_answered);
+    for (const std::string& pool : others) {
+        counted.call.pool = pool;
+        send_to_owner(counted, make_request(peer_request_kind::count, counted),
+                      &ingress_task::count_answered);
+    }
+}
+
 void ingress_task::count_answered(const client_context& client, const peer_answer& answer) {
-    // The age counts from the client's request: how long the answer was in flight and unread is not known.
-    const timestamp at = client.received_at - milliseconds(answer.inbox_age_ms);
+    count_sum& sum = *client.counts;
+    sum.jobs += answer.count;
+    sum.inbox_age_ms = std::max(sum.inbox_age_ms, answer.inbox_age_ms);
     if (outcome_of(answer) != peer_outcome::ok) {
-        refuse(client, name_of(outcome_of(answer)), retry_after_unavailable);
+        sum.failure = outcome_of(answer);
+    }
+    if (--sum.unanswered > 0) {
         return;
     }
+    if (sum.failure) {
+        refuse(client, name_of(*sum.failure), retry_after_unavailable);
+        return;
+    }
+    // The age counts from the client's request: how long the answer was in flight and unread is not known.
+    const timestamp at = client.received_at - milliseconds(sum.inbox_age_ms);
     if (event_loop::now() - at > jobs::max_count_age) {
         refuse(client, "old-count", retry_after_unavailable);
         return;
     }
     observe(client, "ok");
-    const cached_count& count = m_counts[client.call.queue] = {answer.count, at};
+    const cached_count& count = m_counts[client.call.queue] = {sum.jobs, at};
     send_count(client, count, "owner");
 }
 
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -58,6 +58,13 @@
     static constexpr milliseconds retry_after_unavailable = 1s;
 
     using request_handle = std::shared_ptr<server_request>;
+    /// Sum of the counts that the owners of a queue's pools report.
+    struct count_sum {
+        std::size_t unanswered = 0; ///< Owners that have not answered yet.
+        std::uint64_t jobs = 0;
+        std::int64_t inbox_age_ms = 0;       ///< Largest age of an inbox copy.
+        std::optional<peer_outcome> failure; ///< Of an owner that has no count.
+    };
     struct client_context {
         request_handle request;
         platform::client_call call;
@@ -71,6 +78,7 @@
         bool key_unknown = false; ///< The owner may refuse the key, but not accept it.
         /// The store was asked whether this node's configuration is the newest.
         bool configuration_compared = false;
+        std::shared_ptr<count_sum> counts; ///< With a count call, once it is sent to the owners.
     };
     struct cached_count {
         std::uint64_t jobs = 0;
@@ -107,10 +115,13 @@
     void status_answered(const client_context& client, const peer_answer& answer);
     void cancel_answered(const client_context& client, const peer_answer& answer);
     void count_answered(const client_context& client, const peer_answer& answer);
+    void send_count_calls(const client_context& client);
     void send_count(const client_context& client, const cached_count& count, std::string_view from);
     void refuse_for_load(const client_context& client, const peer_answer& answer);
-    void refuse_unless_stored(const client_context& client, milliseconds retry_after);
-    void refuse_unless_in_pool(const client_context& client, milliseconds retry_after);
+    void refuse_over_limit(const client_context& client);
+    [[nodiscard]] bool may_be_in_other_pool(const client_context& client) const;
+    void refuse_unless_stored(const client_context& client, const std::function<void()>& refusal);
+    void refuse_unless_in_pool(const client_context& client, const std::function<void()>& refusal);
     void answer_placed_submit(const client_context& client, const jobs::job_place& place);
     void refuse_overloaded(const client_context& client, milliseconds retry_after);
     [[nodiscard]] const overload* recent_overload(const std::string& pool) const;
--- a/tests/node/pool_record_test.cpp
+++ b/tests/node/pool_record_test.cpp
@@ -7,6 +7,22 @@
 
 constexpr milliseconds wait_timeout = 20s;
 
+/// A job that needs more than a VM has, so that it waits until it is cancelled.
+std::string waiting_body() {
+    jobs::job_spec spec;
+    spec.steps.resize(1);
+    spec.steps[0].need = {5000, 64, 0};
+    spec.steps[0].estimate_ms = 200;
+    return platform::encode_job(spec);
+}
+
+void submit_waiting_jobs(moving_queue& d, const std::string& first_digit, int count) {
+    for (int i = 0; i < count; ++i) {
+        const std::string id = first_digit + "00000000000000" + std::to_string(i);
+        REQUIRE(d.call("n1", "POST", "/quotes/" + id, waiting_body()).code == 200);
+    }
+}
+
 std::size_t failed_runs(const moving_queue& d) {
     return static_cast<std::size_t>(
         std::ranges::count(d.vms[0]->runs(), "failed", &fakes::task_vm::run_record::outcome));
@@ -63,6 +79,35 @@
     }
 }
 
+// Guards against a count that omits accepted jobs: they wait in the pool to which the queue led before.
+TEST_CASE("a queue's count includes the jobs that wait in its earlier pool") {
+    moving_queue d;
+    submit_waiting_jobs(d, "a", 4);
+    d.lead("quotes", "q");
+    submit_waiting_jobs(d, "b", 2);
+    for (const std::string& name : d.names()) {
+        CHECK(d.until([&] { return d.pending_count(name) == 6; }));
+    }
+}
+
+// Guards against a 429 for a job that runs: the owner of the queue's new pool knows nothing of the earlier
+// one.
+TEST_CASE("a repeat of a job in the earlier pool is not refused for load") {
+    moving_queue d;
+    d.submit_both();
+    d.lead("quotes", "q");
+    int refused = 0;
+    for (int i = 10; i < 99 && refused == 0; ++i) {
+        const std::string id = "c0000000000000" + std::to_string(i);
+        refused = d.call("n1", "POST", "/quotes/" + id, d.job_body(4000)).code == 429 ? i : 0;
+    }
+    REQUIRE(refused > 0);
+    for (const std::string& name : d.names()) {
+        CHECK(d.call(name, "POST", "/quotes/" + ending_job, d.job_body(4000)).code == 200);
+        CHECK(d.submit(name, lasting_job) == 200);
+    }
+}
+
 // Guards against records that stay in the store, and owners of empty pools, for good.
 TEST_CASE("the record of a pool without queues is removed once nothing is left there") {
     moving_queue d;
