Jobs of the version before get a place when their queue changes its pool

A rolling update brings owners that read jobs which were accepted without a place. After a change of their queue's pool these were answered 410 and accepted again, as all jobs were before.

The owner remembers which jobs it has read rather than accepted. Jobs that had ended before the update are not covered, as nothing that is left of them names their queue (docs/design/job-identity.md).

Test: a case of node/pool_record_test, for a stored job and one in the inbox; red on (no place, 410), green with this commit.

--- a/node/pool_inbox.cpp
+++ b/node/pool_inbox.cpp
@@ -125,6 +125,7 @@
         // Only the owner removes requests, so an earlier write of this node was executed.
         const bool carried_out = is_still_owner && revision_of(answer, item.key) != item.revision;
         if (answer.status == platform::store_status::ok || carried_out) {
+            m_restored_jobs.insert(job);
             add_job(item.record, accepted_at(item.record.accepted_ms));
             m_inbox_jobs.erase(found);
         } else {
--- a/node/pool_queues.cpp
+++ b/node/pool_queues.cpp
@@ -1,11 +1,19 @@
 #include "node/pool_task.hpp"
 
+#include "node/job_lookup.hpp"
 #include "node/keys.hpp"
 
 #include <algorithm>
 
 namespace siskinpaddle::node {
 
+namespace {
+
+/// A condition and a write for each job, besides the condition on the owner.
+constexpr std::size_t max_jobs_per_placing = (platform::max_transaction_entries - 1) / 2;
+
+} // namespace
+
 /// The queues that have jobs here or had until recently: an ended job is still asked for, and may be
 /// submitted again.
 std::set<std::string> pool_task::queues_in_use(timestamp now) {
@@ -88,4 +96,66 @@
     });
 }
 
+/// Selects restored jobs whose queue leads to another pool, or to none, so that they are found only by their
+/// place. Forgets those that have left the scheduler.
+std::vector<std::string> pool_task::select_jobs_to_place() {
+    std::erase_if(m_restored_jobs, [this](const std::string& job) { return !m_scheduler.has_job(job); });
+    std::map<std::string, bool> leads_here;
+    std::vector<std::string> batch;
+    for (const std::string& job : m_restored_jobs) {
+        const std::string& queue = m_scheduler.find_job(job)->spec().queue;
+        const auto [known, added] = leads_here.try_emplace(queue, false);
+        if (added) {
+            const jobs::queue_settings* current = m_context.configuration.current().find_queue(queue);
+            known->second = current != nullptr && current->pool == m_pool;
+        }
+        if (!known->second && batch.size() < max_jobs_per_placing) {
+            batch.push_back(job);
+        }
+    }
+    return batch;
+}
+
+void pool_task::place_restored_jobs() {
+    if (!m_ready || m_ownership_lost || m_placing_jobs || m_restored_jobs.empty()) {
+        return;
+    }
+    const std::vector<std::string> batch = select_jobs_to_place();
+    if (batch.empty()) {
+        return;
+    }
+    m_placing_jobs = true;
+    platform::store_transaction change;
+    change.conditions.push_back(owner_condition());
+    for (const std::string& id : batch) {
+        const jobs::job_state& job = *m_scheduler.find_job(id);
+        change.conditions.push_back({place_key(id), 0});
+        change.writes.push_back(place_write(id, place_of({job.spec(), 0, job.account()})));
+    }
+    m_context.store.commit(change, [this, batch, token = m_ownership.token,
+                                    alive = m_lifetime.weak_token()](const platform::store_answer& answer) {
+        if (!alive.expired()) {
+            on_jobs_placed(batch, answer, token);
+        }
+    });
+}
+
+void pool_task::on_jobs_placed(const std::vector<std::string>& batch, const platform::store_answer& answer,
+                               std::int64_t token) {
+    m_placing_jobs = false;
+    const bool conflict = answer.status == platform::store_status::conflict;
+    if (conflict && revision_of(answer, owner_prefix + m_ownership.duty) != token) {
+        on_ownership_lost("place", token);
+    }
+    std::size_t placed = 0;
+    for (const std::string& job : batch) {
+        if (answer.status == platform::store_status::ok || place_in(answer, job)) {
+            placed += m_restored_jobs.erase(job);
+        }
+    }
+    if (placed > 0) {
+        place_restored_jobs();
+    }
+}
+
 } // namespace siskinpaddle::node
--- a/node/pool_storing.cpp
+++ b/node/pool_storing.cpp
@@ -214,6 +214,7 @@
         m_progress_revisions.erase(job.id);
     }
     forget_ended_jobs(now);
+    place_restored_jobs();
     if (now - m_pool_record_reviewed_at >= pool_record_interval) {
         review_pool_record(now);
     }
--- a/node/pool_takeover.cpp
+++ b/node/pool_takeover.cpp
@@ -87,6 +87,7 @@
                     continue;
                 }
                 const auto progress = m_loaded_progress.extract(record.value().spec.id);
+                m_restored_jobs.insert(record.value().spec.id);
                 m_scheduler.restore_job(record.value(),
                                         progress.empty() ? std::nullopt : std::optional(progress.mapped()),
                                         accepted_at(record.value().accepted_ms));
@@ -156,6 +157,7 @@
     }
     check_unresponsive_vms();
     review_pool_record(now);
+    place_restored_jobs();
 }
 
 } // namespace siskinpaddle::node
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -98,6 +98,7 @@
     const jobs::pool_settings* pool = configuration.find_pool(m_pool);
     m_vms_check_capacity = pool == nullptr || pool->vms_check_capacity;
     m_allowances.configure(configuration, m_context.records.pools_to_own(configuration).size());
+    place_restored_jobs();
     schedule_decision();
 }
 
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -205,6 +205,10 @@
     [[nodiscard]] std::set<std::string> queues_in_use(timestamp now);
     [[nodiscard]] bool has_jobs() const;
     void review_pool_record(timestamp now);
+    void place_restored_jobs();
+    [[nodiscard]] std::vector<std::string> select_jobs_to_place();
+    void on_jobs_placed(const std::vector<std::string>& batch, const platform::store_answer& answer,
+                        std::int64_t token);
     void write_pool_record(const pool_record_update& record);
 
     // Storing.
@@ -289,6 +293,10 @@
     std::map<std::string, timestamp> m_queues_used_at;
     timestamp m_pool_record_reviewed_at{0};
     bool m_writing_pool_record = false;
+    /// Jobs that this owner has read instead of accepting them: versions of the program without places store
+    /// none.
+    std::set<std::string> m_restored_jobs;
+    bool m_placing_jobs = false;
     timestamp m_cleaned_up_at{0};
     timestamp m_vm_record_reviewed_at{0};
     timestamp m_inbox_retried_at{0};
--- a/tests/node/pool_record_test.cpp
+++ b/tests/node/pool_record_test.cpp
@@ -108,6 +108,27 @@
     }
 }
 
+// Guards against jobs of the version before that are not found: they have no place.
+TEST_CASE("a job that was stored without a place is found after its queue has changed its pool") {
+    for (const char* key : {"sp/job/p/", "sp/inbox/p/submit/"}) {
+        INFO("stored under ", std::string(key));
+        moving_queue d(std::vector<std::string>{});
+        d.vms[0]->set_silent(true); // The job waits.
+        jobs::job_record record = one_task_record(ending_job);
+        d.store.put(key + ending_job, encode_archive(record));
+        d.start_node("n1");
+        REQUIRE(d.until([&] { return d.owner_of("p") == "n1" || d.pending_count("n1") == 1; }));
+        d.lead("quotes", "q");
+        REQUIRE(d.until([&] { return d.metric("n1", "siskinpaddle_configuration_version") == 12; }));
+        CHECK(d.until([&] { return d.store.contains("sp/place/" + ending_job); }));
+        CHECK(d.call("n1", "GET", "/quotes/" + ending_job).code == 200);
+        CHECK(d.submit("n1", ending_job) == 200);
+        d.vms[0]->set_silent(false);
+        CHECK(d.reaches_phase("n1", ending_job, "completed"));
+        CHECK(d.starts_of(ending_job) == 1);
+    }
+}
+
 // Guards against records that stay in the store, and owners of empty pools, for good.
 TEST_CASE("the record of a pool without queues is removed once nothing is left there") {
     moving_queue d;
