A job that meets a changed pool record on its way into the inbox is stored

Cause, a fault of: an entry's write into the inbox is conditional on the pool's record. When the write was refused for the record, the entry compared the record's revision in the answer with its copy; if its watch had brought the new record before the answer, they were equal, and the refusal was taken for "the job is there already".

The answer lists what exists of the job. If nothing does, the record was the reason, whatever the copy says, and the write is repeated.

Test: a case of node/pool_record_test, red without the change (no start within 20 s), green with it.

--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -250,14 +250,11 @@
 }
 
 /// Takes the pool's record from the answer to a refused write. Returns whether the record is the only reason:
-/// the job is not stored, and the write can be repeated with the record as it is now.
-bool ingress_task::renew_pool_record(const client_context& client, const platform::store_answer& answer) {
-    const std::string& pool = client.call.pool;
-    const std::int64_t known = m_context.records.find(pool).revision;
+/// none of the job's items exists, and the write can be repeated with the record as it is now.
+bool ingress_task::renew_pool_record(const std::string& pool, const platform::store_answer& answer) {
     m_context.records.renew(pool, answer);
-    const bool is_only_reason = std::ranges::all_of(
-        answer.items, [&](const auto& item) { return item.key == pool_record_key(pool); });
-    return is_only_reason && m_context.records.find(pool).revision != known;
+    return std::ranges::all_of(answer.items,
+                               [&](const auto& item) { return item.key == pool_record_key(pool); });
 }
 
 void ingress_task::write_to_inbox(const client_context& client, bool may_be_stored) {
@@ -285,7 +282,7 @@
     const bool conflict = answer.status == platform::store_status::conflict;
     if (const auto place = place_in(answer, client.call.job)) {
         answer_placed_submit(client, *place);
-    } else if (conflict && renew_pool_record(client, answer)) {
+    } else if (conflict && renew_pool_record(client.call.pool, answer)) {
         write_to_inbox(client, may_be_stored);
     } else if (conflict || answer.status == platform::store_status::ok) {
         observe(client, "ok_by_store");
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -131,7 +131,7 @@
                           const platform::store_answer& answer);
     [[nodiscard]] platform::store_transaction inbox_transaction(const client_context& client,
                                                                 const pool_record_update& record) const;
-    [[nodiscard]] bool renew_pool_record(const client_context& client, const platform::store_answer& answer);
+    [[nodiscard]] bool renew_pool_record(const std::string& pool, const platform::store_answer& answer);
     void refuse_unless_unsettled(const client_context& client, bool may_be_stored);
     [[nodiscard]] bool is_unsettled(const std::string& job) const;
     void send_by_place(const client_context& client, peer_outcome owner, lookup_handler otherwise);
--- a/tests/fakes/platform_store.hpp
+++ b/tests/fakes/platform_store.hpp
@@ -61,6 +61,8 @@
     /// Neither answers nor executes transactions that change a key under `prefix`. An empty prefix executes
     /// the held transactions in the order of their arrival and ends the fault.
     void hold_writes(const std::string& prefix);
+    /// Number of transactions that are held.
+    [[nodiscard]] std::size_t held_writes() const noexcept { return m_held_writes.size(); }
     /// Sets a handler that is called after each change, before watches are answered.
     void on_change(std::function<void(const std::string& key)> handler) { m_on_change = std::move(handler); }
     /// Discards the history: watches from older revisions are refused with 410.
--- a/tests/node/moving_queue.hpp
+++ b/tests/node/moving_queue.hpp
@@ -90,6 +90,21 @@
         return call(node, "POST", "/quotes/" + job, job == lasting_job ? lasting_body() : job_body(1)).code;
     }
 
+    /// Submits without waiting for the answer.
+    void submit_later(const std::string& node, const std::string& job, std::function<void(int)> answered) {
+        http_call request;
+        request.to = nodes[node].settings->clients;
+        request.method = "POST";
+        request.target = "/quotes/" + job;
+        request.headers.add("Host", "h.example");
+        request.headers.add("Deadline-Ms", "3000");
+        request.body = job_body(1);
+        request.timeout = 6s;
+        request.fresh_connection = true;
+        client.send(std::move(request),
+                    [answered = std::move(answered)](const http_answer& answer) { answered(answer.code); });
+    }
+
     /// Submits both jobs to "quotes"; afterwards one is completed, and the other is at work.
     void submit_both() {
         REQUIRE(submit("n1", ending_job) == 200);
--- a/tests/node/pool_record_test.cpp
+++ b/tests/node/pool_record_test.cpp
@@ -59,6 +59,29 @@
         d.loop, [&] { return d.starts_of(ending_job) == 1; }, wait_timeout));
 }
 
+// Guards against an accepted job that is not stored: the pool's record changed while the entry wrote the job.
+TEST_CASE("a job that meets a changed pool record on its way into the inbox is stored") {
+    moving_queue d;
+    const std::string owner = d.owner_of("p");
+    REQUIRE_FALSE(owner.empty());
+    const std::string entry = owner == "n1" ? "n2" : "n1";
+    d.kill_node(owner);
+    d.store.hold_writes("sp/inbox/");
+    std::optional<int> code;
+    d.submit_later(entry, ending_job, [&](int answered) { code = answered; });
+    const std::size_t held = 1;
+    REQUIRE(d.until([&] { return d.store.held_writes() == held; }));
+    jobs::pool_record record;
+    record.queues = {quotes_queue()};
+    d.store.put("sp/ctl/jobs/p", encode_archive(record));
+    d.wait(200ms); // The entry has the record by its watch.
+    d.store.hold_writes({});
+    REQUIRE(d.until([&] { return code.has_value(); }));
+    CHECK(*code == 200);
+    CHECK(loop_until(
+        d.loop, [&] { return d.starts_of(ending_job) == 1; }, wait_timeout));
+}
+
 // Guards against attempts without limit: the settings of a removed queue were forgotten.
 TEST_CASE("the limit on attempts of a removed queue stays in force") {
     for (const bool restarts : {false, true}) {
