Soak: a queue that changes its pool, goes and comes back

Now each version leads the queue "moving" to one pool or the other, and one version in five leaves it out. One job in six and every second lasting one is in it, drawn by a random sequence of its own, and its accepted jobs are submitted again all the while. The checks are the same, and one more: a repeat isn't refused as another job's id.

--- a/soak/invariant_checks.cpp
+++ b/soak/invariant_checks.cpp
@@ -150,7 +150,7 @@
                                const reported_count& reported, const check_bounds& bounds) {
     waiting_range result;
     for (const auto& [id, job] : jobs) {
-        if (job.in_bulk_queue) {
+        if (job.queue != job_queue::quotes) {
             continue;
         }
         const auto found = starts.find(id);
--- a/soak/invariant_checks.hpp
+++ b/soak/invariant_checks.hpp
@@ -14,13 +14,20 @@
 
 namespace siskinpaddle::soak {
 
+/// The queue of a job. Counts are checked of the first one only.
+enum class job_queue : std::uint8_t {
+    quotes,
+    bulk,  ///< Its jobs run in another pool.
+    moving ///< Versions of the configuration lead it to one pool or the other, or leave it out.
+};
+
 /// What clients observed of one job.
 struct job_history {
     std::uint32_t tasks = 0;
-    std::size_t account = 0;    ///< Index of its account.
-    bool in_bulk_queue = false; ///< It is in the other queue, of which no counts are checked.
-    bool long_lived = false;    ///< Its tasks run until the job is cancelled.
-    bool speculative = false;   ///< Two runs of a task may overlap.
+    std::size_t account = 0; ///< Index of its account.
+    job_queue queue = job_queue::quotes;
+    bool long_lived = false;                      ///< Its tasks run until the job is cancelled.
+    bool speculative = false;                     ///< Two runs of a task may overlap.
     std::optional<long_task> tail = std::nullopt; ///< A task that runs far longer than estimated.
     bool faulty = false;                          ///< Its first task crashes each VM on which it starts.
     bool failed = false;                          ///< An answer showed the job as failed.
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -3,6 +3,7 @@
 #include "platform/platform.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <iomanip>
@@ -37,6 +38,12 @@
 /// One job in so many is in the queue of the other pool.
 constexpr std::uint64_t bulk_one_in = 4;
 constexpr std::uint64_t account_seed = 0xacc;
+/// One job in so many is in the queue that changes its pool; long-lived ones more often.
+constexpr std::uint64_t moving_one_in = 6;
+constexpr std::uint64_t long_lived_moving_one_in = 2;
+/// In one iteration of so many, an accepted job of that queue is submitted again.
+constexpr std::uint64_t repeat_one_in = 4;
+constexpr std::uint64_t moving_seed = 0x3073;
 /// A node refuses no key by a configuration that may be older than a new one may take to come into force.
 constexpr account_bounds key_bounds{
     .revocation = key_revocation_time, .key_lag = configuration_time, .limit_lag = 0ms};
@@ -50,6 +57,7 @@
 constexpr std::string_view version_metric = "siskinpaddle_configuration_version ";
 constexpr int ok = 200;
 constexpr int job_unknown = 410;
+constexpr int id_in_use = 409;
 constexpr int no_such_queue = 404;
 constexpr int unauthorized = 401;
 constexpr int too_many = 429;
@@ -91,8 +99,9 @@
 load_generator::load_generator(event_loop& loop, test_cluster& cluster, std::uint64_t seed, bool hard_load)
     : m_loop(loop), m_cluster(cluster), m_client(loop, {.max_idle_per_endpoint = 4, .max_idle_time = 60s}),
       m_timer(loop.make_timer([this] { run_iteration(); })), m_random(seed),
-      m_faulty_random(seed ^ faulty_seed), m_account_random(seed ^ account_seed), m_script(seed),
-      m_hard_load(hard_load), m_observed_configurations(cluster.nodes()) {}
+      m_faulty_random(seed ^ faulty_seed), m_account_random(seed ^ account_seed),
+      m_moving_random(seed ^ moving_seed), m_script(seed), m_hard_load(hard_load),
+      m_observed_configurations(cluster.nodes()) {}
 
 void load_generator::start() {
     m_started_at = event_loop::now();
@@ -108,7 +117,8 @@
 }
 
 std::string load_generator::target_of(const std::string& job) const {
-    return std::string(m_jobs.at(job).in_bulk_queue ? bulk_prefix : quotes_prefix) + job;
+    constexpr std::array prefixes{quotes_prefix, bulk_prefix, moving_prefix};
+    return std::string(prefixes.at(static_cast<std::size_t>(m_jobs.at(job).queue))) + job;
 }
 
 std::string load_generator::key_of(const std::string& job) {
@@ -170,6 +180,7 @@
         }
     }
     cancel_long_lived();
+    repeat_moving_job();
     probe_access();
     // Queries one random unfinished job in each iteration, so that each job is queried repeatedly.
     std::vector<std::string> open = unfinished_jobs(m_jobs);
@@ -199,10 +210,36 @@
     job.long_lived = long_lived;
     job.faulty = !long_lived && m_submitting && m_faulty_random() % faulty_one_in == 0;
     job.account = m_cluster.accounts().random_account();
-    job.in_bulk_queue = !long_lived && !job.faulty && m_account_random() % bulk_one_in == 0;
+    if (!long_lived && !job.faulty && m_account_random() % bulk_one_in == 0) {
+        job.queue = job_queue::bulk;
+    }
+    const std::uint64_t one_in = long_lived ? long_lived_moving_one_in : moving_one_in;
+    if (m_submitting && !job.faulty && m_moving_random() % one_in == 0) {
+        job.queue = job_queue::moving;
+    }
     submit_job(id, job);
 }
 
+/// Submits an accepted job again, as a client that got no answer does. It remains one job.
+void load_generator::repeat_moving_job() {
+    std::vector<std::string> accepted;
+    for (const auto& [id, job] : m_jobs) {
+        if (job.queue == job_queue::moving && job.accepted != timestamp(0)) {
+            accepted.push_back(id);
+        }
+    }
+    if (accepted.empty() || m_moving_random() % repeat_one_in != 0) {
+        return;
+    }
+    const std::string id = accepted[m_moving_random() % accepted.size()];
+    send(random_node_of(m_moving_random), {"POST", target_of(id), encode_body(m_jobs[id]), key_of(id)},
+         [this, id](const http_answer& answer) {
+             if (answer.status == exchange_status::answered && answer.code == id_in_use) {
+                 m_problems.push_back("accepted job is taken for another one: " + id);
+             }
+         });
+}
+
 void load_generator::submit_hot_jobs() {
     const hot_period* period = m_script.hot_at(event_loop::now() - m_started_at);
     const std::uint32_t count = period == nullptr ? 0 : m_script.draw_additional_jobs(*period);
@@ -240,7 +277,7 @@
     const job_history& job = m_jobs[id];
     const bool is_judged =
         answer.status == exchange_status::answered && (answer.code == ok || answer.code == too_many);
-    if (!is_judged || job.in_bulk_queue || owner != m_cluster.newest_owner() ||
+    if (!is_judged || job.queue != job_queue::quotes || owner != m_cluster.newest_owner() ||
         !m_cluster.had_contact(owner, event_loop::now(), contact_time)) {
         return;
     }
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -49,6 +49,7 @@
     void submit_new_job(bool long_lived);
     void submit_job(const std::string& id, job_history& job);
     void submit_hot_jobs();
+    void repeat_moving_job();
     void record_judgement(const std::string& id, std::int64_t owner, const http_answer& answer);
     [[nodiscard]] bool is_in_burst() const;
     void submit(const std::string& id, std::uint32_t attempt);
@@ -76,8 +77,9 @@
     void send(std::uint32_t node, client_call call, std::function<void(const http_answer&)> done);
     [[nodiscard]] std::string target_of(const std::string& job) const;
     [[nodiscard]] std::string key_of(const std::string& job);
-    [[nodiscard]] std::uint32_t random_node() {
-        return static_cast<std::uint32_t>(m_random() % m_cluster.nodes());
+    [[nodiscard]] std::uint32_t random_node() { return random_node_of(m_random); }
+    [[nodiscard]] std::uint32_t random_node_of(std::mt19937_64& random) const {
+        return static_cast<std::uint32_t>(random() % m_cluster.nodes());
     }
 
     event_loop& m_loop;
@@ -87,6 +89,7 @@
     std::mt19937_64 m_random;
     std::mt19937_64 m_faulty_random;  ///< Separate, so that a seed's other calls don't change.
     std::mt19937_64 m_account_random; ///< Likewise.
+    std::mt19937_64 m_moving_random;  ///< Likewise.
     std::map<std::string, job_history> m_jobs;
     load_script m_script;
     bool m_hard_load;
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -82,6 +82,16 @@
     return true;
 }
 
+/// The pool to which the moving queue leads in this configuration version; empty if the queue doesn't exist.
+std::string_view test_cluster::pool_of_moving_queue() const {
+    constexpr std::int64_t versions_per_absence = 5;
+    const std::int64_t number = m_configuration_version / 2; // Versions increase by two.
+    if (number % versions_per_absence == 0 && !m_is_last_configuration) {
+        return {};
+    }
+    return number % 2 == 0 ? pool_name : bulk_pool_name;
+}
+
 /// Publishes the next configuration. Each version replaces the extra queue of the previous one, so that
 /// clients can observe which version is in force.
 void test_cluster::publish_configuration() {
@@ -102,6 +112,9 @@
                             queue("bulk", std::string(bulk_prefix), bulk_pool_name),
                             queue("extra", extra_prefix(m_configuration_version), pool_name)};
     configuration.queues.back().is_public = true;
+    if (const std::string_view pool = pool_of_moving_queue(); !pool.empty()) {
+        configuration.queues.push_back(queue("moving", std::string(moving_prefix), pool));
+    }
     // The fake VMs don't check their capacity before they start a run.
     configuration.pools = {{std::string(pool_name), false, false},
                            {std::string(bulk_pool_name), false, false}};
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -21,6 +21,8 @@
 inline constexpr std::string_view quotes_prefix = "/quotes/";
 /// Path prefix of a queue whose jobs run in another pool.
 inline constexpr std::string_view bulk_prefix = "/bulk/";
+/// Path prefix of a queue that leads to one pool or the other, or doesn't exist, by configuration version.
+inline constexpr std::string_view moving_prefix = "/moving/";
 /// What each task needs.
 inline constexpr jobs::resources task_need{500, 64, 0};
 /// Time within which a revoked API key must be refused, in the nodes' settings.
@@ -144,6 +146,7 @@
     void record_outage(const planned_fault& fault);
     void end_outage(const planned_fault& fault);
     void publish_configuration();
+    [[nodiscard]] std::string_view pool_of_moving_queue() const;
     void publish_next_configuration();
     void apply_node_fault(cluster_node& state, fault_kind kind);
     void revert_node_fault(cluster_node& state, fault_kind kind);
@@ -162,6 +165,7 @@
     std::vector<contact_outage> m_outages;
     std::map<fakes::fault_proxy*, std::uint32_t> m_link_faults; ///< Number of open faults per link.
     std::int64_t m_configuration_version = 2;
+    bool m_is_last_configuration = false; ///< The moving queue exists.
     publication_times m_publications;
     std::uint32_t m_weak_node; ///< Index of the node with little processor time.
     std::uint32_t m_unanswered_faults = 0;
--- a/soak/test_cluster_faults.cpp
+++ b/soak/test_cluster_faults.cpp
@@ -257,6 +257,7 @@
 
 void test_cluster::raise_limits() {
     m_accounts.raise_limits();
+    m_is_last_configuration = true;
     publish_next_configuration();
 }
 
