A node without a configuration claims no pool, and a place that goes is noticed

A node follows the pool records from its start. If it had them before its first configuration, it would have claimed their pools without their settings, and started more tasks than VMs hold that don't check their capacity. Duties are set once a configuration is loaded, as before there were records.

A repeat of a submit was conditional on the revision of the place that an earlier answer named. If the place went meanwhile, the write was refused for good and its client waited until its deadline. The revision is now that of the latest answer.

Test for the first: a case of node/pool_record_test (the second has none). Node tests of places, records, calls, late writes and the inbox: all green.

--- a/node/ingress_submits.cpp
+++ b/node/ingress_submits.cpp
@@ -271,9 +271,10 @@
                                if (record && answer.status == platform::store_status::ok) {
                                    m_context.records.set(client.call.pool, *record, answer.revision);
                                }
-                               if (m_inbox_writes.erase(write_id) > 0) {
+                               const bool is_reported = m_inbox_writes.erase(write_id) == 0;
+                               if (!is_reported) {
                                    on_inbox_written(client, may_be_stored, answer);
-                               } // Else the unknown outcome has already been reported.
+                               }
                            });
 }
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -106,7 +106,11 @@
     }
 }
 
+/// Without a configuration this node knows no settings of a pool, not even of one whose record it has.
 void node::update_duties() {
+    if (!m_configuration.is_loaded()) {
+        return;
+    }
     std::set<std::string> duties{fleet_duty};
     for (const std::string& pool : m_pool_records.pools_to_own(m_configuration.current())) {
         duties.insert(pool_duty(pool));
--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -115,7 +115,7 @@
     const auto batch_end =
         m_submits.begin() + static_cast<std::ptrdiff_t>(std::min(max_submits_per_write, m_submits.size()));
     for (auto waiting = m_submits.begin(); waiting != batch_end; ++waiting) {
-        add_submit(change, m_pool, *waiting, place_of(waiting->record));
+        add_submit(change, *waiting);
         batch.push_back(std::move(*waiting));
     }
     m_submits.erase(m_submits.begin(), batch_end);
@@ -165,18 +165,17 @@
 
 /// Adds the acceptance of a job to a transaction. The job is accepted only once in the deployment: its place
 /// must not exist yet, or must still be the one that was found in this pool.
-void pool_task::add_submit(platform::store_transaction& change, const std::string& pool,
-                           const waiting_submit& item, const jobs::job_place& place) {
+void pool_task::add_submit(platform::store_transaction& change, const waiting_submit& item) const {
     const std::string& id = item.record.spec.id;
     change.conditions.push_back({place_key(id), item.place_revision});
     if (item.place_revision == 0) {
-        change.writes.push_back(place_write(id, place));
+        change.writes.push_back(place_write(id, place_of(item.record)));
     } else {
         // The job was accepted through another write. A write that is executed late must not restore the
         // record of a job that has ended; until the job ends, writing its record again changes nothing.
-        change.conditions.push_back({progress_prefix(pool) + id, 0});
+        change.conditions.push_back({progress_prefix(m_pool) + id, 0});
     }
-    change.writes.push_back({job_prefix(pool) + id, encode_archive(item.record), 0});
+    change.writes.push_back({job_prefix(m_pool) + id, encode_archive(item.record), 0});
 }
 
 void pool_task::answer_stalled_submits() {
@@ -294,6 +293,7 @@
 bool pool_task::finish_if_placed(waiting_submit& item, const platform::store_answer& answer) {
     const std::string& id = item.record.spec.id;
     const auto place = place_in(answer, id);
+    item.place_revision = revision_of(answer, place_key(id));
     if (!place) {
         return false;
     }
@@ -301,8 +301,7 @@
     const bool is_same_job = jobs::is_job_of_queue(*place, own.queue, own.address) &&
                              jobs::may_access_job(place->account, own.account);
     if (is_same_job && place->pool == m_pool) {
-        item.place_revision = revision_of(answer, place_key(id));
-        return false;
+        return false; // Repeated for the place as it is.
     }
     log_event(event_id::submit_repeated, {{"pool", m_pool},
                                           {"job", id},
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -175,8 +175,7 @@
     [[nodiscard]] bool has_unconfirmed_submit(const std::vector<waiting_submit>& batch) const;
     void on_submit_stored(const waiting_submit& item);
     [[nodiscard]] jobs::job_place place_of(const jobs::job_record& record) const;
-    static void add_submit(platform::store_transaction& change, const std::string& pool,
-                           const waiting_submit& item, const jobs::job_place& place);
+    void add_submit(platform::store_transaction& change, const waiting_submit& item) const;
     bool finish_if_placed(waiting_submit& item, const platform::store_answer& answer);
     /// Finishes the submit and returns true if the answer to its refused write contains the job's progress.
     [[nodiscard]] bool finish_if_progress_found(const waiting_submit& item,
--- a/tests/node/pool_record_test.cpp
+++ b/tests/node/pool_record_test.cpp
@@ -59,6 +59,19 @@
         d.loop, [&] { return d.starts_of(ending_job) == 1; }, wait_timeout));
 }
 
+// Guards against an owner that knows no settings of its pool: it starts more than VMs can hold.
+TEST_CASE("a node without a configuration claims no pool that has a record") {
+    node_deployment d;
+    d.store.remove(std::string(platform::configuration_key));
+    d.store.put("sp/ctl/jobs/p", encode_archive(jobs::pool_record{{quotes_queue()}}));
+    d.start_node("n1");
+    const timestamp end = event_loop::now() + 3s;
+    REQUIRE(d.until([&] { return event_loop::now() >= end; }));
+    CHECK_FALSE(d.store.contains("sp/ctl/own/pool/p"));
+    d.configure(node_deployment::configuration(4));
+    CHECK(d.until([&] { return d.store.contains("sp/ctl/own/pool/p"); }));
+}
+
 // Guards against an accepted job that is not stored: the pool's record changed while the entry wrote the job.
 TEST_CASE("a job that meets a changed pool record on its way into the inbox is stored") {
     moving_queue d;
