Tests of places: constants where they are used

The limit on attempts of the moving queue is a constant of its fixture, and a count is compared without a name of its own. No check is changed.

--- a/tests/node/moving_queue.hpp
+++ b/tests/node/moving_queue.hpp
@@ -13,6 +13,8 @@
 /// Pools "p" and "q" with a VM each, and the queues "quotes" and "fares", whose pools the operator changes.
 class moving_queue : public node_deployment {
   public:
+    static constexpr std::uint32_t max_attempts = 3;
+
     explicit moving_queue(const std::vector<std::string>& node_names = {"n1", "n2"}) : m_names(node_names) {
         add_vm("v1", 100ms);
         add_vm("v2", 100ms, {}, "q");
@@ -129,8 +131,6 @@
 
     [[nodiscard]] const std::vector<std::string>& names() const noexcept { return m_names; }
 
-    std::uint32_t max_attempts = 3;
-
   private:
     std::vector<std::string> m_names;
     std::map<std::string, std::string> m_pools{{"quotes", "p"}, {"fares", "q"}};
--- a/tests/node/pool_record_test.cpp
+++ b/tests/node/pool_record_test.cpp
@@ -82,8 +82,7 @@
     d.store.hold_writes("sp/inbox/");
     std::optional<int> code;
     d.submit_later(entry, ending_job, [&](int answered) { code = answered; });
-    const std::size_t held = 1;
-    REQUIRE(d.until([&] { return d.store.held_writes() == held; }));
+    REQUIRE(d.until([&] { return d.store.held_writes() == 1; }));
     jobs::pool_record record;
     record.queues = {quotes_queue()};
     d.store.put("sp/ctl/jobs/p", encode_archive(record));
@@ -107,9 +106,9 @@
             d.restart_all_nodes();
         }
         CHECK(loop_until(
-            d.loop, [&] { return failed_runs(d) == d.max_attempts; }, wait_timeout));
+            d.loop, [&] { return failed_runs(d) == moving_queue::max_attempts; }, wait_timeout));
         d.wait(2s);
-        CHECK(failed_runs(d) == d.max_attempts);
+        CHECK(failed_runs(d) == moving_queue::max_attempts);
         d.lead("quotes", "q");
         CHECK(d.reaches_phase("n1", ending_job, "failed"));
     }
