--- a/node/pool_submits.cpp
+++ b/node/pool_submits.cpp
@@ -140,7 +140,7 @@
     for (const waiting_submit& item : m_sent_submits) {
         queues.insert(item.record.spec.queue);
     }
-    const pool_record_update record =
+    pool_record_update record =
         m_context.records.update_for(m_pool, queues, m_context.configuration.current());
     if (record) {
         change.conditions.push_back({pool_record_key(m_pool), m_context.records.find(m_pool).revision});
