Log: clocks and deadlines of a VM's incarnations, and starts that none reported

The log could not tell the hypotheses apart: it had the new incarnation's clock, but neither the former one's nor the deadline that the last call to it carried, nor which starts it had not reported.

vm-restarted (1955) now has previous_clock_ms, previous_deadline_ms and unreported; vm-ended (1939) has clock_ms and deadline_ms. No decision changes.

--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -206,6 +206,9 @@
     /// The other incarnations with the VM's id that a report of the VM proves to have ended. One that has
     /// never responded to this owner may be a later one: the report may have been on its way when it started.
     [[nodiscard]] std::vector<std::string> previous_incarnations(const std::string& vm) const;
+    /// The runs on the VM that none of its reports has listed. Orders name a VM by its id, so a later
+    /// incarnation may be executing them. Precondition: `vm` is one of vms().
+    [[nodiscard]] std::vector<ended_run> unreported_runs(const std::string& vm, timestamp now) const;
     /// Processes the confirmed end of this incarnation of the VM.
     void handle_vm_ended(const std::string& vm, vm_end_cause cause, timestamp now);
     /// Processes the VM's answer to a renewal, which ends its previous_incarnations().
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -275,6 +275,8 @@
     end.had_responded = vm.has_responded();
     end.draining = vm.info().draining;
     end.isolated = !vm.isolated_for_job.empty();
+    end.clock_ms = vm.clock_ms();
+    end.granted_deadline = vm.granted_deadline();
     end.unresponsive_since = vm.unresponsive_since() == timestamp(0) ? now : vm.unresponsive_since();
     const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
     for (const task_id& id : tasks) {
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -91,6 +91,20 @@
     return found;
 }
 
+std::vector<ended_run> scheduler::unreported_runs(const std::string& vm, timestamp now) const {
+    std::vector<ended_run> found;
+    const std::multiset<task_id>& tasks = m_vms.find(vm)->second.tasks();
+    for (const task_id& id : std::set<task_id>(tasks.begin(), tasks.end())) {
+        for (const run& item : m_jobs.find(id.job)->second.task(id).runs) {
+            if (item.vm == vm && !item.reported) {
+                const bool accepted = item.accepted_at != timestamp(0);
+                found.push_back({id, item.attempt, now - item.started_at, accepted});
+            }
+        }
+    }
+    return found;
+}
+
 /// Ends the previous incarnations of a VM that has just reported. Orders name the VM by its id, so a
 /// start that no report has confirmed may have been, or may yet be, carried out by the present incarnation:
 /// its run moves there. Returns the tasks whose runs have moved.
--- a/jobs/vm_end.hpp
+++ b/jobs/vm_end.hpp
@@ -38,6 +38,8 @@
     bool draining = false;           ///< It had reported that it was draining.
     bool isolated = false;           ///< It was reserved for one job's tasks suspected of crashing VMs.
     timestamp unresponsive_since{0}; ///< Time of its first missing answer.
+    std::int64_t clock_ms = -1;      ///< Its clock in its last response; -1 if it had not responded.
+    std::int64_t granted_deadline = 0; ///< Latest deadline that was sent to it, on its clock.
     std::vector<ended_run> runs;
 };
 
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -55,6 +55,10 @@
     [[nodiscard]] std::int64_t lease_deadline(timestamp now, milliseconds lease) const;
     /// Records a deadline that was sent; the VM may have accepted it even without an answer.
     void record_granted_deadline(std::int64_t deadline);
+    /// The VM's clock in its last response; -1 if it has not responded.
+    [[nodiscard]] std::int64_t clock_ms() const noexcept { return m_clock_ms; }
+    /// Latest deadline that was sent, on the VM's clock; 0 if none was.
+    [[nodiscard]] std::int64_t granted_deadline() const noexcept { return m_granted_deadline; }
     /// Time after which every run started there has ended for certain, provided that the VM receives nothing
     /// more.
     [[nodiscard]] timestamp lease_expires_at() const;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -116,11 +116,16 @@
 void pool_task::log_restarts(const std::string& vm, const jobs::vm_report& report) const {
     for (const std::string& previous : m_scheduler.previous_incarnations(vm)) {
         m_context.counters.increment("vm_restarts");
-        log_event(event_id::vm_restarted, {{"pool", m_pool},
-                                           {"vm", vm},
-                                           {"previous", previous},
-                                           {"clock_ms", report.clock_ms},
-                                           {"acknowledged", m_scheduler.vms().at(previous).last_stored_end}});
+        const jobs::vm_state& ended = m_scheduler.vms().at(previous);
+        log_event(event_id::vm_restarted,
+                  {{"pool", m_pool},
+                   {"vm", vm},
+                   {"previous", previous},
+                   {"clock_ms", report.clock_ms},
+                   {"acknowledged", ended.last_stored_end},
+                   {"previous_clock_ms", ended.clock_ms()},
+                   {"previous_deadline_ms", ended.granted_deadline()},
+                   {"unreported", describe_runs(m_scheduler.unreported_runs(previous, event_loop::now()))}});
     }
 }
 
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -262,15 +262,18 @@
                       {"evidence", evidence.empty() ? std::string("-") : evidence}});
 }
 
-void pool_task::log_vm_end(const jobs::vm_end& end) const {
-    m_context.counters.increment("vm_ends_" + std::string(name_of(end.cause)));
-    std::string runs;
-    for (const jobs::ended_run& item :
-         std::span(end.runs).first(std::min(end.runs.size(), max_runs_per_line))) {
-        runs += (runs.empty() ? "" : ",") + platform::encode_task(item.task) + "#" +
+std::string pool_task::describe_runs(std::span<const jobs::ended_run> runs) {
+    std::string text;
+    for (const jobs::ended_run& item : runs.first(std::min(runs.size(), max_runs_per_line))) {
+        text += (text.empty() ? "" : ",") + platform::encode_task(item.task) + "#" +
                 std::to_string(item.attempt) + "+" + std::to_string(item.age.count()) +
                 (item.confirmed ? "" : "?");
     }
+    return text.empty() ? "-" : text;
+}
+
+void pool_task::log_vm_end(const jobs::vm_end& end) const {
+    m_context.counters.increment("vm_ends_" + std::string(name_of(end.cause)));
     log_event(event_id::vm_ended, {{"pool", m_pool},
                                    {"vm", end.vm},
                                    {"machine", end.machine},
@@ -278,7 +281,9 @@
                                    {"draining", static_cast<int>(end.draining)},
                                    {"silent_ms", (event_loop::now() - end.unresponsive_since).count()},
                                    {"count", end.runs.size()},
-                                   {"runs", runs.empty() ? std::string("-") : runs}});
+                                   {"clock_ms", end.clock_ms},
+                                   {"deadline_ms", end.granted_deadline},
+                                   {"runs", describe_runs(end.runs)}});
 }
 
 void pool_task::check_order_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -151,6 +151,8 @@
     void check_order_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
                             const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
     void log_decisions(const jobs::decisions& wanted) const;
+    /// Lists the runs as task#attempt+age; `-` if there are none.
+    [[nodiscard]] static std::string describe_runs(std::span<const jobs::ended_run> runs);
     void log_vm_end(const jobs::vm_end& end) const;
     void log_settled_start(const jobs::settled_start& item) const;
     void log_suspicion(const jobs::suspicion_change& change) const;
