--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -24,8 +24,11 @@
 
 /// Limits and durations of an owner's decisions.
 struct scheduler_settings {
-    /// Lease of everything that runs on a VM; the platform's maximum.
+    /// Lease of everything that runs on a VM.
     milliseconds lease = 6s;
+    /// Longest lease that a VM grants. A VM shortens a deadline beyond it, such as one that was meant for an
+    /// earlier incarnation, whose clock was ahead.
+    milliseconds max_vm_lease = 6s;
     /// A VM refuses a start that arrives later than this. Longer than a slow round trip, shorter than the two
     /// seconds after which the platform may carry out an order that was not answered.
     milliseconds start_timeout = 1500ms;
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -39,6 +39,7 @@
 jobs::scheduler_settings scheduler_settings_for(const node_settings& settings) {
     jobs::scheduler_settings result;
     result.lease = std::min(settings.vm_lease, max_lease);
+    result.max_vm_lease = settings.vm_lease;
     // The previous owner acts for a while past its lease and grants full leases until then; VM clocks may run
     // slow.
     result.takeover_timeout = membership_task::grace_after_lease +
--- a/tests/fakes/task_machine.cpp
+++ b/tests/fakes/task_machine.cpp
@@ -43,11 +43,12 @@
     m_port = m_vm->port();
     m_vm->set_machine(m_settings.name);
     m_vm->set_clock_rate(m_settings.clock_rate);
+    m_vm->set_max_lease(m_settings.max_lease);
     if (m_settings.keeps_id) {
         m_started_ms = std::max(m_started_ms + 1, wall_clock_ms());
         m_vm->set_started(m_started_ms,
                           m_incarnation_count == 1 ? first_clock_ms : m_settings.restart_clock_ms);
-        m_vm->add_late_starts(std::exchange(m_late_starts, {}));
+        m_vm->add_late_calls(std::exchange(m_late_calls, {}));
         m_delist_at.erase(id);
     }
     // The VM must not be destroyed within its own timer's callback.
@@ -96,7 +97,7 @@
         m_past_runs.push_back({record_name(), run});
     }
     if (m_settings.keeps_id) {
-        m_late_starts = m_vm->take_late_starts();
+        m_late_calls = m_vm->take_late_calls();
     }
     m_delist_at[m_vm->incarnation()] = event_loop::now() + delist_delay;
     m_vm.reset();
--- a/tests/fakes/task_machine.hpp
+++ b/tests/fakes/task_machine.hpp
@@ -45,6 +45,7 @@
         /// Where the clock of each incarnation but the first begins, if they keep the id. That of the first
         /// begins at `first_clock_ms`.
         std::int64_t restart_clock_ms = 0;
+        milliseconds max_lease = task_vm::default_max_lease;
     };
 
     task_machine(event_loop& loop, platform_store& store, settings options);
@@ -98,7 +99,7 @@
     jobs::resources m_capacity{4000, 8192, 0};
     std::uint32_t m_incarnation_count = 0;
     std::int64_t m_started_ms = 0; ///< Start of the current incarnation; 0 if it has an id of its own.
-    std::list<task_vm::late_start> m_late_starts;
+    std::list<task_vm::late_call> m_late_calls;
     std::uint32_t m_restart_blocks = 0;
     bool m_listen_failed = false; ///< The VM could not listen.
     std::vector<vm_run> m_past_runs;
--- a/tests/fakes/task_vm.cpp
+++ b/tests/fakes/task_vm.cpp
@@ -133,19 +133,24 @@
     }
 }
 
-/// Whether the order gets no answer. Counts the lost stops and late starts down, and stores a late start.
+/// Whether the call gets no answer. Counts the lost stops and late calls down, and stores a late call.
 bool task_vm::withhold_answer(const request_handle& request, const boost::json::object& body) {
     const std::string path(path_of_target(request->target()));
     if (path == wire::stop_path && m_lost_stops > 0) {
         --m_lost_stops;
         return true;
     }
+    const bool is_for_this_vm = request->headers().get(wire::vm_id_header) == m_incarnation;
     if (path == wire::start_path && m_late_starts > 0) {
         --m_late_starts;
-        m_late_orders.push_back({body, event_loop::now() + m_start_delay});
+        m_late_calls.push_back({path, body, event_loop::now() + m_start_delay});
+        return true;
+    }
+    if (path == wire::renew_vm_lease_path && is_for_this_vm && m_late_renewals > 0) {
+        --m_late_renewals;
+        m_late_calls.push_back({path, body, event_loop::now() + m_renewal_delay});
         return true;
     }
-    const bool is_for_this_vm = request->headers().get(wire::vm_id_header) == m_incarnation;
     return path == wire::start_path && is_for_this_vm && leave_start_unanswered(body);
 }
 
@@ -158,20 +163,31 @@
     constexpr std::uint32_t turns = 3;
     const auto turn = static_cast<unanswered_start>(m_received_starts / m_unanswered_one_in % turns);
     if (turn == unanswered_start::executed) {
-        m_late_orders.push_front({body, event_loop::now()});
+        m_late_calls.push_front({std::string(wire::start_path), body, event_loop::now()});
     } else if (turn == unanswered_start::executed_late) {
-        m_late_orders.push_back({body, event_loop::now() + m_unanswered_delay});
+        m_late_calls.push_back({std::string(wire::start_path), body, event_loop::now() + m_unanswered_delay});
     }
     return true;
 }
 
-void task_vm::start_late_runs() {
-    while (!m_late_orders.empty() && m_late_orders.front().due <= event_loop::now()) {
-        const boost::json::object body = std::move(m_late_orders.front().body);
-        m_late_orders.pop_front();
-        if (number(body, wire::fencing_token) >= m_fencing_token) {
-            m_fencing_token = number(body, wire::fencing_token);
-            start_run(body);
+void task_vm::execute_late_calls() {
+    const timestamp now = event_loop::now();
+    for (auto item = m_late_calls.begin(); item != m_late_calls.end();) {
+        if (item->due > now) {
+            ++item;
+            continue;
+        }
+        const late_call call = std::move(*item);
+        item = m_late_calls.erase(item);
+        if (number(call.body, wire::fencing_token) < m_fencing_token) {
+            continue;
+        }
+        m_fencing_token = number(call.body, wire::fencing_token);
+        if (call.path == wire::start_path) {
+            start_run(call.body);
+        } else {
+            extend_lease(number(call.body, wire::deadline));
+            acknowledge_ends(number(call.body, wire::acknowledged));
         }
     }
 }
@@ -191,10 +207,10 @@
     if (number(body, wire::deadline) < clock_ms()) {
         return wire::deadline_passed;
     }
+    extend_lease(number(body, wire::deadline));
     if (attempt <= m_highest_attempts[task]) {
         return wire::outdated_attempt;
     }
-    m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
     m_highest_attempts[task] = attempt;
     const std::string payload(body.at(wire::payload).as_string());
     const bool long_lived = payload == long_lived_payload;
@@ -225,15 +241,22 @@
     reply(request, 200, {});
 }
 
-void task_vm::renew(const request_handle& request, const boost::json::object& body) {
-    m_lease_until = std::max(m_lease_until, number(body, wire::deadline));
-    const std::int64_t acknowledged = number(body, wire::acknowledged);
+void task_vm::extend_lease(std::int64_t deadline) {
+    m_lease_until = std::max(m_lease_until, std::min(deadline, clock_ms() + m_max_lease.count()));
+}
+
+void task_vm::acknowledge_ends(std::int64_t sequence) {
     for (const ended_run& item : m_ends) {
-        if (item.sequence <= acknowledged) {
+        if (item.sequence <= sequence) {
             m_runs[item.run_index].acknowledged = event_loop::now();
         }
     }
-    m_ends.remove_if([&](const ended_run& item) { return item.sequence <= acknowledged; });
+    m_ends.remove_if([&](const ended_run& item) { return item.sequence <= sequence; });
+}
+
+void task_vm::renew(const request_handle& request, const boost::json::object& body) {
+    extend_lease(number(body, wire::deadline));
+    acknowledge_ends(number(body, wire::acknowledged));
     m_renewals.push_back({request, event_loop::now() + milliseconds(number(body, wire::wait))});
     answer_renewals();
 }
@@ -285,7 +308,7 @@
 void task_vm::tick() {
     m_timer->start(tick_interval);
     crash_if_due();
-    start_late_runs();
+    execute_late_calls();
     for (std::size_t i = 0; i < m_runs.size(); ++i) {
         if (m_runs[i].ended_at != timestamp(0)) {
             continue;
--- a/tests/fakes/task_vm.hpp
+++ b/tests/fakes/task_vm.hpp
@@ -20,8 +20,9 @@
 /// another object.
 class task_vm {
   public:
-    /// A start order that the VM carries out without having answered it.
-    struct late_start {
+    /// A start or a renewal that the VM carries out without having answered it.
+    struct late_call {
+        std::string path;
         boost::json::object body;
         timestamp due{0};
     };
@@ -44,6 +45,7 @@
     /// Payload of jobs whose task with this index crashes its VM `crash_delay` after the task has started.
     [[nodiscard]] static std::string crash_payload(std::uint32_t index);
     static constexpr milliseconds crash_delay{10};
+    static constexpr milliseconds default_max_lease{6000};
     /// Payload of jobs whose task with this index runs for at least `run_time`.
     [[nodiscard]] static std::string long_task_payload(std::uint32_t index, milliseconds run_time);
 
@@ -64,6 +66,8 @@
 
     /// While set, runs end as failed, including those already running.
     void set_failing(bool failing) { m_failing = failing; }
+    /// Sets the longest lease that the VM grants; it shortens longer ones.
+    void set_max_lease(milliseconds lease) noexcept { m_max_lease = lease; }
     /// Makes later registrations report that the VM drains.
     void set_draining() { m_draining = true; }
     /// Sets the capacity that the VM reports. The VM doesn't check its capacity before it starts a run.
@@ -92,11 +96,16 @@
         m_unanswered_one_in = one_in;
         m_unanswered_delay = delay;
     }
-    /// Number of delayed starts that are still pending.
-    [[nodiscard]] std::size_t pending_late_starts() const noexcept { return m_late_orders.size(); }
-    /// Passes the delayed starts on to the next start of the VM, which the platform lets carry them out.
-    [[nodiscard]] std::list<late_start> take_late_starts() { return std::exchange(m_late_orders, {}); }
-    void add_late_starts(std::list<late_start> starts) { m_late_orders.splice(m_late_orders.end(), starts); }
+    /// Executes the next `renewals` renewals after `delay` without answering them.
+    void delay_renewals(int renewals, milliseconds delay) {
+        m_late_renewals = renewals;
+        m_renewal_delay = delay;
+    }
+    /// Number of delayed calls that are still pending.
+    [[nodiscard]] std::size_t pending_late_calls() const noexcept { return m_late_calls.size(); }
+    /// Passes the delayed calls on to the next start of the VM, which the platform lets carry them out.
+    [[nodiscard]] std::list<late_call> take_late_calls() { return std::exchange(m_late_calls, {}); }
+    void add_late_calls(std::list<late_call> calls) { m_late_calls.splice(m_late_calls.end(), calls); }
     /// Sets the rate of the VM's clock relative to the clock of the tests.
     void set_clock_rate(double rate) noexcept { m_clock_rate = rate; }
 
@@ -116,9 +125,11 @@
     std::string_view start_run(const boost::json::object& body);
     [[nodiscard]] bool leave_start_unanswered(const boost::json::object& body);
     [[nodiscard]] bool withhold_answer(const request_handle& request, const boost::json::object& body);
-    void start_late_runs();
+    void execute_late_calls();
     void stop(const request_handle& request, const boost::json::object& body);
     void renew(const request_handle& request, const boost::json::object& body);
+    void extend_lease(std::int64_t deadline);
+    void acknowledge_ends(std::int64_t sequence);
     void answer_renewals();
     void finish(std::size_t run_index, const char* outcome);
     void tick();
@@ -139,15 +150,18 @@
     std::list<ended_run> m_ends;
     std::list<pending_renewal> m_renewals;
     std::vector<request_handle> m_unanswered;
-    std::list<late_start> m_late_orders;
+    std::list<late_call> m_late_calls;
     int m_lost_stops = 0;
     int m_late_starts = 0;
     milliseconds m_start_delay{0};
+    int m_late_renewals = 0;
+    milliseconds m_renewal_delay{0};
     std::uint32_t m_unanswered_one_in = 0;
     milliseconds m_unanswered_delay{0};
     std::uint32_t m_received_starts = 0; ///< Starts received while some are left unanswered.
     std::int64_t m_fencing_token = 0;
     std::int64_t m_lease_until = 0;
+    milliseconds m_max_lease = default_max_lease;
     std::int64_t m_next_end = 1;
     bool m_silent = false;
     bool m_failing = false;
--- a/tests/jobs/scheduler_fixture.hpp
+++ b/tests/jobs/scheduler_fixture.hpp
@@ -12,7 +12,8 @@
 /// A scheduler under test: the test controls its VMs and its clock and answers its orders.
 class scheduler_fixture {
   public:
-    explicit scheduler_fixture(std::uint32_t epoch = 0) : m_scheduler(settings(), epoch, m_now) {
+    explicit scheduler_fixture(std::uint32_t epoch = 0, const scheduler_settings& options = settings())
+        : m_scheduler(options, epoch, m_now) {
         queue_settings queue;
         queue.name = "q";
         queue.pool = "p";
--- a/tests/node/cancelled_runs_test.cpp
+++ b/tests/node/cancelled_runs_test.cpp
@@ -81,7 +81,7 @@
         d.vms[0]->delay_starts(2, late_start_delay);
         d.vms[0]->lose_stops(many_stops);
         CHECK(d.call("n1", "POST", "/quotes/" + job_a, kind.body).code == 200);
-        REQUIRE(d.until([&] { return d.vms[0]->pending_late_starts() == 2; }));
+        REQUIRE(d.until([&] { return d.vms[0]->pending_late_calls() == 2; }));
         CHECK(cancel(d, "n1"));
         REQUIRE(d.until_started(2));
         d.vms[0]->lose_stops(0);
@@ -102,7 +102,7 @@
         d.vms[0]->delay_starts(2, late_start_delay);
         d.vms[0]->lose_stops(many_stops);
         CHECK(d.call("n1", "POST", "/quotes/" + job_a, kind.body).code == 200);
-        REQUIRE(d.until([&] { return d.vms[0]->pending_late_starts() == 2; }));
+        REQUIRE(d.until([&] { return d.vms[0]->pending_late_calls() == 2; }));
         CHECK(cancel(d, "n1"));
         d.kill_node("n1");
         REQUIRE(d.until_started(2));
--- a/tests/node/vm_restart_test.cpp
+++ b/tests/node/vm_restart_test.cpp
@@ -136,7 +136,7 @@
     d.wait_until_serving("n1");
     machine.vm()->delay_starts(3, order_delay);
     CHECK(d.call("n1", "POST", "/quotes/" + first_job, d.job_body(3)).code == 200);
-    REQUIRE(d.until([&] { return machine.vm()->pending_late_starts() == 3; }));
+    REQUIRE(d.until([&] { return machine.vm()->pending_late_calls() == 3; }));
     restart(d, machine, restart_cases.front());
     CHECK(d.reaches_phase("n1", first_job, "completed"));
     const timestamp completed = event_loop::now();
