A VM's first report to an owner proves no lease shorter than its longest

Cause: a deadline is a reading of the VM's clock, and the clock begins anew with each incarnation. A deadline for the former one lies far ahead on the new one's clock, so the VM shortens it to the longest lease that it grants (10 s there), while the owner assumed its own lease (6 s) from the first report on.

The owner now assumes the VM's longest lease at the first report, whatever calls came before it.

--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -202,9 +202,10 @@
     }
     vm.last_report_clock = report.clock_ms;
     if (!vm.has_responded()) {
-        // A previous owner may have granted a whole lease just before: without this, adopted runs would seem
-        // expired until this owner's first renewal is answered, and would be started a second time.
-        vm.record_granted_deadline(report.clock_ms + m_settings.lease.count());
+        // The lease that the VM holds now isn't known. A previous owner may have granted one just before, and
+        // a call for an earlier incarnation carries a deadline on another clock, which the VM shortens to its
+        // longest lease.
+        vm.record_granted_deadline(report.clock_ms + m_settings.max_vm_lease.count());
     }
     vm.record_response(report.clock_ms, now);
     vm.last_report_at = now;
