A run that its VM has not confirmed may be at an incarnation not known yet

The answer to a start doesn't say which incarnation gave it, so the owner wrote the run off with the former one's lease, after 6.35 s, while the VM held it for up to 10.36 s.

A run counts as over on the word of the VM that has it. A report, or an answer that names the incarnation, proves where it is; then the lease that this incarnation was granted decides. Without such a word the run is held until the longest lease of a VM has passed since the last call with a deadline.

--- a/jobs/job_state.hpp
+++ b/jobs/job_state.hpp
@@ -37,6 +37,10 @@
     timestamp progress_at{0}; ///< When `percent` last changed.
     std::int64_t usage = 0;
     int pace_percent = 100;
+
+    /// Whether an answer that names the incarnation has confirmed the run. Until then a later incarnation may
+    /// have taken the start order, which names the VM by its id.
+    [[nodiscard]] bool is_proven() const noexcept { return reported || confirmed_clock > 0; }
 };
 
 struct task_state {
--- a/jobs/scheduler.hpp
+++ b/jobs/scheduler.hpp
@@ -209,9 +209,9 @@
     /// The other incarnations with the VM's id that a report of the VM proves to have ended. One that has
     /// never responded to this owner may be a later one: the report may have been on its way when it started.
     [[nodiscard]] std::vector<std::string> previous_incarnations(const std::string& vm) const;
-    /// The runs on the VM that none of its reports has listed. Orders name a VM by its id, so a later
-    /// incarnation may be executing them. Precondition: `vm` is one of vms().
-    [[nodiscard]] std::vector<ended_run> unreported_runs(const std::string& vm, timestamp now) const;
+    /// The runs on the VM that no answer of this incarnation has confirmed. A later one may be executing
+    /// them. Precondition: `vm` is one of vms().
+    [[nodiscard]] std::vector<ended_run> unproven_runs(const std::string& vm, timestamp now) const;
     /// Processes the confirmed end of this incarnation of the VM.
     void handle_vm_ended(const std::string& vm, vm_end_cause cause, timestamp now);
     /// Processes the VM's answer to a renewal, which ends its previous_incarnations().
@@ -311,7 +311,7 @@
     std::vector<task_id> move_runs(vm_state& from, vm_state& to, bool all);
     void stop_late_starts(vm_state& from, vm_state& to, timestamp now);
     void stop_unlisted_runs(const std::vector<task_id>& moved, const std::string& vm, timestamp now);
-    void drop_all_runs(vm_state& vm, const vm_end& end, timestamp now);
+    void drop_ended_runs(vm_state& vm, const vm_end& end, timestamp now);
     [[nodiscard]] vm_end describe_end(const vm_state& vm, vm_end_cause cause, timestamp now) const;
     void stop_run(const task_id& id, run& item, timestamp now);
     void stop_job_runs(job_state& job, timestamp now);
@@ -347,6 +347,7 @@
 
     // Deciding.
     void drop_expired_vms(timestamp now);
+    void drop_expired_runs(vm_state& vm, timestamp now);
     void complete_takeover(timestamp now, bool hears_answers);
     void settle_inherited_use();
     void update_runs(timestamp now, bool hears_answers);
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -44,7 +44,7 @@
         vm_state& vm = item->second;
         const bool expired = vm.has_responded() && now > vm.lease_expires_at();
         if (expired && !vm.has_no_runs()) {
-            drop_all_runs(vm, describe_end(vm, vm_end_cause::lease_expired, now), now);
+            drop_expired_runs(vm, now);
         }
         const bool removable = !vm.listed && vm.has_no_runs() && !m_unconfirmed_vms.contains(item->first) &&
                                (expired || !vm.has_responded());
@@ -52,6 +52,23 @@
     }
 }
 
+/// Drops the runs on a VM whose lease has expired. A run that the incarnation has not confirmed may be at a
+/// later one, which the owner doesn't know, and lasts as long as a lease can.
+void scheduler::drop_expired_runs(vm_state& vm, timestamp now) {
+    vm_end end = describe_end(vm, vm_end_cause::lease_expired, now);
+    if (now <= vm.longest_lease_expires_at(m_settings.max_vm_lease)) {
+        for (const ended_run& item : unproven_runs(end.vm, now)) {
+            std::erase_if(end.runs, [&](const ended_run& one) {
+                return one.task == item.task && one.attempt == item.attempt;
+            });
+        }
+        if (end.runs.empty() && vm.orphans().empty()) {
+            return;
+        }
+    }
+    drop_ended_runs(vm, end, now);
+}
+
 void scheduler::complete_takeover(timestamp now, bool hears_answers) {
     const bool silent_vms_have_ended = hears_answers && now >= m_takeover_deadline;
     if (m_takeover_completed || (!m_unconfirmed_vms.empty() && !silent_vms_have_ended)) {
@@ -345,6 +362,7 @@
     item.progress_at = now;
     item.start_deadline = vm->lease_deadline(now, m_settings.start_timeout);
     vm->record_granted_deadline(item.start_deadline);
+    vm->record_grant(now);
     const step_spec& step = job.spec().steps[id.step];
     const std::string ticket = advice == nullptr ? std::string() : *advice->find_ticket(item.vm, now);
     m_pending_decisions.starts.push_back(
--- a/jobs/scheduler_runs.cpp
+++ b/jobs/scheduler_runs.cpp
@@ -292,21 +292,21 @@
     return end;
 }
 
-void scheduler::drop_all_runs(vm_state& vm, const vm_end& end, timestamp now) {
+/// Drops the runs that `end` lists and that are still counted there.
+void scheduler::drop_ended_runs(vm_state& vm, const vm_end& end, timestamp now) {
     if (!end.runs.empty()) {
         m_pending_decisions.ended_vms.push_back(end);
     }
     const char* reason = end.cause == vm_end_cause::lease_expired ? "lease-lapsed" : "vm-gone";
-    const std::set<task_id> tasks(vm.tasks().begin(), vm.tasks().end());
     const std::string incarnation = vm.info().incarnation;
-    for (const task_id& id : tasks) {
-        job_state& job = m_jobs.find(id.job)->second;
-        const std::vector<run> runs = job.task(id).runs;
-        for (const run& item : runs) {
-            if (item.vm == incarnation) {
-                add_note(reason, incarnation, &id, item.attempt);
-                drop_run(job, id, item.attempt, incarnation, now);
-            }
+    for (const ended_run& ended : end.runs) {
+        job_state& job = m_jobs.find(ended.task.job)->second;
+        const std::vector<run>& runs = job.task(ended.task).runs;
+        const bool is_there = std::ranges::any_of(
+            runs, [&](const run& item) { return item.vm == incarnation && item.attempt == ended.attempt; });
+        if (is_there) {
+            add_note(reason, incarnation, &ended.task, ended.attempt);
+            drop_run(job, ended.task, ended.attempt, incarnation, now);
         }
     }
     vm.set_orphans({});
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -57,7 +57,7 @@
     if (was_unconfirmed && cause != vm_end_cause::ordered && !found->second.info().draining) {
         m_ended_unconfirmed_vms.push_back(vm);
     }
-    drop_all_runs(found->second, describe_end(found->second, cause, now), now);
+    drop_ended_runs(found->second, describe_end(found->second, cause, now), now);
     m_vms.erase(found);
 }
 
@@ -91,12 +91,12 @@
     return found;
 }
 
-std::vector<ended_run> scheduler::unreported_runs(const std::string& vm, timestamp now) const {
+std::vector<ended_run> scheduler::unproven_runs(const std::string& vm, timestamp now) const {
     std::vector<ended_run> found;
     const std::multiset<task_id>& tasks = m_vms.find(vm)->second.tasks();
     for (const task_id& id : std::set<task_id>(tasks.begin(), tasks.end())) {
         for (const run& item : m_jobs.find(id.job)->second.task(id).runs) {
-            if (item.vm == vm && !item.reported) {
+            if (item.vm == vm && !item.is_proven()) {
                 const bool accepted = item.accepted_at != timestamp(0);
                 found.push_back({id, item.attempt, now - item.started_at, accepted});
             }
@@ -123,7 +123,7 @@
             m_ended_unconfirmed_vms.push_back(name);
         }
         if (has_ended) {
-            drop_all_runs(previous, end, now);
+            drop_ended_runs(previous, end, now);
         } else {
             process_unresponsive_vm_response(name, now);
         }
@@ -388,6 +388,7 @@
     const std::int64_t deadline = found->second.lease_deadline(now, m_settings.lease);
     if (deadline > 0) {
         found->second.record_granted_deadline(deadline);
+        found->second.record_grant(now);
     }
     return deadline;
 }
--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -15,9 +15,17 @@
 constexpr milliseconds max_quarantine = 16s;
 /// Time from the lease's expiry on the VM's clock to the end of the last process there.
 constexpr milliseconds lease_expiry_margin = 150ms;
+/// Time after which a call that has not arrived is given up.
+constexpr milliseconds call_timeout = 1s;
 /// Time within which the platform may carry out a start order that was not answered: 12 s, and its timeout.
 constexpr milliseconds late_start_time = 13s;
 
+/// Longest time from a reading of a VM's clock until processes whose lease expires `vm_ms` later have ended.
+milliseconds longest_duration(std::int64_t vm_ms) {
+    const double local_ms = std::ceil(static_cast<double>(vm_ms) / min_vm_clock_rate);
+    return milliseconds(static_cast<std::int64_t>(local_ms)) + lease_expiry_margin;
+}
+
 } // namespace
 
 void vm_state::set_info(vm_info info) {
@@ -55,9 +63,14 @@
     if (!has_responded() || m_granted_deadline <= m_clock_ms) {
         return m_last_response_at;
     }
-    const auto left = static_cast<double>(m_granted_deadline - m_clock_ms) / min_vm_clock_rate;
-    return m_last_response_at + milliseconds(static_cast<std::int64_t>(std::ceil(left))) +
-           lease_expiry_margin;
+    return m_last_response_at + longest_duration(m_granted_deadline - m_clock_ms);
+}
+
+timestamp vm_state::longest_lease_expires_at(milliseconds max_vm_lease) const {
+    const timestamp expires_at = lease_expires_at();
+    return m_last_grant_at == timestamp(0) ? expires_at
+                                           : std::max(expires_at, m_last_grant_at + call_timeout +
+                                                                      longest_duration(max_vm_lease.count()));
 }
 
 void vm_state::add_task(const task_id& task, const resources& need, bool long_lived) {
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/vm.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -55,6 +56,10 @@
     [[nodiscard]] std::int64_t lease_deadline(timestamp now, milliseconds lease) const;
     /// Records a deadline that was sent; the VM may have accepted it even without an answer.
     void record_granted_deadline(std::int64_t deadline);
+    /// Records when a call with a deadline was sent.
+    void record_grant(timestamp sent_at) noexcept { m_last_grant_at = std::max(m_last_grant_at, sent_at); }
+    /// When the last call with a deadline was sent; 0 if none was.
+    [[nodiscard]] timestamp last_grant_at() const noexcept { return m_last_grant_at; }
     /// The VM's clock in its last response; -1 if it has not responded.
     [[nodiscard]] std::int64_t clock_ms() const noexcept { return m_clock_ms; }
     /// Latest deadline that was sent, on the VM's clock; 0 if none was.
@@ -62,6 +67,9 @@
     /// Time after which every run started there has ended for certain, provided that the VM receives nothing
     /// more.
     [[nodiscard]] timestamp lease_expires_at() const;
+    /// As lease_expires_at(), for runs that a later incarnation may have: it shortens each deadline, which is
+    /// on another clock, to its longest lease from the arrival of the call.
+    [[nodiscard]] timestamp longest_lease_expires_at(milliseconds max_vm_lease) const;
 
     [[nodiscard]] bool has_run(const task_id& task) const { return m_tasks.contains(task); }
     void add_task(const task_id& task, const resources& need, bool long_lived);
@@ -124,6 +132,7 @@
     timestamp m_last_response_at{0};
     timestamp m_unresponsive_since{0};
     std::int64_t m_granted_deadline = 0;
+    timestamp m_last_grant_at{0};
     std::vector<unanswered_start> m_unanswered_starts;
     std::multiset<task_id> m_tasks;
     std::vector<orphan_run> m_orphans;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -125,7 +125,7 @@
                    {"acknowledged", ended.last_stored_end},
                    {"previous_clock_ms", ended.clock_ms()},
                    {"previous_deadline_ms", ended.granted_deadline()},
-                   {"unreported", describe_runs(m_scheduler.unreported_runs(previous, event_loop::now()))}});
+                   {"unproven", describe_runs(m_scheduler.unproven_runs(previous, event_loop::now()))}});
     }
 }
 
