Each incarnation of a VM has a fencing token of its own

A call that was left unanswered may be carried out up to 12 s later, by the VM's next incarnation. A renewal then extended the lease of runs that it was never meant for, or acknowledged ends by numbers that begin anew: three done tasks ran again in node/stale_calls_test, and a run lasted 4.5 s into the next attempt's.

Cause: an owner's fencing token was the same for all incarnations of a VM, so nothing told the calls apart. The record of VMs already has to be written before an incarnation gets its first run; the revision of that write is now the incarnation's token. It is above every token that an earlier incarnation's calls had, and below a successor's, since the write succeeds only under the owner's claim. Once the VM has answered under it, it refuses what was meant for its former incarnations. Until then it gets no starts, and its lease counts as its longest since the last call. A refusal as fenced shows a lost ownership only if no higher token of this owner was sent to that id.

--- a/jobs/jobs.hpp
+++ b/jobs/jobs.hpp
@@ -32,5 +32,6 @@
 #include "jobs/vm_end.hpp"
 #include "jobs/vm_record.hpp"
 #include "jobs/vm_state.hpp"
+#include "jobs/vm_tokens.hpp"
 #include "jobs/work_gauge.hpp"
 #include "jobs/zone_ranking.hpp"
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -30,7 +30,7 @@
         // check its capacity.
         return false;
     }
-    if (!vm.has_responded() || now - vm.last_response_at() > settings.max_response_age ||
+    if (!vm.has_responded() || !vm.is_fenced || now - vm.last_response_at() > settings.max_response_age ||
         vm.is_quarantined(now)) {
         return false;
     }
--- a/jobs/scheduler_decide.cpp
+++ b/jobs/scheduler_decide.cpp
@@ -57,6 +57,9 @@
 void scheduler::drop_expired_runs(vm_state& vm, timestamp now) {
     vm_end end = describe_end(vm, vm_end_cause::lease_expired, now);
     if (now <= vm.longest_lease_expires_at(m_settings.max_vm_lease)) {
+        if (!vm.is_fenced) {
+            return; // A call for an earlier incarnation may have extended the lease since the last response.
+        }
         for (const ended_run& item : unproven_runs(end.vm, now)) {
             std::erase_if(end.runs, [&](const ended_run& one) {
                 return one.task == item.task && one.attempt == item.attempt;
--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -119,6 +119,7 @@
         const std::vector<task_id> runs = move_runs(previous, current, !has_ended);
         moved.insert(moved.end(), runs.begin(), runs.end());
         stop_late_starts(previous, current, now);
+        current.record_grant(previous.last_grant_at());
         if (m_unconfirmed_vms.erase(name) > 0 && has_ended && !previous.info().draining) {
             m_ended_unconfirmed_vms.push_back(name);
         }
@@ -201,11 +202,12 @@
         return; // A report that was requested meanwhile has overtaken it: its runs may have ended since.
     }
     vm.last_report_clock = report.clock_ms;
-    if (!vm.has_responded()) {
+    if (!vm.is_fenced) {
         // The lease that the VM holds now isn't known. A previous owner may have granted one just before, and
         // a call for an earlier incarnation carries a deadline on another clock, which the VM shortens to its
         // longest lease.
         vm.record_granted_deadline(report.clock_ms + m_settings.max_vm_lease.count());
+        vm.is_fenced = report.is_fenced;
     }
     vm.record_response(report.clock_ms, now);
     vm.last_report_at = now;
--- a/jobs/vm.hpp
+++ b/jobs/vm.hpp
@@ -82,6 +82,9 @@
     std::vector<end_report> ended;
     std::int64_t started_ms = 0; ///< When the VM started, ms since 1970; 0 if it doesn't report that.
     timestamp requested_at{0};   ///< When the renewal was sent, on the owner's clock.
+    /// The renewal had the incarnation's own fencing token: the VM refuses calls for earlier incarnations
+    /// from now on.
+    bool is_fenced = true;
 };
 
 /// Result of an order to a VM.
--- a/jobs/vm_record.cpp
+++ b/jobs/vm_record.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace siskinpaddle::jobs {
 
@@ -13,6 +14,11 @@
     m_revision = revision;
 }
 
+std::int64_t vm_record::added_at(const std::string& vm) const {
+    const auto found = m_added_at.find(vm);
+    return found == m_added_at.end() ? 0 : found->second;
+}
+
 bool vm_record::contains(const std::string& vm) const {
     return m_stored.contains(vm) && std::ranges::all_of(m_unconfirmed, [&](const vms_by_incarnation& item) {
                return item.contains(vm);
@@ -34,7 +40,13 @@
 void vm_record::write_succeeded(std::int64_t revision) {
     assert(m_writing);
     m_writing = false;
-    m_stored = std::move(m_unconfirmed.back());
+    const vms_by_incarnation previous = std::exchange(m_stored, std::move(m_unconfirmed.back()));
+    std::erase_if(m_added_at, [this](const auto& item) { return !m_stored.contains(item.first); });
+    for (const auto& [vm, info] : m_stored) {
+        if (!previous.contains(vm)) {
+            m_added_at[vm] = revision;
+        }
+    }
     m_unconfirmed.clear();
     m_revision = revision;
 }
--- a/jobs/vm_record.hpp
+++ b/jobs/vm_record.hpp
@@ -51,6 +51,9 @@
     void load(const std::vector<vm_info>& vms, std::int64_t revision);
 
     [[nodiscard]] const vms_by_incarnation& stored() const noexcept { return m_stored; }
+    /// Revision of the write by this owner that added the VM to the stored version; 0 if the version that
+    /// was loaded contained it, or if the stored version doesn't.
+    [[nodiscard]] std::int64_t added_at(const std::string& vm) const;
     /// Revision of the stored record; 0 if there is none.
     [[nodiscard]] std::int64_t revision() const noexcept { return m_revision; }
     /// Whether a write is in flight.
@@ -76,6 +79,7 @@
     vms_by_incarnation m_stored;
     /// Writes that may be, or become, the stored version; newest last.
     std::vector<vms_by_incarnation> m_unconfirmed;
+    std::map<std::string, std::int64_t> m_added_at; ///< By incarnation; not those that were loaded.
     std::int64_t m_revision = 0;
     bool m_writing = false;
 };
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -115,6 +115,7 @@
 
     bool listed = true;                 ///< The platform lists it.
     bool reachable = true;              ///< Its last order was answered.
+    bool is_fenced = false;             ///< It refuses calls for earlier incarnations, see vm_tokens.
     bool cordoned = false;              ///< No new runs: it is being emptied for maintenance or a move.
     std::set<std::string> suspect_jobs; ///< Jobs whose suspected tasks run there, as of the last decision.
     std::string isolated_for_job;       ///< The only job whose tasks may start there; empty for any job.
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -22,6 +22,35 @@
 
 } // namespace
 
+pool_task::call_tokens pool_task::tokens_for(const std::string& vm) {
+    std::optional<std::int64_t> recorded_at;
+    if (m_vm_record.contains(vm)) {
+        recorded_at = m_vm_record.added_at(vm);
+    }
+    return {m_ownership.token, m_vm_tokens.token_for(vm, m_ownership.token, recorded_at),
+            recorded_at.has_value()};
+}
+
+void pool_task::on_fence_refusal(const std::string& vm, const call_tokens& tokens) {
+    if (m_vm_tokens.handle_refusal(vm, tokens.vm)) {
+        on_ownership_lost("fence", tokens.owner);
+    } else {
+        m_context.counters.increment("overtaken_vm_calls");
+    }
+}
+
+/// Forgets the tokens of a VM of which no incarnation is left.
+void pool_task::forget_tokens(const std::string& vm) {
+    const std::string id(jobs::vm_id_of(vm));
+    const auto& vms = m_scheduler.vms();
+    const auto next = vms.lower_bound(jobs::incarnation_prefix(id));
+    const bool is_known =
+        vms.contains(id) || (next != vms.end() && next->first.starts_with(jobs::incarnation_prefix(id)));
+    if (!is_known) {
+        m_vm_tokens.forget(id);
+    }
+}
+
 void pool_task::schedule_renewal(const std::string& vm, milliseconds pause) {
     vm_renewal& renewal = m_renewals[vm];
     if (renewal.delay_timer == nullptr) {
@@ -36,6 +65,7 @@
         m_context.loop.post([this, vm, alive = m_lifetime.weak_token()] {
             if (!alive.expired() && !m_scheduler.vms().contains(vm)) {
                 m_renewals.erase(vm); // Deferred, since a timer must not be destroyed in its own callback.
+                forget_tokens(vm);
             }
         });
         return;
@@ -65,13 +95,14 @@
         wait = m_scheduler.needs_frequent_polling(vm) ? frequent_renewal_wait : renewal_wait;
     }
     const std::int64_t deadline = m_scheduler.grant_lease_renewal(vm, event_loop::now());
-    m_context.vms.renew_lease(state.info(), m_ownership.token, deadline, acknowledged, wait,
-                              [this, vm, token = m_ownership.token,
-                               alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
-                                  if (!alive.expired()) {
-                                      on_lease_renewed(vm, answer, token);
-                                  }
-                              });
+    const call_tokens tokens = tokens_for(vm);
+    m_context.vms.renew_lease(
+        state.info(), tokens.vm, deadline, acknowledged, wait,
+        [this, vm, tokens, alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
+            if (!alive.expired()) {
+                on_lease_renewed(vm, answer, tokens);
+            }
+        });
 }
 
 /// Requests a report beside the renewal that may be waiting for a run to end.
@@ -92,23 +123,24 @@
     if (known == m_scheduler.vms().end() || !may_act()) {
         return;
     }
-    m_context.vms.renew_lease(known->second.info(), m_ownership.token, 0,
-                              m_scheduler.ends_to_acknowledge(vm, event_loop::now()), 0ms,
-                              [this, vm, token = m_ownership.token,
-                               alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
-                                  if (!alive.expired()) {
-                                      on_report(vm, answer, token);
-                                  }
-                              });
+    const call_tokens tokens = tokens_for(vm);
+    m_context.vms.renew_lease(
+        known->second.info(), tokens.vm, 0, m_scheduler.ends_to_acknowledge(vm, event_loop::now()), 0ms,
+        [this, vm, tokens, alive = m_lifetime.weak_token()](const platform::renewal_answer& answer) {
+            if (!alive.expired()) {
+                on_report(vm, answer, tokens);
+            }
+        });
 }
 
 /// Failures are left to the renewals, which are repeated.
-void pool_task::on_report(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token) {
+void pool_task::on_report(const std::string& vm, const platform::renewal_answer& answer,
+                          const call_tokens& tokens) {
     m_context.counters.increment("reports_" + std::string(name_of(answer.outcome)));
     if (answer.outcome == jobs::order_outcome::refused_fenced) {
-        on_ownership_lost("fence", token);
+        on_fence_refusal(vm, tokens);
     } else if (answer.outcome == jobs::order_outcome::accepted && m_scheduler.vms().contains(vm)) {
-        process_report(vm, *answer.report);
+        process_report(vm, *answer.report, tokens.is_own);
     }
 }
 
@@ -130,8 +162,9 @@
 }
 
 /// Processes the report of the VM, or of the incarnation that answers in its place.
-void pool_task::process_report(const std::string& vm, const jobs::vm_report& report) {
+void pool_task::process_report(const std::string& vm, jobs::vm_report report, bool is_fenced) {
     log_restarts(vm, report);
+    report.is_fenced = is_fenced;
     m_scheduler.handle_report(vm, report, event_loop::now());
     if (!is_evacuated(vm) && !m_vm_record.may_contain(vm)) {
         // The VM had been unresponsive and was removed from the record, or has started again.
@@ -142,7 +175,7 @@
 }
 
 void pool_task::on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer,
-                                 std::int64_t token) {
+                                 const call_tokens& tokens) {
     const auto renewal = m_renewals.find(vm);
     if (renewal == m_renewals.end()) {
         return;
@@ -150,7 +183,7 @@
     renewal->second.renewing = false;
     m_context.counters.increment("renewals_" + std::string(name_of(answer.outcome)));
     if (answer.outcome == jobs::order_outcome::refused_fenced) {
-        on_ownership_lost("fence", token);
+        on_fence_refusal(vm, tokens);
     }
     if (!m_scheduler.vms().contains(vm)) {
         renew_lease(vm); // The incarnation has ended meanwhile: removes its renewals.
@@ -158,7 +191,7 @@
     }
     if (answer.outcome == jobs::order_outcome::restarted) {
         const std::string current = m_scheduler.add_restarted_vm(vm, answer.report->started_ms);
-        process_report(current, *answer.report);
+        process_report(current, *answer.report, false);
         m_scheduler.handle_vm_ended(vm, jobs::vm_end_cause::restarted, event_loop::now());
         renew_lease(vm);
         return;
@@ -168,7 +201,7 @@
             log_event(event_id::vm_reachable, {{"pool", m_pool}, {"vm", vm}});
         }
         renewal->second.failures = 0;
-        process_report(vm, *answer.report);
+        process_report(vm, *answer.report, tokens.is_own);
         return;
     }
     on_renewal_failed(vm, renewal->second, answer);
--- a/node/pool_task.cpp
+++ b/node/pool_task.cpp
@@ -288,7 +288,8 @@
 }
 
 void pool_task::check_order_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
-                                   const jobs::task_id& task, std::uint32_t attempt, std::int64_t token) {
+                                   const jobs::task_id& task, std::uint32_t attempt,
+                                   const call_tokens& tokens) {
     m_context.counters.increment("orders_" + std::string(order) + "_" + std::string(name_of(outcome)));
     if (outcome == jobs::order_outcome::accepted) {
         return;
@@ -304,22 +305,22 @@
     } else if (outcome == jobs::order_outcome::not_sent) {
         m_scheduler.handle_vm_unreachable(vm, event_loop::now());
     } else if (outcome == jobs::order_outcome::refused_fenced) {
-        on_ownership_lost("fence", token);
+        on_fence_refusal(vm, tokens);
     }
 }
 
 void pool_task::send_start(const jobs::start_order& order) {
     const auto vm = m_scheduler.vms().find(order.vm);
     const jobs::job_state* job = m_scheduler.find_job(order.task.job);
+    const call_tokens tokens = tokens_for(order.vm);
     m_context.vms.start_run(
-        vm->second.info(), m_ownership.token, order, job->spec().payload,
-        [this, order, token = m_ownership.token,
-         alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
+        vm->second.info(), tokens.vm, order, job->spec().payload,
+        [this, order, tokens, alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
             if (alive.expired()) {
                 return;
             }
             m_scheduler.handle_start_answer(order, answer.outcome, answer.clock_ms, event_loop::now());
-            check_order_answer(order.vm, answer.outcome, "start", order.task, order.attempt, token);
+            check_order_answer(order.vm, answer.outcome, "start", order.task, order.attempt, tokens);
             if (answer.outcome != jobs::order_outcome::accepted || m_scheduler.can_start_more()) {
                 schedule_decision();
             }
@@ -331,18 +332,18 @@
     if (vm == m_scheduler.vms().end()) {
         return;
     }
-    m_context.vms.stop_run(vm->second.info(), m_ownership.token, order,
-                           [this, order, token = m_ownership.token,
-                            alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
-                               if (!alive.expired()) {
-                                   if (m_scheduler.handle_stop_answer(order, answer.outcome, answer.clock_ms,
-                                                                      event_loop::now())) {
-                                       schedule_report(order.vm);
-                                   }
-                                   check_order_answer(order.vm, answer.outcome, "stop", order.task,
-                                                      order.attempt, token);
-                               }
-                           });
+    const call_tokens tokens = tokens_for(order.vm);
+    m_context.vms.stop_run(
+        vm->second.info(), tokens.vm, order,
+        [this, order, tokens, alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            if (m_scheduler.handle_stop_answer(order, answer.outcome, answer.clock_ms, event_loop::now())) {
+                schedule_report(order.vm);
+            }
+            check_order_answer(order.vm, answer.outcome, "stop", order.task, order.attempt, tokens);
+        });
 }
 
 void pool_task::send_pace(const jobs::pace_order& order) {
@@ -350,14 +351,14 @@
     if (vm == m_scheduler.vms().end()) {
         return;
     }
-    m_context.vms.set_pace(vm->second.info(), m_ownership.token, order,
-                           [this, order, token = m_ownership.token,
-                            alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
-                               if (!alive.expired()) {
-                                   check_order_answer(order.vm, answer.outcome, "pace", order.task,
-                                                      order.attempt, token);
-                               }
-                           });
+    const call_tokens tokens = tokens_for(order.vm);
+    m_context.vms.set_pace(
+        vm->second.info(), tokens.vm, order,
+        [this, order, tokens, alive = m_lifetime.weak_token()](const platform::order_answer& answer) {
+            if (!alive.expired()) {
+                check_order_answer(order.vm, answer.outcome, "pace", order.task, order.attempt, tokens);
+            }
+        });
 }
 
 void pool_task::request_advice(const jobs::advice_request& question) {
--- a/node/pool_task.hpp
+++ b/node/pool_task.hpp
@@ -77,6 +77,12 @@
         bool report_scheduled = false; ///< A report beside the renewal is to be requested.
         std::unique_ptr<timer> report_timer;
     };
+    /// The fencing tokens under which a call to a VM was sent.
+    struct call_tokens {
+        std::int64_t owner = 0; ///< Of this node's claim.
+        std::int64_t vm = 0;    ///< Of the call.
+        bool is_own = false;    ///< No call for an earlier incarnation of the VM had the call's token.
+    };
     struct waiting_submit {
         jobs::job_record record;
         reply done;
@@ -129,13 +135,18 @@
     void check_unresponsive_vms();
     void end_reassigned_vms(const platform::machine_list& list);
     void activate_recorded_vms();
+    void fence_earlier_calls(const std::string& vm);
     void renew_lease(const std::string& vm);
-    void on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
+    void on_lease_renewed(const std::string& vm, const platform::renewal_answer& answer,
+                          const call_tokens& tokens);
+    [[nodiscard]] call_tokens tokens_for(const std::string& vm);
+    void on_fence_refusal(const std::string& vm, const call_tokens& tokens);
+    void forget_tokens(const std::string& vm);
     void log_restarts(const std::string& vm, const jobs::vm_report& report) const;
-    void process_report(const std::string& vm, const jobs::vm_report& report);
+    void process_report(const std::string& vm, jobs::vm_report report, bool is_fenced);
     void schedule_report(const std::string& vm);
     void request_report(const std::string& vm);
-    void on_report(const std::string& vm, const platform::renewal_answer& answer, std::int64_t token);
+    void on_report(const std::string& vm, const platform::renewal_answer& answer, const call_tokens& tokens);
     void on_renewal_failed(const std::string& vm, vm_renewal& renewal,
                            const platform::renewal_answer& answer);
     void schedule_renewal(const std::string& vm, milliseconds pause);
@@ -149,7 +160,7 @@
     void send_pace(const jobs::pace_order& order);
     void request_advice(const jobs::advice_request& question);
     void check_order_answer(const std::string& vm, jobs::order_outcome outcome, const char* order,
-                            const jobs::task_id& task, std::uint32_t attempt, std::int64_t token);
+                            const jobs::task_id& task, std::uint32_t attempt, const call_tokens& tokens);
     void log_decisions(const jobs::decisions& wanted) const;
     /// Lists the runs as task#attempt+age; `-` if there are none.
     [[nodiscard]] static std::string describe_runs(std::span<const jobs::ended_run> runs);
@@ -251,6 +262,7 @@
     std::map<std::string, std::int64_t> m_progress_revisions;
     std::map<std::string, ended_job> m_ended; ///< Jobs that ended and are no longer in the scheduler.
     jobs::vm_record m_vm_record;              ///< VMs that may hold runs, as stored.
+    jobs::vm_tokens m_vm_tokens;
 
     std::map<std::string, vm_renewal> m_renewals;
     std::unique_ptr<timer> m_vm_record_timer;
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -186,11 +186,21 @@
             m_scheduler.add_or_update_vm(listed->second);
             m_scheduler.cordon(vm, is_evacuated(vm));
             renew_lease(vm);
+            fence_earlier_calls(vm);
         }
     }
     schedule_decision();
 }
 
+/// Calls a VM under the token that it has since it was recorded; its renewal may be waiting for a run to end.
+/// It gets no run before it has answered.
+void pool_task::fence_earlier_calls(const std::string& vm) {
+    const jobs::vm_state& state = m_scheduler.vms().at(vm);
+    if (state.has_responded() && !state.is_fenced) {
+        request_report(vm);
+    }
+}
+
 /// Checks the platform's list of machines for VMs that a previous owner may have used and that no longer
 /// exist. Without this check the previous owner's tasks wait for VMs that were moved to other pools, until
 /// the longest lease has expired.
