Soak: a VM that starts again takes a late call of its former start, and is cut off

The soak knew restarts under one id, late starts and cuts, each by itself; VMs granted 6 s, as long as owners' own leases, so a lease that the VM shortens to its longest could not show. VMs grant 10 s now. About once in 7 s a VM's open connections go silent while it starts again under its id; it carries out a renewal that its former start left unanswered, and is cut off half a second later for 10 to 12 s. A run's owner is found by the highest claim up to the token of its start, as VMs have tokens of their own.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -19,7 +19,7 @@
 
 /// Kinds with a periodic schedule and a random sequence of their own, so that they don't change the random
 /// faults of a seed.
-constexpr std::size_t periodic_kinds = 13;
+constexpr std::size_t periodic_kinds = 14;
 constexpr std::size_t random_kinds = enum_names<fault_kind>.size() - periodic_kinds;
 /// Combined with the seed, so that periodic faults use a different random sequence.
 constexpr std::uint64_t inbox_fault_seed = 0x510;
@@ -95,6 +95,8 @@
         std::pair{fault_kind::store_connections_silent, periodic_schedule{6000, 5000, 1, 2}},
         // The interval of the bursts of jobs, which last a second.
         std::pair{fault_kind::vm_starts_unanswered, periodic_schedule{4800, 500, 1500, 3000}},
+        // Longer than the longest lease of a VM, so that a run that starts elsewhere too early shows.
+        std::pair{fault_kind::vm_restarts_then_cut, periodic_schedule{7000, 5000, 10'000, 12'000}},
     };
     for (const auto& [kind, schedule] : schedules) {
         std::mt19937_64 random(seed ^ (vm_fault_seed << static_cast<std::uint64_t>(kind)));
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -46,7 +46,10 @@
                       ///< late.
     accounts_change,  ///< A new configuration with other API keys and limits.
     store_connections_silent, ///< The node's open connections to the store go silent; new ones work.
-    vm_starts_unanswered      ///< All VMs leave a part of their starts unanswered, and execute some late.
+    vm_starts_unanswered,     ///< All VMs leave a part of their starts unanswered, and execute some late.
+    /// The VM starts again under its id while its open connections go silent, carries out a renewal that its
+    /// previous start left unanswered, and is cut off soon after, until the fault ends.
+    vm_restarts_then_cut
 };
 
 /// One fault of a plan.
@@ -106,5 +109,6 @@
     std::pair{siskinpaddle::soak::fault_kind::accounts_change, std::string_view("accounts-change")},
     std::pair{siskinpaddle::soak::fault_kind::store_connections_silent,
               std::string_view("store-connections-silent")},
-    std::pair{siskinpaddle::soak::fault_kind::vm_starts_unanswered,
-              std::string_view("vm-starts-unanswered")}};
+    std::pair{siskinpaddle::soak::fault_kind::vm_starts_unanswered, std::string_view("vm-starts-unanswered")},
+    std::pair{siskinpaddle::soak::fault_kind::vm_restarts_then_cut,
+              std::string_view("vm-restarts-then-cut")}};
--- a/soak/test_cluster.cpp
+++ b/soak/test_cluster.cpp
@@ -21,6 +21,8 @@
 /// before the soak reports a problem.
 constexpr milliseconds grace = 6s;
 constexpr milliseconds end_slack = 6s;
+/// Longest lease of a VM, above the lease that an owner grants.
+constexpr milliseconds max_vm_lease = 10s;
 /// Time between the crash of a VM and the start of its next incarnation.
 constexpr milliseconds vm_down_time = 1500ms;
 /// One VM in so many doesn't report its start and has another id after each; the others keep their id. Among
@@ -147,7 +149,7 @@
         {"store", loopback_address(state->store_link->listen())},
         {"machines", loopback_address(tests::free_port())},
         {"advice", ""},
-        {"vm_lease_ms", 6000},
+        {"vm_lease_ms", max_vm_lease.count()},
         {"order_quiet_ms", 3000},
         {"grace_s", grace / 1s},
         {"keep_ended_s", 600},
@@ -188,6 +190,7 @@
     options.pool = is_bulk ? bulk_pool_name : pool_name;
     options.run_time = is_bulk ? bulk_run_time : run_times.at(number % run_times.size());
     options.down_time = vm_down_time;
+    options.max_lease = max_vm_lease;
     options.clock_rate = number % 2 == 0 ? slow_clock_rate : 1;
     options.keeps_id = number % vm_id_period != 0;
     options.restart_clock_ms = number % 2 == 0 ? 0 : 2 * fakes::task_machine::first_clock_ms;
@@ -237,8 +240,9 @@
 }
 
 bool test_cluster::had_contact(std::int64_t token, timestamp at, milliseconds contact) const {
-    const auto owner = m_owners.find(token);
-    return owner != m_owners.end() && !had_outage(*owner->second, at, contact);
+    // A VM that was recorded after the claim has a token of its own, above that of the claim.
+    const auto next = m_owners.upper_bound(token);
+    return next != m_owners.begin() && !had_outage(*std::prev(next)->second, at, contact);
 }
 
 bool test_cluster::had_outage(const cluster_node& node, timestamp at, milliseconds contact) const {
--- a/soak/test_cluster.hpp
+++ b/soak/test_cluster.hpp
@@ -9,6 +9,7 @@
 #include "soak/fault_plan.hpp"
 #include "soak/invariant_checks.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -136,6 +137,8 @@
     void set_shrunk(cluster_vm& state, bool enabled);
     static void set_failing(const cluster_vm& state, bool enabled);
     static void delay_orders(const cluster_vm& state);
+    void restart_then_cut(cluster_vm& state);
+    void run_later(milliseconds delay, std::function<void()> action);
     void leave_starts_unanswered(bool enabled);
     [[nodiscard]] cluster_vm& vm_of(const planned_fault& fault) {
         return m_vms[fault.target % m_settings.vms];
@@ -173,6 +176,7 @@
     std::uint32_t m_busy_faults = 0;
     std::uint32_t m_hold_faults = 0;
     std::vector<std::string> m_problems;
+    std::vector<std::unique_ptr<timer>> m_actions; ///< Later parts of faults.
 };
 
 } // namespace siskinpaddle::soak
--- a/soak/test_cluster_faults.cpp
+++ b/soak/test_cluster_faults.cpp
@@ -28,6 +28,11 @@
 constexpr std::uint32_t unanswered_one_in = 12;
 /// Some late starts are still within their deadline after this delay.
 constexpr milliseconds late_start_delay = 1200ms;
+/// With vm_restarts_then_cut: time in which a renewal is left unanswered, and from the restart to the cut.
+constexpr milliseconds time_to_restart = 500ms;
+constexpr milliseconds time_to_cut = 500ms;
+/// The renewal is carried out after the next start has been given tasks, and before it is cut off.
+constexpr milliseconds late_renewal_delay = 900ms;
 
 bool is_restart(fault_kind kind) {
     return kind == fault_kind::vm_restarts || kind == fault_kind::vm_restarts_cut ||
@@ -75,6 +80,25 @@
     }
 }
 
+void test_cluster::restart_then_cut(cluster_vm& state) {
+    if (state.machine->vm() != nullptr) {
+        state.machine->vm()->delay_renewals(1, late_renewal_delay);
+    }
+    run_later(time_to_restart, [&state] {
+        state.link->silence_connections();
+        state.machine->restart();
+    });
+    run_later(time_to_restart + time_to_cut, [this, &state] {
+        ++m_link_faults[state.link.get()];
+        state.link->set_mode(fakes::link_mode::drop_all);
+    });
+}
+
+void test_cluster::run_later(milliseconds delay, std::function<void()> action) {
+    m_actions.push_back(m_loop.make_timer(std::move(action)));
+    m_actions.back()->start(delay);
+}
+
 void test_cluster::leave_starts_unanswered(bool enabled) {
     m_unanswered_faults += enabled ? 1 : -1;
     for (const cluster_vm& state : m_vms) {
@@ -216,6 +240,9 @@
     case fault_kind::vm_starts_unanswered:
         leave_starts_unanswered(true);
         return;
+    case fault_kind::vm_restarts_then_cut:
+        restart_then_cut(vm_of(fault));
+        return;
     case fault_kind::vm_drains:
         vm_of(fault).machine->drain();
         return;
@@ -266,7 +293,9 @@
     if (fault.kind == fault_kind::vm_restarts_late) {
         vm_of(fault).machine->restart();
     }
-    if (fakes::fault_proxy* link = link_of(fault)) {
+    fakes::fault_proxy* link =
+        fault.kind == fault_kind::vm_restarts_then_cut ? vm_of(fault).link.get() : link_of(fault);
+    if (link != nullptr) {
         if (--m_link_faults[link] == 0) {
             link->set_mode(fakes::link_mode::pass);
         }
