Runs of an incarnation that takes late calls still are held for these calls

The owner waited for 1 s and the longest lease after the last call with a deadline.

It waits for 13 s and the longest lease now, for such an incarnation only.

--- a/jobs/vm_state.cpp
+++ b/jobs/vm_state.cpp
@@ -17,8 +17,8 @@
 constexpr milliseconds lease_expiry_margin = 150ms;
 /// Time after which a call that has not arrived is given up.
 constexpr milliseconds call_timeout = 1s;
-/// Time within which the platform may carry out a start order that was not answered: 12 s, and its timeout.
-constexpr milliseconds late_start_time = 13s;
+/// Time within which the platform may carry out a call that was not answered: 12 s, and its timeout.
+constexpr milliseconds late_call_time = 13s;
 
 /// Longest time from a reading of a VM's clock until processes whose lease expires `vm_ms` later have ended.
 milliseconds longest_duration(std::int64_t vm_ms) {
@@ -68,9 +68,11 @@
 
 timestamp vm_state::longest_lease_expires_at(milliseconds max_vm_lease) const {
     const timestamp expires_at = lease_expires_at();
-    return m_last_grant_at == timestamp(0) ? expires_at
-                                           : std::max(expires_at, m_last_grant_at + call_timeout +
-                                                                      longest_duration(max_vm_lease.count()));
+    if (m_last_grant_at == timestamp(0)) {
+        return expires_at;
+    }
+    const timestamp arrives_by = m_last_grant_at + (is_fenced ? call_timeout : late_call_time);
+    return std::max(expires_at, arrives_by + longest_duration(max_vm_lease.count()));
 }
 
 void vm_state::add_task(const task_id& task, const resources& need, bool long_lived) {
@@ -122,7 +124,7 @@
 void vm_state::record_unanswered_start(const task_id& task, std::uint32_t attempt, timestamp sent_at,
                                        timestamp now) {
     std::erase_if(m_unanswered_starts, [&](const unanswered_start& one) {
-        return now - one.sent_at > late_start_time || (one.attempt == attempt && one.task == task);
+        return now - one.sent_at > late_call_time || (one.attempt == attempt && one.task == task);
     });
     m_unanswered_starts.push_back({task, attempt, sent_at});
 }
@@ -142,7 +144,7 @@
 std::vector<unanswered_start> vm_state::late_starts(timestamp now) const {
     std::vector<unanswered_start> found;
     std::ranges::copy_if(m_unanswered_starts, std::back_inserter(found),
-                         [&](const unanswered_start& one) { return now - one.sent_at <= late_start_time; });
+                         [&](const unanswered_start& one) { return now - one.sent_at <= late_call_time; });
     return found;
 }
 
--- a/jobs/vm_state.hpp
+++ b/jobs/vm_state.hpp
@@ -68,7 +68,8 @@
     /// more.
     [[nodiscard]] timestamp lease_expires_at() const;
     /// As lease_expires_at(), for runs that a later incarnation may have: it shortens each deadline, which is
-    /// on another clock, to its longest lease from the arrival of the call.
+    /// on another clock, to its longest lease from the arrival of the call. Until the VM is fenced, calls for
+    /// earlier incarnations may arrive as late as the platform may carry one out.
     [[nodiscard]] timestamp longest_lease_expires_at(milliseconds max_vm_lease) const;
 
     [[nodiscard]] bool has_run(const task_id& task) const { return m_tasks.contains(task); }
--- a/tests/jobs/stale_calls_test.cpp
+++ b/tests/jobs/stale_calls_test.cpp
@@ -41,9 +41,10 @@
     }
 
     void report_from(const std::string& incarnation, std::int64_t clock_ms,
-                     std::vector<running_report> running = {}) {
+                     std::vector<running_report> running = {}, bool is_fenced = true) {
         pool().handle_report(incarnation,
-                             {clock_ms, std::move(running), {}, start_time_of(incarnation), now()}, now());
+                             {clock_ms, std::move(running), {}, start_time_of(incarnation), now(), is_fenced},
+                             now());
     }
 
     /// Starts one task on v1; the answer to the start doesn't say which incarnation gave it.
@@ -119,6 +120,32 @@
     }
 }
 
+// Guards against a lease that a late call extends after the last answer of an incarnation.
+TEST_CASE("until an incarnation refuses calls for earlier ones, its runs may outlast late calls") {
+    constexpr milliseconds latest_call = 12s;
+    for (const lease_case& item : lease_cases) {
+        INFO(std::string(item.name));
+        stale_calls_fixture b(item.max_vm_lease);
+        const start_order order = b.start_task(item.long_lived);
+        b.pool().add_restarted_vm(first_life, second_start_ms);
+        b.report_from(second_life, second_clock, {b.running(order)}, false);
+        b.list(second_life);
+        CHECK(b.time_to_next_start(second_life) >= latest_call + longest_end(item.max_vm_lease));
+    }
+}
+
+// Guards against work that is given to an incarnation before it refuses calls for earlier ones.
+TEST_CASE("an incarnation gets no tasks until it refuses calls for earlier ones") {
+    stale_calls_fixture b(10'000ms);
+    b.pool().add_restarted_vm(first_life, second_start_ms);
+    b.report_from(second_life, second_clock, {}, false);
+    b.list(second_life);
+    b.add_job("j", {b.step(1)});
+    CHECK(b.decide().starts.empty());
+    b.report_from(second_life, second_clock + 10);
+    CHECK(b.decide().starts.size() == 1);
+}
+
 // Guards against tasks that wait for the longest lease although their VM's own lease has expired.
 TEST_CASE("a run that its VM has listed ends with the lease that its owner granted") {
     for (const lease_case& item : lease_cases) {
