The refusal of a call to a forgotten VM shows no lost ownership

What callers could see: a pool that stops for good. Found by review: a VM ends and its tokens are forgotten while a call to it is on its way; its refusal as fenced was then taken for a successor's, since no higher token was known, and an owner that believes it has lost a pool that it holds doesn't recover.

The highest forgotten token stays known; a refusal below it shows nothing.

--- a/jobs/vm_tokens.cpp
+++ b/jobs/vm_tokens.cpp
@@ -19,7 +19,10 @@
 
 bool vm_tokens::handle_refusal(const std::string& incarnation, std::int64_t token) {
     const auto found = m_ids.find(vm_id_of(incarnation));
-    if (found == m_ids.end() || token >= found->second.highest) {
+    if (found == m_ids.end()) {
+        return token >= m_highest_forgotten;
+    }
+    if (token >= std::max(found->second.highest, m_highest_forgotten)) {
         return true;
     }
     found->second.raised[incarnation] = found->second.highest;
@@ -28,6 +31,7 @@
 
 void vm_tokens::forget(std::string_view id) {
     if (const auto found = m_ids.find(id); found != m_ids.end()) {
+        m_highest_forgotten = std::max(m_highest_forgotten, found->second.highest);
         m_ids.erase(found);
     }
 }
--- a/jobs/vm_tokens.hpp
+++ b/jobs/vm_tokens.hpp
@@ -35,6 +35,8 @@
     };
 
     std::map<std::string, id_tokens, std::less<>> m_ids;
+    /// A call to a VM that is forgotten, or called again since, may have had it.
+    std::int64_t m_highest_forgotten = 0;
 };
 
 } // namespace siskinpaddle::jobs
--- a/tests/jobs/vm_record_test.cpp
+++ b/tests/jobs/vm_record_test.cpp
@@ -115,3 +115,22 @@
         CHECK(record.revision() == item.revision);
     }
 }
+
+// Guards against a VM whose token is not above that of calls that were sent before it was recorded.
+TEST_CASE("a VM is added at the revision of the write that first contained it") {
+    vm_record record = stored({"old"});
+    CHECK(record.added_at("old") == 0);
+    record.begin_write(record_of({"old", "new"}));
+    CHECK(record.added_at("new") == 0);
+    record.write_succeeded(8);
+    record.begin_write(record_of({"old", "new"}));
+    record.write_succeeded(9);
+    CHECK(record.added_at("old") == 0);
+    CHECK(record.added_at("new") == 8);
+    record.begin_write(record_of({"old"}));
+    record.write_succeeded(10);
+    CHECK(record.added_at("new") == 0);
+    record.begin_write(record_of({"old", "new"}));
+    record.write_succeeded(11);
+    CHECK(record.added_at("new") == 11);
+}
