A VM whose call was overtaken gets no deadline until it answers

Found by review: the next incarnation refuses a stop for the former one as fenced; the former one was then called under the next one's token, also with a deadline, and such a renewal, left unanswered and carried out late, would be taken by the next one.

A refusal that a call of this owner caused counts as a missing answer now: the VM gets no deadlines, no acknowledgements and no starts until it answers. A silent VM is also not asked again at each review of the record.

--- a/jobs/scheduler_vms.cpp
+++ b/jobs/scheduler_vms.cpp
@@ -371,7 +371,8 @@
 
 std::int64_t scheduler::ends_to_acknowledge(const std::string& vm, timestamp now) const {
     const auto found = m_vms.find(vm);
-    if (found == m_vms.end() || now - found->second.last_report_at > max_age_to_acknowledge) {
+    if (found == m_vms.end() || !found->second.reachable ||
+        now - found->second.last_report_at > max_age_to_acknowledge) {
         return 0;
     }
     return found->second.last_stored_end;
--- a/node/pool_renewals.cpp
+++ b/node/pool_renewals.cpp
@@ -34,9 +34,11 @@
 void pool_task::on_fence_refusal(const std::string& vm, const call_tokens& tokens) {
     if (m_vm_tokens.handle_refusal(vm, tokens.vm)) {
         on_ownership_lost("fence", tokens.owner);
-    } else {
-        m_context.counters.increment("overtaken_vm_calls");
+        return;
     }
+    m_context.counters.increment("overtaken_vm_calls");
+    // Another incarnation may have refused the call: this one gets no deadlines until it answers.
+    m_scheduler.handle_vm_unreachable(vm, event_loop::now());
 }
 
 /// Forgets the tokens of a VM of which no incarnation is left.
--- a/node/pool_vms.cpp
+++ b/node/pool_vms.cpp
@@ -196,7 +196,7 @@
 /// It gets no run before it has answered.
 void pool_task::fence_earlier_calls(const std::string& vm) {
     const jobs::vm_state& state = m_scheduler.vms().at(vm);
-    if (state.has_responded() && !state.is_fenced) {
+    if (state.has_responded() && state.reachable && !state.is_fenced) {
         request_report(vm);
     }
 }
