--- a/soak/child_process.hpp
+++ b/soak/child_process.hpp
@@ -24,6 +24,8 @@
     void signal(int signal_number);
     /// Sends SIGKILL and waits until the process has ended.
     void kill();
+    /// -1 once the process has ended.
+    [[nodiscard]] pid_t process_id() const noexcept { return m_pid; }
     /// Exit code, or 128 plus the signal number. Precondition: !is_running().
     [[nodiscard]] int exit_code() const noexcept { return m_exit_code; }
 
