Bounds on what connections hold, one and all together

What callers saw: clients that send large bodies, or requests ahead without reading the answers, ended a process: it ran out of memory. Clients that hold connections took all descriptors and locked out the others.

Cause: evhttp reads a connection on while an answer waits for its client; a limit existed for one request only; and at the limit of connections, as large as the process's descriptors, the listener stopped accepting.

- A connection is read 64 KB ahead of the request that is being answered; only a body that is being received may fill the buffer further, up to its limit.
- A listener counts what its connections hold, from a byte's arrival to the answer's last byte, and closes the one that holds the most beyond 32 MB (clients, nodes) or 2 MB (readiness, metrics).
- Beyond 2,048, 1,024 and 64 connections those that have been idle longest are closed, a sixteenth at a time; new ones are accepted as soon as they are freed, so descriptors stay below the limit also in a burst.
- Readiness and metrics take bodies of 4 KB.

--- a/net/http_server.hpp
+++ b/net/http_server.hpp
@@ -4,6 +4,7 @@
 #include "net/event_loop.hpp"
 #include "net/http_types.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -20,7 +21,8 @@
 /// request replies with status 500.
 class server_request {
   public:
-    server_request(class http_server& server, evhttp_request* handle);
+    /// `connection`: its number, by which the server counts what it holds.
+    server_request(class http_server& server, evhttp_request* handle, std::uint64_t connection);
     ~server_request();
     server_request(const server_request&) = delete;
     server_request& operator=(const server_request&) = delete;
@@ -38,6 +40,7 @@
   private:
     http_server& m_server;
     std::weak_ptr<void> m_server_token;
+    std::uint64_t m_connection;
     evhttp_request* m_handle;
     std::string m_method;
     std::string m_target;
@@ -50,11 +53,27 @@
 struct http_server_limits {
     std::size_t max_body = 1U << 20U;
     std::size_t max_headers = 32U << 10U;
+    /// Bytes of a connection that are read ahead of the request that is being answered; at least
+    /// `max_headers`. A client that sends on and reads no answers fills its own buffers beyond that.
+    std::size_t max_read_ahead = 64U << 10U;
+    /// Bytes that all connections may hold together: requests that are being received or answered, bytes that
+    /// were read ahead, and answers that are not read. Beyond it the connection that holds the most is
+    /// closed.
+    std::size_t max_held = 64U << 20U;
+    /// Beyond it the connection that has been idle for the longest time is closed.
     std::size_t max_connections = 4096;
     milliseconds idle_timeout = 60s;    ///< Closes half-open and idle connections.
     milliseconds receive_timeout = 10s; ///< Closes a connection that takes longer to send one request.
 };
 
+/// Connections that a listener has closed since its start because of its limits.
+struct closed_connections {
+    std::uint64_t over_count = 0; ///< Over max_connections.
+    std::uint64_t over_held = 0;  ///< Over max_held.
+
+    bool operator==(const closed_connections&) const = default;
+};
+
 /// Listens for HTTP requests and passes each to a handler.
 class http_server {
   public:
@@ -81,6 +100,9 @@
 
     [[nodiscard]] std::size_t requests_in_progress() const noexcept { return m_requests_in_progress; }
     [[nodiscard]] std::size_t connection_count() const noexcept;
+    /// Bytes that the connections hold, see http_server_limits::max_held.
+    [[nodiscard]] std::size_t held_bytes() const noexcept;
+    [[nodiscard]] const closed_connections& closed_by_limits() const noexcept { return m_closed; }
     /// Bodies and header fields of all requests and answers.
     [[nodiscard]] const byte_counts& traffic() const noexcept { return m_traffic; }
 
@@ -96,6 +118,7 @@
     std::unique_ptr<connection_tracker> m_connection_tracker;
     std::size_t m_requests_in_progress = 0;
     byte_counts m_traffic;
+    closed_connections m_closed;
     bool m_draining = false;
     bool m_shedding = false;
     lifetime m_lifetime;
--- a/node/ingress_task.cpp
+++ b/node/ingress_task.cpp
@@ -15,14 +15,12 @@
 constexpr milliseconds owner_timeout = 900ms;
 /// An owner that did not answer gets no requests for this long; the store is used at once instead.
 constexpr milliseconds unresponsive_owner_pause = 1s;
-/// Above the largest body that a configuration allows so far; the configured limit is checked per call.
-constexpr std::size_t max_request_body = 1U << 20U;
 
 } // namespace
 
 ingress_task::ingress_task(context dependencies, local_handler local)
     : m_context(dependencies), m_local_handler(std::move(local)),
-      m_server(dependencies.loop, {.max_body = max_request_body},
+      m_server(dependencies.loop, dependencies.limits,
                [this](const request_handle& request) { handle_request(request); }) {}
 
 void ingress_task::handle_request(const request_handle& request) {
--- a/node/ingress_task.hpp
+++ b/node/ingress_task.hpp
@@ -27,6 +27,7 @@
         peer_client& peers;
         metrics& counters;
         jobs::access_settings access;
+        http_server_limits limits;
     };
     /// Passes a request to this node's own pool task; returns false if there is none.
     using local_handler = std::function<bool(const peer_request&, peer_server::reply)>;
@@ -44,6 +45,7 @@
     /// unknown, and the clients may retry. Called several times a second. Otherwise clients are held until
     /// the store's timeout or their own deadline, and have no time left for the retry that would be accepted.
     void answer_stalled_submits();
+    [[nodiscard]] const http_server& server() const noexcept { return m_server; }
     [[nodiscard]] const byte_counts& traffic() const noexcept { return m_server.traffic(); }
     [[nodiscard]] bool is_idle() const noexcept { return m_server.requests_in_progress() == 0; }
     /// When the store was last reached by an owner on another node that responds to this node. A response of
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t max_handover_attempts = 8;
 /// After SIGTERM the platform stops sending requests after two failed readiness checks, one a second.
 constexpr milliseconds shed_duration = 2500ms;
+/// Above the largest body that a configuration allows so far; the configured limit is checked per call.
+constexpr std::size_t max_client_body = 1U << 20U;
+constexpr std::size_t max_peer_body = 1U << 20U;
+/// Requests to the readiness and the metrics address have no body.
+constexpr std::size_t max_service_body = 4U << 10U;
 /// The process ends all open requests this long before the end of the grace period.
 constexpr milliseconds exit_margin = 700ms;
 
@@ -43,13 +48,16 @@
                     [this](const std::string& duty) { duty_lost(duty); }, [this] { handle_store_recovery(); },
                     [this](const platform::store_item& item) { m_pool_records.apply(item); }}),
       m_ingress({loop, m_store, m_membership, m_configuration, m_pool_records, m_peers, m_counters,
-                 access_settings_of(settings)},
+                 access_settings_of(settings),
+                 server_limits_of(settings, settings.client_limits, max_client_body)},
                 [this](const peer_request& request, const peer_server::reply& done) {
                     return handle_local(request, done);
                 }),
-      m_peer_server(loop, [this](const peer_request& request,
-                                 peer_server::reply done) { handle_peer(request, std::move(done)); }),
-      m_readiness(loop, {},
+      m_peer_server(loop, server_limits_of(settings, settings.peer_limits, max_peer_body),
+                    [this](const peer_request& request, peer_server::reply done) {
+                        handle_peer(request, std::move(done));
+                    }),
+      m_readiness(loop, server_limits_of(settings, settings.service_limits, max_service_body),
                   [this](const std::shared_ptr<server_request>& request) {
                       if (platform::is_readiness_call(*request)) {
                           platform::answer_readiness(*request, ready());
@@ -58,7 +66,7 @@
                       }
                   }),
       m_operator_view(m_membership, m_configuration, m_pool_records, m_pools),
-      m_metrics_server(loop, {},
+      m_metrics_server(loop, server_limits_of(settings, settings.service_limits, max_service_body),
                        [this](const std::shared_ptr<server_request>& request) { answer_operator(*request); }),
       m_timer(loop.make_timer([this] { tick(); })) {}
 
@@ -354,6 +362,7 @@
     }
     share_link(now);
     log_link_load(now);
+    log_closed_connections(now);
     if (m_stopping) {
         finish_stop();
     }
--- a/node/node.hpp
+++ b/node/node.hpp
@@ -10,6 +10,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
 
 namespace siskinpaddle::node {
 
@@ -29,6 +32,8 @@
   private:
     /// To and from VMs, the store, other nodes as their client and as their server, and clients.
     using link_traffic = std::array<byte_counts, 5>;
+    /// The listening addresses with their names in the log and the metrics.
+    using listener_table = std::array<std::pair<std::string_view, const http_server*>, 4>;
 
     void configuration_changed();
     void pool_record_changed(const std::string& pool);
@@ -50,6 +55,9 @@
     [[nodiscard]] link_traffic traffic() const;
     void share_link(timestamp now);
     void log_link_load(timestamp now);
+    [[nodiscard]] listener_table listeners() const;
+    void log_closed_connections(timestamp now);
+    void set_connection_metrics();
     std::string describe_store_reads(double seconds);
     void finish_stop();
     void answer_operator(server_request& request);
@@ -84,6 +92,8 @@
     link_traffic m_link_traffic;                                     ///< As of the last log line.
     std::map<std::string, std::uint64_t, std::less<>> m_store_reads; ///< Likewise.
     timestamp m_link_logged_at{0};
+    timestamp m_limits_logged_at{0};
+    std::array<closed_connections, std::tuple_size_v<listener_table>> m_logged_closures; ///< As of then.
     timestamp m_tick_due{0};
     milliseconds m_longest_lag{0}; ///< Longest delay of a tick since the metrics were last read.
     bool m_was_ready = false;
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -7,6 +7,9 @@
 /// Names of what the link's traffic is counted by, in the order of link_traffic.
 constexpr std::array<std::string_view, 5> link_ends{"vms", "store", "peers", "served", "clients"};
 
+/// Interval between the log's lines about connections that were closed because of limits.
+constexpr milliseconds limits_log_interval = 1s;
+
 } // namespace
 
 void node::set_account_metrics(const pool_task& task) {
@@ -42,6 +45,45 @@
     }
 }
 
+node::listener_table node::listeners() const {
+    return {{{"clients", &m_ingress.server()},
+             {"readiness", &m_readiness},
+             {"peers", &m_peer_server.server()},
+             {"metrics", &m_metrics_server}}};
+}
+
+void node::set_connection_metrics() {
+    for (const auto& [name, server] : listeners()) {
+        const std::string label = "listener=\"" + std::string(name) + "\"";
+        m_counters.set("connections{" + label + "}", server->connection_count());
+        m_counters.set("connection_held_bytes{" + label + "}", server->held_bytes());
+        const closed_connections& closed = server->closed_by_limits();
+        m_counters.set("connections_closed{" + label + ",limit=\"connections\"}", closed.over_count);
+        m_counters.set("connections_closed{" + label + ",limit=\"held\"}", closed.over_held);
+    }
+}
+
+/// Logs, once a second at most, how many connections the listeners closed because of their limits.
+void node::log_closed_connections(timestamp now) {
+    if (now - m_limits_logged_at < limits_log_interval) {
+        return;
+    }
+    m_limits_logged_at = now;
+    const listener_table table = listeners();
+    for (std::size_t i = 0; i < table.size(); ++i) {
+        const auto& [name, server] = table.at(i);
+        const closed_connections logged = std::exchange(m_logged_closures.at(i), server->closed_by_limits());
+        const closed_connections& closed = m_logged_closures.at(i);
+        if (closed != logged) {
+            log_event(event_id::connections_closed, {{"listener", name},
+                                                     {"over_count", closed.over_count - logged.over_count},
+                                                     {"over_held", closed.over_held - logged.over_held},
+                                                     {"open", server->connection_count()},
+                                                     {"held_kb", server->held_bytes() >> 10U}});
+        }
+    }
+}
+
 /// Answers a request on the metrics address: a question of an operator, else the metrics.
 void node::answer_operator(server_request& request) {
     const auto answer = m_operator_view.answer(path_of_target(request.target()));
@@ -72,6 +114,7 @@
         m_counters.set("link_sent_bytes" + label, link.at(end).sent);
         m_counters.set("link_received_bytes" + label, link.at(end).received);
     }
+    set_connection_metrics();
     for (const auto& [duty, task] : m_pools) {
         const std::string label = "{pool=\"" + task->pool() + "\"}";
         m_counters.set("pool_jobs" + label, task->scheduler().job_count());
--- a/node/node_settings.cpp
+++ b/node/node_settings.cpp
@@ -62,6 +62,22 @@
     }
 }
 
+constexpr std::int64_t max_connection_bound = 60'000;
+constexpr std::int64_t max_held_mb_bound = 65'536;
+constexpr std::int64_t max_read_ahead_kb_bound = 65'536;
+/// A connection has to be able to hold the headers of a request.
+constexpr std::int64_t min_read_ahead_kb = static_cast<std::int64_t>(http_server_limits().max_headers >> 10U);
+
+/// Reads the limits of a listener, whose keys begin with `prefix`.
+void read_connection_limits(json_object& root, const std::string& prefix, connection_limits& limits) {
+    limits.connections = static_cast<std::size_t>(root.number_or(
+        prefix + "connections", static_cast<std::int64_t>(limits.connections), {1, max_connection_bound}));
+    limits.held_bytes =
+        static_cast<std::size_t>(root.number_or(
+            prefix + "held_mb", static_cast<std::int64_t>(limits.held_bytes >> 20U), {1, max_held_mb_bound}))
+        << 20U;
+}
+
 /// Covers drift between this node's clock and the store's.
 constexpr milliseconds configuration_age_margin = 400ms;
 
@@ -73,6 +89,16 @@
 
 } // namespace
 
+http_server_limits server_limits_of(const node_settings& settings, const connection_limits& limits,
+                                    std::size_t max_body) {
+    http_server_limits result;
+    result.max_body = max_body;
+    result.max_read_ahead = settings.max_read_ahead;
+    result.max_held = limits.held_bytes;
+    result.max_connections = limits.connections;
+    return result;
+}
+
 jobs::access_settings access_settings_of(const node_settings& settings) {
     jobs::access_settings access;
     access.uses_accounts = settings.key_revocation_time > 0ms;
@@ -148,6 +174,14 @@
         out.add("/machine_orders_per_s", "must be a number above 0");
     }
     read_reserves(root, settings.reserves, out);
+    read_connection_limits(root, "max_", settings.client_limits);
+    read_connection_limits(root, "max_peer_", settings.peer_limits);
+    read_connection_limits(root, "max_service_", settings.service_limits);
+    settings.max_read_ahead =
+        static_cast<std::size_t>(root.number_or("max_read_ahead_kb",
+                                                static_cast<std::int64_t>(settings.max_read_ahead >> 10U),
+                                                {min_read_ahead_kb, max_read_ahead_kb_bound}))
+        << 10U;
     const boost::json::value* share = root.child("processor_share");
     settings.processor_share = share != nullptr && share->is_number() ? share->to_number<double>() : 1;
     if (settings.processor_share <= 0) {
--- a/node/node_settings.hpp
+++ b/node/node_settings.hpp
@@ -3,6 +3,7 @@
 #include "jobs/jobs.hpp"
 #include "net/net.hpp"
 
+#include <cstddef>
 #include <string>
 
 namespace siskinpaddle::node {
@@ -27,6 +28,19 @@
 /// Default for the time within which a new configuration must be in force.
 inline constexpr milliseconds default_configuration_time = 2s;
 
+/// What the connections of one listener may be and hold.
+struct connection_limits {
+    std::size_t connections = 0;
+    std::size_t held_bytes = 0; ///< All connections together.
+};
+
+/// Defaults of the limits of connections. Together they leave room on the smallest machine (160 MB, 3,900
+/// sockets) for what the node itself holds and for its own calls.
+inline constexpr connection_limits default_client_limits{2048, std::size_t{32} << 20U};
+inline constexpr connection_limits default_peer_limits{1024, std::size_t{32} << 20U};
+inline constexpr connection_limits default_service_limits{64, std::size_t{2} << 20U};
+inline constexpr std::size_t default_read_ahead = std::size_t{64} << 10U;
+
 /// Validated settings of one node process.
 struct node_settings {
     std::string id;
@@ -59,9 +73,18 @@
     bool strict_key_revocation = false;
     /// Time within which a new configuration must be in force.
     milliseconds configuration_time = default_configuration_time;
+    connection_limits client_limits = default_client_limits;
+    connection_limits peer_limits = default_peer_limits;
+    connection_limits service_limits =
+        default_service_limits;                      ///< Of the readiness and the metrics address, each.
+    std::size_t max_read_ahead = default_read_ahead; ///< Of one connection, bytes.
     double processor_share = 1; ///< Fraction of a core; sets how much of the distributed work this node gets.
 };
 
+/// Returns the limits of a listener whose requests have bodies of at most `max_body` bytes.
+[[nodiscard]] http_server_limits server_limits_of(const node_settings& settings,
+                                                  const connection_limits& limits, std::size_t max_body);
+
 /// Returns when calls with an API key may be served, for jobs::check_access().
 [[nodiscard]] jobs::access_settings access_settings_of(const node_settings& settings);
 
--- a/node/peer_client.cpp
+++ b/node/peer_client.cpp
@@ -35,9 +35,9 @@
     });
 }
 
-peer_server::peer_server(event_loop& loop, handler on_request)
+peer_server::peer_server(event_loop& loop, const http_server_limits& limits, handler on_request)
     : m_handler(std::move(on_request)),
-      m_server(loop, {},
+      m_server(loop, limits,
                [this](const std::shared_ptr<server_request>& request) { handle_request(request); }) {}
 
 void peer_server::handle_request(const std::shared_ptr<server_request>& request) {
--- a/node/peer_client.hpp
+++ b/node/peer_client.hpp
@@ -32,9 +32,10 @@
     using reply = std::function<void(const peer_answer&)>;
     using handler = std::function<void(const peer_request&, reply)>;
 
-    peer_server(event_loop& loop, handler on_request);
+    peer_server(event_loop& loop, const http_server_limits& limits, handler on_request);
 
     [[nodiscard]] bool listen(const endpoint& where) { return m_server.listen(where); }
+    [[nodiscard]] const http_server& server() const noexcept { return m_server; }
     [[nodiscard]] const byte_counts& traffic() const noexcept { return m_server.traffic(); }
 
   private:
--- a/telemetry/event_catalogue.hpp
+++ b/telemetry/event_catalogue.hpp
@@ -131,6 +131,7 @@
     job_not_found = 1969,
     submit_repeated = 1970,
     pool_record_stored = 1971,
+    connections_closed = 1972,
 };
 
 /// Number, name and level of an event.
@@ -250,6 +251,7 @@
     event_definition{event_id::job_not_found, "job-not-found", event_level::info},
     event_definition{event_id::submit_repeated, "submit-repeated", event_level::info},
     event_definition{event_id::pool_record_stored, "pool-record-stored", event_level::info},
+    event_definition{event_id::connections_closed, "connections-closed", event_level::warning},
     event_definition{event_id::log_lines_dropped, "log-lines-dropped", event_level::warning},
 };
 
