Tests: entries nested deeply, with numbers too large or ports out of range

Other operators saw machines end again and again, or stop following the list, when another writer left one odd entry among those of the VMs. It can't happen here: both parsers limit the depth (32 levels and our own limit), report numbers that don't fit as errors, and each reader checks ranges; a value of the store is text of its own inside the answer, so it can't spoil its neighbours.

The tables of odd entries have these kinds now: 15 more among the VMs' entries (node/vm_entries_test: the others get all the work, before and after the watch has begun, and none of the odd ones is called), and five kinds at each reader of JSON (platform/records_test). Both passed on the code as it was; nothing had to be mended.

--- a/tests/node/vm_entries_test.cpp
+++ b/tests/node/vm_entries_test.cpp
@@ -14,6 +14,9 @@
 /// Above the 400 ms between two watches of the entries.
 constexpr milliseconds watch_delay_bound = 1500ms;
 
+/// Far beyond the depth that a parser with recursion bears.
+constexpr std::size_t nesting_depth = 100'000;
+
 /// Above the VMs' lease of six seconds.
 constexpr milliseconds beyond_lease = 8s;
 
@@ -32,7 +35,27 @@
         object[field] = value;
         return boost::json::serialize(object);
     };
-    return {{"empty", ""},
+    const auto with_text = [&good](const std::string& field, const std::string& text) {
+        return "{\"" + field + "\":" + text + "," + good.substr(1);
+    };
+    const std::string long_port = "127.0.0.1:" + std::string(100, '9');
+    const std::string nested = std::string(nesting_depth, '[') + std::string(nesting_depth, ']');
+    return {{"nested", nested},
+            {"nested-not-closed", std::string(nesting_depth, '{')},
+            {"nested-field", with_text("extra", nested)},
+            {"number-exponent", with_text("extra", "1e999999999999")},
+            {"number-digits", with_text("seq", std::string(1000, '9'))},
+            {"number-infinite", with_text("cold_left_ms", "1e400")},
+            {"number-large", changed("seq", 1e300)},
+            {"start-large", changed("born", 1e300)},
+            {"start-negative", changed("born", -1)},
+            {"capacity-large", changed("capacity", boost::json::object{{"cpu", 1e300}, {"mem_mb", 1}})},
+            {"port-large", changed("address", "127.0.0.1:65536")},
+            {"port-digits", changed("address", boost::json::string(long_port))},
+            {"port-negative", changed("address", "127.0.0.1:-1")},
+            {"port-zero", changed("address", "127.0.0.1:0")},
+            {"port-missing", changed("address", "127.0.0.1")},
+            {"empty", ""},
             {"bytes", std::string("\0\xff\xfe{", 4)},
             {"cut", good.substr(0, good.size() / 2)},
             {"state", changed("state", "resting")},
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -1,5 +1,7 @@
+#include "platform/json_reading.hpp"
 #include "platform/platform.hpp"
 
+#include <array>
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 #include <optional>
@@ -235,6 +237,47 @@
     }
 }
 
+// Guards against a reader that ends the process, or reads past one entry, at a hostile value.
+TEST_CASE("each reader of the store's entries refuses what is nested deeply or has numbers too large") {
+    struct reader {
+        const char* name = "";
+        bool (*accepts)(const std::string&) = nullptr;
+        std::string good; ///< Ends with '}'.
+    };
+    const std::string vm =
+        R"({"service":"p","address":"10.0.0.1:80","zone":"z","version":"v","state":"ready",)"
+        R"("machine":"m","capacity":{"cpu":1,"mem_mb":1},"labels":["k","r"]})";
+    const std::array readers{
+        reader{"registration",
+               [](const std::string& text) {
+                   findings problems;
+                   return decode_vm("servers/v1", text, problems).has_value();
+               },
+               vm},
+        reader{"configuration",
+               [](const std::string& text) {
+                   findings problems;
+                   return decode_configuration(text, problems).has_value();
+               },
+               R"({"version":3,"routes":[],"services":[]})"},
+        reader{"wave", [](const std::string& text) { return decode_wave(text).has_value(); },
+               R"({"wave":4,"machines":["m"],"duration_s":2})"},
+        reader{"answer of the store",
+               [](const std::string& text) { return try_parse_object(text).has_value(); },
+               R"({"items":[]})"}};
+    constexpr std::size_t depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const reader& item : readers) {
+        INFO(std::string(item.name));
+        CHECK(item.accepts(item.good));
+        const std::string begin = item.good.substr(0, item.good.size() - 1);
+        for (const std::string& text : {nested, std::string(depth, '{'), std::string(depth, '['),
+                                        begin + ",\"x\":" + nested + "}", begin + ",\"x\":1e999999999999}"}) {
+            CHECK_FALSE(item.accepts(text));
+        }
+    }
+}
+
 TEST_CASE("numbers out of bounds are clamped and don't wrap around") {
     findings problems;
     const auto configuration = decode_configuration(
