--- a/tests/limits/hostile_clients_test.cpp
+++ b/tests/limits/hostile_clients_test.cpp
@@ -236,18 +236,20 @@
 
 // Guards against clients that make the process hold more than its machine has, until it ends or hangs.
 TEST_CASE("a crowd of clients that don't behave leaves the process alive and within its memory") {
-    for (const auto& [where, listener_name] : listeners) {
+    for (const auto& listened : listeners) {
+        const std::string listener_name = listened.second;
         node_process node;
         for (const crowd_case& item : crowd_cases()) {
-            INFO(std::string(listener_name), ": ", std::string(item.name));
+            INFO(listener_name, ": ", std::string(item.name));
             const std::size_t bytes = item.bytes_each != 0 ? item.bytes_each : crowd_bytes / item.connections;
-            client_crowd crowd(node.address_of(where), item.connections, {item.opening, item.block, bytes});
+            client_crowd crowd(node.address_of(listened.first), item.connections,
+                               {item.opening, item.block, bytes});
             const std::size_t descriptors = node.run(crowd);
             REQUIRE_MESSAGE(node.is_running(), "exit code ", node.exit_code());
             CHECK(descriptors <= max_descriptors);
             CHECK(node.is_answering());
             CHECK(node.peak_resident_kb() <= max_resident_kb);
-            MESSAGE(std::string(listener_name), ", ", std::string(item.name), ": ", crowd.sent_bytes() >> 10U,
+            MESSAGE(listener_name, ", ", std::string(item.name), ": ", crowd.sent_bytes() >> 10U,
                     " KB sent, peak ", node.peak_resident_kb(), " KB, ", descriptors, " descriptors");
         }
     }
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -270,9 +270,12 @@
     for (const reader& item : readers) {
         INFO(std::string(item.name));
         CHECK(item.accepts(item.good));
-        const std::string begin = item.good.substr(0, item.good.size() - 1);
+        const auto with_field = [&item](const std::string& value) {
+            std::string text = item.good.substr(0, item.good.size() - 1);
+            return text.append(",\"x\":").append(value).append("}");
+        };
         for (const std::string& text : {nested, std::string(depth, '{'), std::string(depth, '['),
-                                        begin + ",\"x\":" + nested + "}", begin + ",\"x\":1e999999999999}"}) {
+                                        with_field(nested), with_field("1e999999999999")}) {
             CHECK_FALSE(item.accepts(text));
         }
     }
